Rename the crate of the platform ports to infra

The adapter for the users' platform is to be the folder platform/ at the root. A crate of ports with the same name beside it would be mixed up with it.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -6,8 +6,8 @@
         WorkspaceId,
     },
     conf::ticket::{AcceptedTicket, ChangeTicket},
+    infra::HostEntry,
     peer::{ClusterState, DomainRecord, MemberRow},
-    platform::HostEntry,
     smol_str::SmolStr,
 };
 
--- a/crates/controller/src/groups/input.rs
+++ b/crates/controller/src/groups/input.rs
@@ -3,8 +3,8 @@
 use {
     base::{FabricDomainId, GroupSetName, RatePerSecond},
     conf::{settings::ControllerSettings, ticket::DesiredState},
+    infra::{HostEntry, HostRole, HostStanding},
     plan::{DomainCapacity, EngineHost, PlanSettings, place_sets},
-    platform::{HostEntry, HostRole, HostStanding},
     std::{collections::BTreeMap, time::Duration},
 };
 
--- a/crates/controller/src/groups/port.rs
+++ b/crates/controller/src/groups/port.rs
@@ -2,8 +2,8 @@
 
 use {
     base::{FabricDomainId, Term},
+    infra::HostEntry,
     peer::{ClusterState, DomainRecord},
-    platform::HostEntry,
     std::sync::Arc,
 };
 
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -8,7 +8,7 @@
         run::{Controller, ControllerPorts},
     },
     engine::http::HttpEngineControl,
-    platform::http::{HttpHosts, HttpTable},
+    infra::http::{HttpHosts, HttpTable},
     std::{process::ExitCode, sync::Arc, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
     tokio_util::sync::CancellationToken,
--- a/crates/controller/src/member/ownership.rs
+++ b/crates/controller/src/member/ownership.rs
@@ -11,8 +11,8 @@
     },
     async_trait::async_trait,
     base::{FabricDomainId, MemberId},
+    infra::{HostEntry, HostRole},
     peer::ClusterState,
-    platform::{HostEntry, HostRole},
     std::collections::BTreeSet,
 };
 
--- a/crates/controller/src/member/reap.rs
+++ b/crates/controller/src/member/reap.rs
@@ -2,8 +2,8 @@
 
 use {
     base::{MemberId, Tick},
+    infra::{HostEntry, HostRole, HostStanding},
     peer::{ClusterState, LeaveReason, LeftMember},
-    platform::{HostEntry, HostRole, HostStanding},
     std::{collections::BTreeMap, time::Duration},
 };
 
--- a/crates/controller/src/net/gossip.rs
+++ b/crates/controller/src/net/gossip.rs
@@ -11,12 +11,12 @@
         state::node::NodeCore,
     },
     base::Tick,
+    infra::HostRole,
     parking_lot::Mutex,
     peer::{
         DatagramEndpoint, MessageCodec, PeerAnswer, PeerDatagram, PeerQuestion, ReceivedDatagram,
         codec::OLDEST_PROTOCOL_VERSION,
     },
-    platform::HostRole,
     rand::seq::IndexedRandom,
     std::{
         collections::VecDeque,
--- a/crates/controller/src/net/service.rs
+++ b/crates/controller/src/net/service.rs
@@ -8,11 +8,11 @@
     },
     async_trait::async_trait,
     base::{HeadNumber, TicketNumber},
+    infra::{HostEntry, HostRole, HostStanding},
     peer::{
         ClusterState, GatewayPoll, GatewayUpdate, HostLine, HostTable, PeerReply, PeerRequest,
         RequestHandler,
     },
-    platform::{HostEntry, HostRole, HostStanding},
     std::sync::Arc,
 };
 
--- a/crates/controller/src/operator/api.rs
+++ b/crates/controller/src/operator/api.rs
@@ -17,7 +17,7 @@
         ServerBuilder, UntypedBody, endpoint,
     },
     http::{Response, StatusCode, header::CONTENT_TYPE},
-    platform::TableStore,
+    infra::TableStore,
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
--- a/crates/controller/src/operator/views.rs
+++ b/crates/controller/src/operator/views.rs
@@ -8,8 +8,8 @@
     },
     base::{IdempotencyKey, WorkspaceId},
     fresh::EvidenceKind,
+    infra::{ClaimRow, HostEntry, PlatformError, TableStore, claim_key},
     peer::{DomainRecord, message::LOAD_FULL},
-    platform::{ClaimRow, HostEntry, PlatformError, TableStore, claim_key},
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -83,11 +83,11 @@
 fn claim_state(claim: &ClaimRow, now: SystemTime) -> ClaimState {
     let deadline = UNIX_EPOCH + Duration::from_millis(claim.deadline_ms);
     match &claim.state {
-        platform::ClaimState::Claimed if now <= deadline => ClaimState::Running,
-        platform::ClaimState::Claimed | platform::ClaimState::Unknown => ClaimState::Unknown,
-        platform::ClaimState::NotRun => ClaimState::NotRun,
-        platform::ClaimState::Answered(kept) => ClaimState::Done { status: kept.status },
-        platform::ClaimState::AnswerTooLarge => ClaimState::DoneUnkept,
+        infra::ClaimState::Claimed if now <= deadline => ClaimState::Running,
+        infra::ClaimState::Claimed | infra::ClaimState::Unknown => ClaimState::Unknown,
+        infra::ClaimState::NotRun => ClaimState::NotRun,
+        infra::ClaimState::Answered(kept) => ClaimState::Done { status: kept.status },
+        infra::ClaimState::AnswerTooLarge => ClaimState::DoneUnkept,
     }
 }
 
--- a/crates/controller/src/state/change.rs
+++ b/crates/controller/src/state/change.rs
@@ -7,8 +7,8 @@
     },
     base::{HeadNumber, MemberId, RowVersion, Term, TicketNumber},
     conf::ticket::{AcceptedTicket, ChangeTicket, ObjectName},
+    infra::Transaction,
     peer::{ClusterState, DomainOwner, LeaveReason, LeftMember, MemberRow, ViewChange},
-    platform::Transaction,
 };
 
 /// A change that is ready to be committed on top of the state it was made from.
--- a/crates/controller/src/state/node.rs
+++ b/crates/controller/src/state/node.rs
@@ -12,9 +12,9 @@
         TicketNumber,
     },
     fresh::{Evidence, ForceOutlook, FreshTiming, HeadTracker, PeerWord},
+    infra::HostEntry,
     parking_lot::Mutex,
     peer::{ClusterState, DomainRecord, Head},
-    platform::HostEntry,
     std::{
         collections::VecDeque,
         sync::{
--- a/crates/controller/src/state/reader.rs
+++ b/crates/controller/src/state/reader.rs
@@ -7,8 +7,8 @@
     },
     base::{HostId, RowVersion, SharedClock, Tick, TicketNumber},
     conf::ticket::{AcceptedTicket, DesiredState},
+    infra::{PlatformError, RowKey, StoredRow, TableStore},
     peer::{ClusterState, Head, MemberRow, ViewChain},
-    platform::{PlatformError, RowKey, StoredRow, TableStore},
     snafu::Snafu,
     std::sync::Arc,
 };
--- a/crates/controller/src/state/rows.rs
+++ b/crates/controller/src/state/rows.rs
@@ -3,7 +3,7 @@
 use {
     base::{FabricDomainId, HostId, Incarnation, SubmissionId, TicketNumber},
     conf::ticket::ObjectName,
-    platform::{RowKey, StoredRow},
+    infra::{RowKey, StoredRow},
     serde::{Serialize, de::DeserializeOwned},
     smol_str::{SmolStr, format_smolstr},
     snafu::{ResultExt, Snafu},
--- a/crates/controller/tests/admin.rs
+++ b/crates/controller/tests/admin.rs
@@ -4,7 +4,7 @@
 
 use {
     base::{HostId, IdempotencyKey, WorkspaceId},
-    platform::{ClaimRow, ClaimState, TableStore, Transaction, claim_key},
+    infra::{ClaimRow, ClaimState, TableStore, Transaction, claim_key},
     std::net::SocketAddr,
     support::{TestCluster, TestNode},
     tokio::{
--- a/crates/controller/tests/groups_support/mod.rs
+++ b/crates/controller/tests/groups_support/mod.rs
@@ -21,9 +21,9 @@
         EngineControl, EngineError, EngineOrder, EnginePhase, EngineState, LoadOrder, OrderAnswer,
         OrderCommand, ReleaseOrder,
     },
+    infra::{HostEntry, HostRole, HostStanding},
     parking_lot::Mutex,
     peer::{ClusterState, DomainRecord, GroupPhase},
-    platform::{HostEntry, HostRole, HostStanding},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
--- a/crates/controller/tests/state.rs
+++ b/crates/controller/tests/state.rs
@@ -7,8 +7,8 @@
     controller::state::{
         change::StateChange, held::held_head, reader::StateReader, rows::incarnation_key,
     },
+    infra::{CommitOutcome, TableStore},
     peer::{ClusterState, LeaveReason, LeftMember, MemberRow},
-    platform::{CommitOutcome, TableStore},
     rand::{Rng, SeedableRng, seq::IndexedRandom},
     rand_pcg::Pcg64Mcg,
     std::{collections::BTreeMap, sync::Arc},
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -18,11 +18,11 @@
         state::node::NodeCore,
     },
     engine::{EngineControl, EngineError, EngineOrder, EngineState, OrderAnswer},
-    peer::{MemberRow, MessageCodec},
-    platform::{
+    infra::{
         CommitOutcome, HostDirectory, HostEntry, HostRole, HostStanding, PlatformError, RowKey,
         StoredRow, TableStore, Transaction,
     },
+    peer::{MemberRow, MessageCodec},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -8,7 +8,7 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    platform::http::error_chain,
+    infra::http::error_chain,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
--- a/crates/ctl/src/tables.rs
+++ b/crates/ctl/src/tables.rs
@@ -3,8 +3,8 @@
 use {
     admin::{GroupsView, HostsView, MembersView, TicketPage, TicketStatus, TicketView},
     comfy_table::{ContentArrangement, Table, presets},
+    infra::{HostRole, HostStanding},
     peer::message::{LOAD_DRAINING, LOAD_FULL, LOAD_NONE},
-    platform::{HostRole, HostStanding},
     std::fmt::Display,
 };
 
--- a/crates/e2e/src/shape.rs
+++ b/crates/e2e/src/shape.rs
@@ -3,7 +3,7 @@
 use {
     base::{FabricDomainId, FailureDomainId, HostId, RegionId, ServiceName},
     conf::settings::{ControllerSettings, FreshnessSettings, GatewaySettings, PlatformSettings},
-    platform::{HostEntry, HostRole, HostStanding},
+    infra::{HostEntry, HostRole, HostStanding},
     standin::{
         BoundAddresses, StandinSettings,
         settings::{DomainSettings, EngineSettings, ServiceSettings},
--- a/crates/e2e/tests/leaving_server.rs
+++ b/crates/e2e/tests/leaving_server.rs
@@ -9,7 +9,7 @@
         CallEnd, ClusterShape, LoadKind, LoadShape, SteadyLoad, TestCluster,
         checks::{contradictions, runs_started_after, service_runs_started_after},
     },
-    platform::HostStanding,
+    infra::HostStanding,
     standin::fault::{Fault, FaultTarget, HostListFaults},
     std::time::Duration,
     tokio::time::sleep,
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -11,7 +11,7 @@
     async_trait::async_trait,
     bytes::Bytes,
     http::Method,
-    platform::http::{CallFailure, HttpCaller, HttpReply},
+    infra::http::{CallFailure, HttpCaller, HttpReply},
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
 };
--- a/crates/gateway/examples/claims.rs
+++ b/crates/gateway/examples/claims.rs
@@ -11,7 +11,7 @@
     async_trait::async_trait,
     base::RowVersion,
     gateway::claims::{BatchRules, ChangeEnd, RowBatcher, RowChange},
-    platform::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
+    infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{sync::Arc, time::Duration},
     tokio::{
--- a/crates/gateway/src/claims/batch.rs
+++ b/crates/gateway/src/claims/batch.rs
@@ -2,7 +2,7 @@
 
 use {
     base::RowVersion,
-    platform::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
+    infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     std::{
         collections::HashSet,
         sync::{
--- a/crates/gateway/src/claims/keep.rs
+++ b/crates/gateway/src/claims/keep.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     engine::WholeAnswer,
     http::{HeaderValue, StatusCode},
-    platform::{ClaimState, KeptAnswer, KeptBody},
+    infra::{ClaimState, KeptAnswer, KeptBody},
     smol_str::SmolStr,
 };
 
--- a/crates/gateway/src/claims/ledger.rs
+++ b/crates/gateway/src/claims/ledger.rs
@@ -12,7 +12,7 @@
     },
     base::{HostId, IdempotencyKey, RowVersion, WorkspaceId},
     engine::WholeAnswer,
-    platform::{ClaimRow, ClaimState, RowKey, StoredRow, TableStore, claim_key},
+    infra::{ClaimRow, ClaimState, RowKey, StoredRow, TableStore, claim_key},
     smol_str::SmolStr,
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
--- a/crates/gateway/src/claims/marked.rs
+++ b/crates/gateway/src/claims/marked.rs
@@ -6,7 +6,7 @@
         refusal::{Outcome, Refusal},
     },
     engine::WholeAnswer,
-    platform::ClaimState,
+    infra::ClaimState,
 };
 
 /// How a claimed request ended.
--- a/crates/gateway/src/claims/settle.rs
+++ b/crates/gateway/src/claims/settle.rs
@@ -6,7 +6,7 @@
         ledger::{ClaimLedger, OwnClaim, encode},
     },
     base::RowVersion,
-    platform::{ClaimRow, ClaimState, PlatformError, RowKey, StoredRow},
+    infra::{ClaimRow, ClaimState, PlatformError, RowKey, StoredRow},
     std::time::Duration,
     tokio::time::sleep,
 };
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -11,7 +11,7 @@
     base::BootClock,
     conf::settings::GatewaySettings,
     engine::{HttpBackend, http::HttpEngineReports},
-    platform::http::HttpTable,
+    infra::http::HttpTable,
     snafu::{ResultExt, Snafu},
     std::{io, sync::Arc, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -3,7 +3,7 @@
 use {
     base::SharedClock,
     engine::{EngineReports, ModelBackend, ServiceBackend},
-    platform::TableStore,
+    infra::TableStore,
     std::{
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,7 +20,7 @@
     engine::{CompletionKind, WholeAnswer},
     http::{HeaderValue, Request, Response, header},
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    platform::claims::hex,
+    infra::claims::hex,
     route::{AdmitRefusal, StartGuard},
     sha2::{Digest, Sha256},
     smol_str::SmolStr,
--- a/crates/gateway/tests/claims.rs
+++ b/crates/gateway/tests/claims.rs
@@ -5,7 +5,7 @@
 use {
     engine::NotRunReason,
     http::StatusCode,
-    platform::{ClaimRow, ClaimState},
+    infra::{ClaimRow, ClaimState},
     std::{sync::Arc, time::Duration},
     support::{
         client::{CallerAnswer, CallerRequest},
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -93,8 +93,8 @@
     use {
         async_trait::async_trait,
         base::RowVersion,
+        infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
         parking_lot::Mutex,
-        platform::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
         std::{
             collections::{BTreeMap, VecDeque},
             time::Duration,
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{FabricDomainId, FailureDomainId, HostId},
-    platform::{HostEntry, HostStanding},
+    infra::{HostEntry, HostStanding},
     std::time::Duration,
 };
 
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -3,8 +3,8 @@
 use {
     crate::fault::HostListFaults,
     base::HostId,
+    infra::{HostEntry, HostStanding},
     parking_lot::Mutex,
-    platform::{HostEntry, HostStanding},
     std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
--- a/crates/standin/src/platform_api.rs
+++ b/crates/standin/src/platform_api.rs
@@ -13,7 +13,7 @@
         UntypedBody, endpoint,
     },
     http::{Response, StatusCode},
-    platform::{
+    infra::{
         Transaction,
         http::{HostsBody, ReadAnswer, ReadBody, ScanBody},
     },
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -3,7 +3,7 @@
 use {
     base::{FabricDomainId, FailureDomainId, RegionId, ServiceName},
     conf::{CheckSettings, FaultList, FieldPath, bounds::check_range, settings::LogFormat},
-    platform::HostEntry,
+    infra::HostEntry,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{collections::HashSet, net::SocketAddr, ops::RangeInclusive},
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -3,11 +3,11 @@
 use {
     crate::fault::TableFaults,
     base::RowVersion,
-    parking_lot::Mutex,
-    platform::{
+    infra::{
         CommitOutcome, Condition, RowKey, StoredRow, Transaction,
         http::{ScanAnswer, ScanBody},
     },
+    parking_lot::Mutex,
     rand::Rng,
     rand_pcg::Pcg64Mcg,
     std::{collections::BTreeMap, ops::Bound},
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -22,7 +22,7 @@
     },
     base::{FabricDomainId, FailureDomainId, HostId},
     dropshot::{ApiDescriptionRegisterError, HandlerTaskMode, HttpServer},
-    platform::{HostEntry, HostRole, HostStanding},
+    infra::{HostEntry, HostRole, HostStanding},
     std::{
         net::SocketAddr,
         sync::Arc,
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -84,7 +84,7 @@
 /// The members `fab-h1` to `fab-h{count}`.
 pub(crate) fn members(world: &World, count: usize) -> Vec<EngineMember> {
     let entries = &world.addresses().backend_servers;
-    let member = |entry: &platform::HostEntry| EngineMember {
+    let member = |entry: &infra::HostEntry| EngineMember {
         host: entry.host.clone(),
         address: entry.address,
     };
--- a/crates/standin/tests/platform_adapters.rs
+++ b/crates/standin/tests/platform_adapters.rs
@@ -6,7 +6,7 @@
     base::RowVersion,
     bytes::Bytes,
     common::{CALL_LIMIT, host, settings, start, switch, wait_for},
-    platform::{
+    infra::{
         CommitOutcome, HostDirectory, HostStanding, ObjectStore, PlatformError, TableStore,
         Transaction,
         http::{HttpHosts, HttpObjects, HttpTable},
