--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,430 @@
+//! Runs the planners of the fabric domains that this process owns.
+
+use {
+    crate::{
+        owners::{OwnedRow, OwnerStep, owner_step},
+        ports::{AskError, EngineAccess, EngineWord, ServerEntry, ServerStanding},
+        rows::{OwnerRow, RowName, RowOwner},
+        view::NodeView,
+    },
+    base::{FabricDomainId, SharedClock, Term, Tick},
+    infra::{CommitOutcome, TableStore, Transaction},
+    plan::staged::{
+        DemandWeight, EngineFacts, LossMark, ObservationSource, OrderEnd, StagedHost, StagedInput,
+        StagedModel, StagedOrder, StagedPlanner, StagedSettings,
+    },
+    relay::{RelayShared, ServerId},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        sync::mpsc,
+        time::{MissedTickBehavior, interval},
+    },
+    tokio_util::sync::CancellationToken,
+    tracing::{info, warn},
+};
+
+/// Time between two looks at all domains; changes of the view are looked at right away.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two questions to an engine that answers.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time limit of a question to an engine.
+const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Time limit of an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(600);
+/// Time between two tries to take a domain.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the first look at the members in which nobody takes a domain, so that processes which
+/// start together share the domains.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Part of the loads a second that the weight store admits which this system starts.
+const LOAD_PART: f64 = 0.9;
+
+/// What a task of the control loop came to.
+enum ControlEvent {
+    Asked { domain: FabricDomainId, host: ServerId, at: Tick, word: Result<EngineWord, AskError> },
+    Ordered { domain: FabricDomainId, order: StagedOrder, sent: Tick, end: OrderEnd },
+    Claimed { domain: FabricDomainId, row: Option<OwnedRow> },
+}
+
+/// A domain that this process owns.
+struct OwnedDomain {
+    term: Term,
+    planner: StagedPlanner,
+    asks: BTreeMap<ServerId, AskState>,
+    listed: BTreeMap<ServerId, EngineFacts>,
+}
+
+/// When an engine is asked next.
+#[derive(Clone, Copy)]
+struct AskState {
+    due: Tick,
+    running: bool,
+}
+
+/// The control loop.
+pub struct ControlLoop<T, E> {
+    table: Arc<T>,
+    engines: Arc<E>,
+    view: Arc<NodeView>,
+    shared: Arc<RelayShared>,
+    clock: SharedClock,
+    own: RowOwner,
+    domains: BTreeMap<FabricDomainId, OwnedDomain>,
+    claims: BTreeMap<FabricDomainId, Tick>,
+    settled_at: Option<Tick>,
+    events: mpsc::UnboundedSender<ControlEvent>,
+}
+
+impl<T, E> ControlLoop<T, E>
+where
+    T: TableStore + 'static,
+    E: EngineAccess,
+{
+    /// Runs until cancelled, then gives the domains away. `stalls` names servers that should be
+    /// asked at once.
+    pub async fn run(
+        table: Arc<T>,
+        engines: Arc<E>,
+        view: Arc<NodeView>,
+        shared: Arc<RelayShared>,
+        own: RowOwner,
+        mut stalls: mpsc::Receiver<ServerId>,
+        stop: CancellationToken,
+    ) {
+        let (events, mut received) = mpsc::unbounded_channel();
+        let clock = shared.clock.clone();
+        let mut control = Self {
+            table,
+            engines,
+            view,
+            shared,
+            clock,
+            own,
+            domains: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            settled_at: None,
+            events,
+        };
+        let mut ticks = interval(STEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let view = control.view.clone();
+            tokio::select! {
+                () = stop.cancelled() => break,
+                _ = ticks.tick() => {}
+                () = view.changed.notified() => {}
+                Some(event) = received.recv() => {
+                    control.take(event);
+                    while let Ok(event) = received.try_recv() {
+                        control.take(event);
+                    }
+                }
+                Some(server) = stalls.recv() => control.ask_soon(&server),
+            }
+            control.step();
+        }
+        control.give_away().await;
+    }
+
+    fn take(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Asked { domain, host, at, word } => {
+                self.take_word(&domain, &host, at, word);
+            }
+            ControlEvent::Ordered { domain, order, sent, end } => {
+                info!(decision = "order-ended", domain = %domain, server = %order.host,
+                    end = ?end, "groups");
+                if let Some(owned) = self.domains.get_mut(&domain) {
+                    owned.planner.note_end(&order, sent, end);
+                }
+            }
+            ControlEvent::Claimed { domain, row } => {
+                if let Some(row) = row {
+                    self.view.with(|state| state.set_owner(domain, row));
+                }
+            }
+        }
+    }
+
+    fn take_word(
+        &mut self,
+        domain: &FabricDomainId,
+        host: &ServerId,
+        at: Tick,
+        word: Result<EngineWord, AskError>,
+    ) {
+        let now = self.clock.now();
+        let Some(owned) = self.domains.get_mut(domain) else { return };
+        if let Some(ask) = owned.asks.get_mut(host) {
+            ask.running = false;
+            ask.due = if word.is_ok() { at + ASK_INTERVAL } else { now };
+        }
+        match word {
+            Ok(word) => {
+                owned.planner.observe(host, ObservationSource::Engine, at, word.facts);
+            }
+            Err(error) => {
+                info!(decision = "engine-silent", domain = %domain, server = %host,
+                    why = ?error, "groups");
+                let mark = match error {
+                    AskError::Refused => LossMark::Refused,
+                    AskError::Silent => LossMark::Silent,
+                };
+                owned.planner.note_loss(host, at, mark);
+                if let Some(ask) = owned.asks.get_mut(host)
+                    && error == AskError::Refused
+                {
+                    ask.due = now + ASK_LIMIT / 2;
+                }
+            }
+        }
+    }
+
+    /// Asks all engines of a server's domain at once, if it is ours.
+    fn ask_soon(&mut self, server: &ServerId) {
+        let now = self.clock.now();
+        for owned in self.domains.values_mut() {
+            if owned.asks.contains_key(server) {
+                for ask in owned.asks.values_mut() {
+                    ask.due = ask.due.min(now);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        let ready = self.view.with(|state| {
+            state.is_ready() && state.rows_known && state.members.listed().next().is_some()
+        });
+        if !ready {
+            return;
+        }
+        let settled_at = *self.settled_at.get_or_insert(now);
+        if now.since(settled_at) < SETTLE_TIME {
+            return;
+        }
+        let domains = self.view.with(|state| state.engine_domains());
+        for (domain, entries) in &domains {
+            self.step_domain(domain, entries, domains.len(), now);
+        }
+        self.domains.retain(|domain, _| domains.contains_key(domain));
+        let broken: Vec<ServerId> = self
+            .domains
+            .values()
+            .flat_map(|owned| owned.planner.broken_heads().cloned().collect::<Vec<_>>())
+            .collect();
+        if !broken.is_empty() {
+            self.view.note_broken(&broken);
+        }
+    }
+
+    fn step_domain(
+        &mut self,
+        domain: &FabricDomainId,
+        entries: &[ServerEntry],
+        domains: usize,
+        now: Tick,
+    ) {
+        let place = entries.first().map(|entry| entry.failure_domain.clone());
+        let step = self.view.with(|state| {
+            let known = state.domains.get(domain);
+            owner_step(domain, place.as_ref(), known, &self.own, &state.members, now)
+        });
+        match step {
+            OwnerStep::Own(term) => self.plan_domain(domain, term, entries, domains, now),
+            OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, now),
+            OwnerStep::Leave => {
+                if self.domains.remove(domain).is_some() {
+                    info!(decision = "domain-left", domain = %domain, "groups");
+                }
+            }
+        }
+    }
+
+    fn plan_domain(
+        &mut self,
+        domain: &FabricDomainId,
+        term: Term,
+        entries: &[ServerEntry],
+        domains: usize,
+        now: Tick,
+    ) {
+        let Some(config) = self.view.with(|state| state.config.clone()) else { return };
+        let Some(service) = entries.first().map(|entry| &entry.service) else { return };
+        let Some(engine) = config.engines.iter().find(|engine| engine.name == *service) else {
+            return;
+        };
+        let elsewhere = self.view.with(|state| state.groups_elsewhere(domain));
+        let models: Vec<StagedModel> = engine
+            .models
+            .iter()
+            .map(|rule| StagedModel {
+                name: rule.name.clone(),
+                size: rule.size,
+                demand: DemandWeight(rule.share * rule.pace),
+                elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
+            })
+            .collect();
+        let hosts: Vec<StagedHost> = entries.iter().map(to_host).collect();
+        let settings = StagedSettings {
+            loads_per_s: LOAD_PART * engine.loads_per_s / domains.max(1) as f64,
+            ..StagedSettings::default()
+        };
+        let owned = match self.domains.get_mut(domain) {
+            Some(owned) if owned.term == term => owned,
+            _ => {
+                info!(decision = "domain-taken", domain = %domain, term = term.0, "groups");
+                let planner = StagedPlanner::new(domain, term, settings, now);
+                let owned =
+                    OwnedDomain { term, planner, asks: BTreeMap::new(), listed: BTreeMap::new() };
+                self.domains.insert(domain.clone(), owned);
+                self.domains.get_mut(domain).expect("it was just put in")
+            }
+        };
+        owned.planner.list_hosts(&hosts, now);
+        owned.listed.retain(|id, _| entries.iter().any(|entry| entry.id == *id));
+        for entry in entries {
+            let Some(facts) = &entry.facts else { continue };
+            if owned.listed.get(&entry.id) != Some(facts) {
+                let source = ObservationSource::HostList;
+                owned.planner.observe(&entry.id, source, now, facts.clone());
+                owned.listed.insert(entry.id.clone(), facts.clone());
+            }
+        }
+        let input = StagedInput {
+            models: &models,
+            hosts: &hosts,
+            in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
+            now,
+        };
+        let orders = owned.planner.step(&input);
+        self.send_orders(domain, term, orders, now);
+        self.ask_due(domain, now);
+    }
+
+    fn send_orders(
+        &mut self,
+        domain: &FabricDomainId,
+        term: Term,
+        orders: Vec<StagedOrder>,
+        sent: Tick,
+    ) {
+        for order in orders {
+            info!(decision = "order", domain = %domain, term = term.0, server = %order.host,
+                command = ?order.command, "groups");
+            let engines = self.engines.clone();
+            let events = self.events.clone();
+            let domain = domain.clone();
+            tokio::spawn(async move {
+                let end = engines.order(&order, term, ORDER_LIMIT).await;
+                // The loop has ended when nobody listens.
+                let _ = events.send(ControlEvent::Ordered { domain, order, sent, end });
+            });
+        }
+    }
+
+    fn ask_due(&mut self, domain: &FabricDomainId, now: Tick) {
+        let Some(owned) = self.domains.get_mut(domain) else { return };
+        let hosts: Vec<StagedHost> = owned.planner.known_hosts().cloned().collect();
+        owned.asks.retain(|id, _| hosts.iter().any(|host| host.host == *id));
+        for (place, host) in hosts.iter().enumerate() {
+            let first = now + ASK_INTERVAL.mul_f64((place + 1) as f64 / (hosts.len() + 1) as f64);
+            let ask = owned
+                .asks
+                .entry(host.host.clone())
+                .or_insert(AskState { due: first, running: false });
+            if ask.running || ask.due > now {
+                continue;
+            }
+            ask.running = true;
+            let engines = self.engines.clone();
+            let events = self.events.clone();
+            let domain = domain.clone();
+            let host = host.clone();
+            tokio::spawn(async move {
+                let word = engines.ask(host.address, ASK_LIMIT).await;
+                let asked = ControlEvent::Asked { domain, host: host.host, at: now, word };
+                // The loop has ended when nobody listens.
+                let _ = events.send(asked);
+            });
+        }
+    }
+
+    fn claim(
+        &mut self,
+        domain: &FabricDomainId,
+        expected: base::RowVersion,
+        term: Term,
+        now: Tick,
+    ) {
+        let tried = self.claims.get(domain);
+        if tried.is_some_and(|at| now.since(*at) < CLAIM_INTERVAL) {
+            return;
+        }
+        self.claims.insert(domain.clone(), now);
+        let row = OwnerRow { term, owner: Some(self.own.clone()) };
+        let table = self.table.clone();
+        let events = self.events.clone();
+        let domain = domain.clone();
+        info!(decision = "domain-claim", domain = %domain, term = term.0,
+            expected = expected.0, "groups");
+        tokio::spawn(async move {
+            let row = write_owner(&*table, &domain, expected, row).await;
+            // The loop has ended when nobody listens.
+            let _ = events.send(ControlEvent::Claimed { domain, row });
+        });
+    }
+
+    /// Names no owner for the domains that this process owns, so that others take them at once.
+    async fn give_away(&mut self) {
+        let owned: Vec<FabricDomainId> = self.domains.keys().cloned().collect();
+        self.domains.clear();
+        for domain in owned {
+            let known = self.view.with(|state| state.domains.get(&domain).cloned());
+            let Some(known) = known else { continue };
+            let row = OwnerRow { term: known.row.term, owner: None };
+            write_owner(&*self.table, &domain, known.version, row).await;
+            info!(decision = "domain-given-away", domain = %domain, "groups");
+        }
+    }
+}
+
+/// Writes a domain's row if it has the expected version; gives back the row that is known then.
+async fn write_owner<T: TableStore>(
+    table: &T,
+    domain: &FabricDomainId,
+    expected: base::RowVersion,
+    row: OwnerRow,
+) -> Option<OwnedRow> {
+    let key = RowName::Domain(domain.clone()).key();
+    let value = match serde_json::to_string(&row) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!(domain = %domain, %error, "a row can't be encoded");
+            return None;
+        }
+    };
+    let transaction = Transaction::default().expect(key.clone(), expected).put(key, value);
+    match table.commit(transaction).await {
+        Ok(CommitOutcome::Committed { version }) => Some(OwnedRow { row, version }),
+        // Another process was first, or this one's earlier write took effect; the watch tells.
+        Ok(CommitOutcome::Conflict { .. }) => None,
+        Err(error) => {
+            warn!(domain = %domain, why = %error, "a domain's row was not written");
+            None
+        }
+    }
+}
+
+fn to_host(entry: &ServerEntry) -> StagedHost {
+    StagedHost {
+        host: entry.id.clone(),
+        address: entry.address,
+        leaving: entry.standing == ServerStanding::Leaving,
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,96 @@
+//! Follows what lies in the store.
+
+use {
+    crate::{
+        ports::{PlatformWatch, WatchError, WatchPage, WatchPosition},
+        view::NodeView,
+    },
+    std::{future::Future, sync::Arc, time::Duration},
+    tokio::time::sleep,
+    tokio_util::sync::CancellationToken,
+    tracing::{info, warn},
+};
+
+/// First pause after a failed read; doubled up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed reads; a change has to be in force well within two seconds.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a page of the server list, so that entries that change together are read together.
+const SERVER_PAUSE: Duration = Duration::from_millis(80);
+/// Pause after a page of our own rows.
+const ROW_PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows the three watches until cancelled.
+pub async fn follow_all<W: PlatformWatch>(
+    watch: Arc<W>,
+    view: Arc<NodeView>,
+    stop: CancellationToken,
+) {
+    let config = follow(
+        "config",
+        Duration::ZERO,
+        |after| watch.watch_config(after),
+        |page| page.changes.into_iter().for_each(|update| view.apply_config(update)),
+        || {},
+    );
+    let servers = follow(
+        "servers",
+        SERVER_PAUSE,
+        |after| watch.watch_servers(after),
+        |page| view.apply_servers(page),
+        || view.note_outage(),
+    );
+    let rows = follow(
+        "rows",
+        ROW_PAUSE,
+        |after| watch.watch_rows(after),
+        |page| view.apply_rows(page),
+        || {},
+    );
+    let all = async { tokio::join!(config, servers, rows) };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        _ = all => {}
+    }
+}
+
+async fn follow<T, F>(
+    what: &'static str,
+    pause: Duration,
+    mut read: impl FnMut(Option<WatchPosition>) -> F,
+    mut apply: impl FnMut(WatchPage<T>),
+    mut note_outage: impl FnMut(),
+) where
+    F: Future<Output = Result<WatchPage<T>, WatchError>>,
+{
+    let mut after = None;
+    let mut failures: u32 = 0;
+    loop {
+        match read(after).await {
+            Ok(page) => {
+                if failures > 0 {
+                    info!(decision = "store-regained", what, failures, "state");
+                    failures = 0;
+                }
+                after = Some(page.position);
+                if page.whole || !page.changes.is_empty() {
+                    apply(page);
+                    sleep(pause).await;
+                }
+            }
+            Err(WatchError::HistoryGone { position }) => {
+                warn!(decision = "history-gone", what, after = position.0, "state");
+                after = None;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    warn!(decision = "store-lost", what, why = %error, "state");
+                }
+                note_outage();
+                failures += 1;
+                let doubled = MIN_PAUSE * 2_u32.pow(failures.min(4) - 1);
+                sleep(doubled.min(MAX_PAUSE)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,34 @@
+//! One process of the system on hosts that keep nothing.
+//!
+//! Every host runs the same program; none is special. What must last lies in the platform's store:
+//! the configuration and the server list, which others write, and two kinds of rows of our own, one
+//! for each process ([`members`]) and one for each fabric domain ([`owners`]). Everything else is
+//! memory that a new process rebuilds from the store, its peers and the engines.
+
+pub mod addresses;
+mod book;
+pub mod control;
+pub mod follow;
+mod http;
+pub mod logs;
+pub mod members;
+mod metrics;
+pub mod owners;
+pub mod peers;
+pub mod ports;
+pub mod rows;
+pub mod run;
+pub mod settings;
+pub mod view;
+
+pub use crate::{
+    addresses::{AddressAnswer, AddressQuestion},
+    book::ServerBook,
+    ports::{
+        AddressCodec, AskError, ConfigUpdate, EngineAccess, EngineService, EngineWord, ModelRule,
+        PlatformWatch, RowChange, ServerChange, ServerEntry, ServerStanding, WatchError, WatchPage,
+        WatchPosition,
+    },
+    run::{NodeError, NodePorts, run_node},
+    settings::{ListenSettings, NodeSettings, RepeatSettings, StoreSettings, load_settings},
+};
--- /dev/null
+++ b/crates/node/src/members.rs
@@ -0,0 +1,135 @@
+//! Which processes there are, and which of them live.
+//!
+//! Each process counts up a number of its own and passes on the numbers it heard. A process whose
+//! number stands still is taken as dead. Rows in the store only say who exists and where: they are
+//! written at the start and the planned end of a process, never renewed.
+
+use {
+    crate::{peers::PeerCount, rows::MemberRow},
+    base::{HostId, Incarnation, Tick},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// A process whose number stands still for this long is taken as dead; several rounds of words with
+/// a dozen processes.
+pub const DEAD_AFTER: Duration = Duration::from_millis(1_800);
+/// Processes that [`DEAD_AFTER`] is enough for; with more, numbers take longer to get around.
+const SMALL_CROWD: usize = 64;
+
+#[derive(Clone, Debug)]
+struct MemberState {
+    row: MemberRow,
+    count: u64,
+    moved_at: Tick,
+    leaving: bool,
+}
+
+/// The processes of the system, as this one believes.
+#[derive(Debug)]
+pub struct MemberTable {
+    own: HostId,
+    members: BTreeMap<HostId, MemberState>,
+    heard_at: Option<Tick>,
+}
+
+impl MemberTable {
+    /// A table that knows nobody.
+    pub fn new(own: HostId) -> Self {
+        Self { own, members: BTreeMap::new(), heard_at: None }
+    }
+
+    /// Takes in the row of a process.
+    pub fn list(&mut self, node: HostId, row: MemberRow, now: Tick) {
+        match self.members.get_mut(&node) {
+            Some(state) if state.row.incarnation == row.incarnation => state.row = row,
+            _ => {
+                let state = MemberState { row, count: 0, moved_at: now, leaving: false };
+                self.members.insert(node, state);
+            }
+        }
+    }
+
+    /// Takes in that the row of a process is gone.
+    pub fn unlist(&mut self, node: &HostId) {
+        self.members.remove(node);
+    }
+
+    /// Processes that have rows.
+    pub fn listed(&self) -> impl Iterator<Item = &HostId> {
+        self.members.keys()
+    }
+
+    /// Takes in a number that a process passed on, or its own.
+    pub fn note_count(&mut self, count: &PeerCount, now: Tick) {
+        let Some(state) = self.members.get_mut(&count.node) else { return };
+        if state.row.incarnation != count.incarnation {
+            return;
+        }
+        state.leaving |= count.leaving;
+        if count.count > state.count {
+            state.count = count.count;
+            state.moved_at = now;
+        }
+    }
+
+    /// Notes that any datagram of a peer came.
+    pub fn note_heard(&mut self, now: Tick) {
+        self.heard_at = Some(now);
+    }
+
+    /// Numbers to pass on.
+    pub fn counts(&self) -> Vec<PeerCount> {
+        let count = |(node, state): (&HostId, &MemberState)| PeerCount {
+            node: node.clone(),
+            incarnation: state.row.incarnation,
+            count: state.count,
+            leaving: state.leaving,
+        };
+        self.members.iter().filter(|(node, _)| **node != self.own).map(count).collect()
+    }
+
+    /// Whether a life of a process is taken as alive. While nobody is heard, nobody is taken as
+    /// dead: it is this process that is cut off.
+    pub fn is_alive(&self, node: &HostId, incarnation: Option<Incarnation>, now: Tick) -> bool {
+        if *node == self.own {
+            return self
+                .members
+                .get(node)
+                .is_none_or(|state| incarnation.is_none_or(|life| life == state.row.incarnation));
+        }
+        let Some(state) = self.members.get(node) else { return false };
+        if incarnation.is_some_and(|life| life != state.row.incarnation) {
+            return false;
+        }
+        self.is_cut_off(now) || now.since(state.moved_at) < self.dead_after()
+    }
+
+    /// Whether this process has heard no peer for so long that it must be cut off itself.
+    pub fn is_cut_off(&self, now: Tick) -> bool {
+        let others = self.members.len() > 1;
+        others && self.heard_at.is_none_or(|at| now.since(at) >= DEAD_AFTER)
+    }
+
+    /// The living processes that do not leave, this one included if it has a row.
+    pub fn living(&self, now: Tick) -> impl Iterator<Item = (&HostId, &MemberRow)> {
+        self.members
+            .iter()
+            .filter(move |(node, state)| !state.leaving && self.is_alive(node, None, now))
+            .map(|(node, state)| (node, &state.row))
+    }
+
+    /// Where the datagrams of a process arrive.
+    pub fn peer_address(&self, node: &HostId) -> Option<SocketAddr> {
+        self.members.get(node).map(|state| state.row.peers)
+    }
+
+    /// Where all other processes' datagrams arrive.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|(node, _)| **node != self.own);
+        others.map(|(_, state)| state.row.peers).collect()
+    }
+
+    fn dead_after(&self) -> Duration {
+        DEAD_AFTER.mul_f64((self.members.len() as f64 / SMALL_CROWD as f64).max(1.0))
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,46 @@
+//! Metrics as text.
+
+use {
+    crate::view::NodeView,
+    prometheus_client::{encoding::text::encode, metrics::gauge::Gauge, registry::Registry},
+    relay::RelayShared,
+    std::{sync::Arc, sync::atomic::Ordering},
+};
+
+/// Gauges of what the process believes.
+pub(crate) struct NodeMetrics {
+    registry: Registry,
+    config_version: Gauge,
+    servers: Gauge,
+    processes: Gauge,
+    view: Arc<NodeView>,
+    shared: Arc<RelayShared>,
+}
+
+impl NodeMetrics {
+    /// Metrics of these beliefs.
+    pub(crate) fn new(view: Arc<NodeView>, shared: Arc<RelayShared>) -> Self {
+        let mut registry = Registry::with_prefix("gypsumfork");
+        let config_version = Gauge::default();
+        registry.register("config_version", "Version in force", config_version.clone());
+        let servers = Gauge::default();
+        registry.register("open_servers", "Servers that take requests", servers.clone());
+        let processes = Gauge::default();
+        registry.register("processes", "Processes with a row", processes.clone());
+        Self { registry, config_version, servers, processes, view, shared }
+    }
+
+    /// The text that a scrape gets.
+    pub(crate) fn render(&self) -> String {
+        let version =
+            self.view.with(|state| state.config.as_ref().map_or(0, |config| config.relay.version));
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.servers.set(self.shared.servers.load().all().count() as i64);
+        self.processes.set(self.shared.processes.load(Ordering::Relaxed) as i64);
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            tracing::warn!(%error, "metrics can't be written");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/node/src/owners.rs
@@ -0,0 +1,84 @@
+//! Who decides for which fabric domain.
+
+use {
+    crate::{
+        members::MemberTable,
+        rows::{OwnerRow, RowOwner},
+    },
+    base::{FabricDomainId, FailureDomainId, HostId, RowVersion, Term, Tick},
+    std::hash::Hasher,
+    twox_hash::XxHash64,
+};
+
+/// A fabric domain's row with its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnedRow {
+    /// The row.
+    pub row: OwnerRow,
+    /// Its version in the store.
+    pub version: RowVersion,
+}
+
+/// What this process should do about a fabric domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerStep {
+    /// It owns it under this term.
+    Own(Term),
+    /// It should try to take it, if the row still has this version.
+    Claim {
+        /// The version that the row must have; 0 for no row.
+        expected: RowVersion,
+        /// The term to write.
+        term: Term,
+    },
+    /// Another process owns it, or should take it.
+    Leave,
+}
+
+/// Decides for one fabric domain. A living owner keeps it; a free one goes to the living process
+/// with the highest hash among those of the same failure domain, or of all if none lives there, so
+/// that questions to its engines do not cross failure domains.
+pub fn owner_step(
+    domain: &FabricDomainId,
+    place: Option<&FailureDomainId>,
+    known: Option<&OwnedRow>,
+    own: &RowOwner,
+    members: &MemberTable,
+    now: Tick,
+) -> OwnerStep {
+    let owner = known.and_then(|known| known.row.owner.as_ref());
+    if let (Some(known), Some(owner)) = (known, owner) {
+        if owner == own {
+            return OwnerStep::Own(known.row.term);
+        }
+        if members.is_alive(&owner.node, Some(owner.incarnation), now) {
+            return OwnerStep::Leave;
+        }
+    }
+    if preferred(domain, place, members, now).as_ref() != Some(&own.node) {
+        return OwnerStep::Leave;
+    }
+    let term = known.map_or(Term(0), |known| known.row.term).next();
+    let expected = known.map_or(RowVersion(0), |known| known.version);
+    OwnerStep::Claim { expected, term }
+}
+
+fn preferred(
+    domain: &FabricDomainId,
+    place: Option<&FailureDomainId>,
+    members: &MemberTable,
+    now: Tick,
+) -> Option<HostId> {
+    let near = members.living(now).filter(|(_, row)| Some(&row.failure_domain) == place);
+    let best_near = near.max_by_key(|(node, _)| rank(domain, node));
+    let best = best_near.or_else(|| members.living(now).max_by_key(|(node, _)| rank(domain, node)));
+    best.map(|(node, _)| node.clone())
+}
+
+fn rank(domain: &FabricDomainId, node: &HostId) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    hasher.write(domain.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(node.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,92 @@
+//! Datagrams between processes.
+
+use {
+    base::{HostId, Incarnation},
+    relay::ServerId,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::net::UdpSocket,
+};
+
+/// Version of the datagrams; another version's are passed over.
+const WORD_VERSION: u8 = 1;
+/// Largest datagram, in bytes; fits into a packet.
+const MAX_WORD_BYTES: usize = 1_400;
+/// Time between two rounds of words.
+pub const ROUND_INTERVAL: Duration = Duration::from_millis(300);
+/// Peers that get a word each round.
+pub const PEERS_A_ROUND: usize = 2;
+/// Numbers in one word.
+pub const COUNTS_A_WORD: usize = 24;
+
+base::value_type!(
+    /// The number that one life of a process counts up.
+    pub struct PeerCount {
+        /// The process's host.
+        pub node: HostId,
+        /// Its life.
+        pub incarnation: Incarnation,
+        /// The number.
+        pub count: u64,
+        /// Whether it is about to stop.
+        pub leaving: bool,
+    }
+);
+
+base::value_type!(
+    /// What one process tells another.
+    pub struct PeerWord {
+        /// The sender's own number.
+        pub own: PeerCount,
+        /// Numbers it heard.
+        pub heard: Vec<PeerCount>,
+        /// Whether callers' requests have come.
+        pub in_traffic: bool,
+        /// Servers at which requests stand still; the owners of their fabric domains should ask.
+        pub stalled: Vec<ServerId>,
+        /// Heads of groups that are known to be broken.
+        pub broken: Vec<ServerId>,
+    }
+);
+
+/// The socket for words.
+#[derive(Debug)]
+pub struct PeerSocket {
+    socket: UdpSocket,
+}
+
+impl PeerSocket {
+    /// Listens at an address.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self { socket: UdpSocket::bind(address).await? })
+    }
+
+    /// Sends a word; one that can't be sent is lost, as on the way.
+    pub fn send(&self, word: &PeerWord, to: SocketAddr) {
+        let encoded = postcard::to_extend(word, vec![WORD_VERSION]);
+        match encoded {
+            Ok(bytes) if bytes.len() <= MAX_WORD_BYTES => {
+                if let Err(error) = self.socket.try_send_to(&bytes, to) {
+                    tracing::debug!(%to, %error, "a word can't be sent");
+                }
+            }
+            Ok(bytes) => tracing::warn!(bytes = bytes.len(), "a word is too large"),
+            Err(error) => tracing::warn!(%error, "a word can't be encoded"),
+        }
+    }
+
+    /// The next word that can be read.
+    pub async fn receive(&self) -> PeerWord {
+        let mut buffer = [0; MAX_WORD_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let Ok((length, from)) = received else { continue };
+            match buffer[..length].split_first() {
+                Some((&WORD_VERSION, rest)) => match postcard::from_bytes(rest) {
+                    Ok(word) => return word,
+                    Err(error) => tracing::debug!(%from, %error, "a word can't be read"),
+                },
+                _ => tracing::debug!(%from, "a word of another version"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,399 @@
+//! Starts the parts of a process and stops them in order.
+
+use {
+    crate::{
+        addresses::answer_addresses,
+        control::ControlLoop,
+        follow::follow_all,
+        http::serve_heads,
+        members::MemberTable,
+        metrics::NodeMetrics,
+        peers::{COUNTS_A_WORD, PEERS_A_ROUND, PeerCount, PeerSocket, PeerWord, ROUND_INTERVAL},
+        ports::{AddressCodec, EngineAccess, PlatformWatch},
+        rows::{MemberRow, RowName, RowOwner},
+        settings::NodeSettings,
+        view::NodeView,
+    },
+    arc_swap::{ArcSwap, ArcSwapOption},
+    base::{BootClock, Incarnation, SharedClock},
+    bytes::Bytes,
+    http::{Response, StatusCode},
+    http_body_util::Full,
+    infra::{TableStore, Transaction},
+    rand::seq::SliceRandom,
+    relay::{
+        RelayService, RelayShared, RepeatBudget, RepeatTerms, RequestCodec, ServerId, ServerTable,
+        StopPhase, serve_callers,
+    },
+    snafu::{ResultExt, Snafu},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        signal::unix::{SignalKind, signal},
+        sync::{mpsc, watch},
+        time::{sleep, timeout},
+    },
+    tokio_util::sync::CancellationToken,
+    tracing::{info, warn},
+};
+
+/// Time from the signal to stop until the port for callers is closed; longer than callers keep
+/// addresses, short enough for what they send last to end within the grace time.
+const LEAVE_TIME: Duration = Duration::from_millis(4_000);
+/// Time before the end of the grace time at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Pause between two tries to write this process's row.
+const ROW_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two looks at beliefs that run out.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
+/// Stalls that may wait to be looked at; one for each server is enough.
+const STALLS_WAITING: usize = 64;
+
+/// Why a process can't run.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// A port can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("can't receive signals: {source}"))]
+    Signals {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// The adapters that a process runs on.
+pub struct NodePorts<W, T, E, C, A> {
+    /// Watches of the platform's store.
+    pub watch: Arc<W>,
+    /// Transactions in it.
+    pub table: Arc<T>,
+    /// Model engines.
+    pub engines: Arc<E>,
+    /// The protocol of requests.
+    pub requests: C,
+    /// The protocol of questions for addresses.
+    pub addresses: Arc<A>,
+}
+
+/// What the tasks of a process share.
+struct NodeParts {
+    settings: NodeSettings,
+    own: RowOwner,
+    shared: Arc<RelayShared>,
+    view: Arc<NodeView>,
+    peers: PeerSocket,
+    round: AtomicU64,
+}
+
+/// Runs a process until it is told to stop and has finished its work.
+pub async fn run_node<W, T, E, C, A>(
+    settings: NodeSettings,
+    ports: NodePorts<W, T, E, C, A>,
+) -> Result<(), NodeError>
+where
+    W: PlatformWatch,
+    T: TableStore + 'static,
+    E: EngineAccess,
+    C: RequestCodec,
+    A: AddressCodec,
+{
+    let clock: SharedClock = Arc::new(BootClock);
+    let own = RowOwner {
+        node: settings.node.clone(),
+        incarnation: Incarnation(rand::random::<u32>().into()),
+    };
+    info!(decision = "started", node = %own.node, incarnation = own.incarnation.0, "process");
+    let (stalls, stalls_found) = mpsc::channel(STALLS_WAITING);
+    let shared = Arc::new(RelayShared {
+        config: ArcSwapOption::empty(),
+        servers: ArcSwap::from_pointee(ServerTable::default()),
+        budget: RepeatBudget::new(RepeatTerms {
+            ratio: settings.repeats.ratio,
+            slack: settings.repeats.slack,
+            window: Duration::from_secs_f64(settings.repeats.window_s),
+        }),
+        processes: AtomicUsize::new(1),
+        in_traffic: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
+        clock,
+        stalls,
+    });
+    let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
+    let peer_address = settings.peer_address();
+    let peers =
+        PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
+    let parts =
+        Arc::new(NodeParts { settings, own, shared, view, peers, round: AtomicU64::new(0) });
+    parts.run(ports, stalls_found).await
+}
+
+impl NodeParts {
+    async fn run<W, T, E, C, A>(
+        self: Arc<Self>,
+        ports: NodePorts<W, T, E, C, A>,
+        stalls: mpsc::Receiver<ServerId>,
+    ) -> Result<(), NodeError>
+    where
+        W: PlatformWatch,
+        T: TableStore + 'static,
+        E: EngineAccess,
+        C: RequestCodec,
+        A: AddressCodec,
+    {
+        let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+        let mut reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+        let stop = CancellationToken::new();
+        let (phase, phases) = watch::channel(StopPhase::Running);
+        let listen = &self.settings.listen;
+        let callers = bind(listen.callers).await?;
+        let service = Arc::new(RelayService::new(ports.requests, self.shared.clone()));
+        let serving = tokio::spawn(serve_callers(callers, service, phases));
+        self.serve_small(listen.ready, self.ready_answer(ports.addresses.clone()), &stop).await?;
+        self.serve_small(listen.addresses, self.address_answer(ports.addresses), &stop).await?;
+        if let Some(port) = self.settings.metrics_port {
+            let address = SocketAddr::new(self.settings.ip, port);
+            self.serve_small(address, self.metrics_answer(), &stop).await?;
+        }
+        tokio::spawn(follow_all(ports.watch, self.view.clone(), stop.clone()));
+        tokio::spawn(self.clone().tell_peers(stop.clone()));
+        let (forwarded, stalls_ours) = mpsc::channel(STALLS_WAITING);
+        tokio::spawn(self.clone().hear_peers(forwarded.clone()));
+        tokio::spawn(self.clone().share_stalls(stalls, forwarded));
+        let control_stop = stop.child_token();
+        let control = tokio::spawn(ControlLoop::run(
+            ports.table.clone(),
+            ports.engines,
+            self.view.clone(),
+            self.shared.clone(),
+            self.own.clone(),
+            stalls_ours,
+            control_stop.clone(),
+        ));
+        let joining = tokio::spawn(self.clone().join_members(ports.table.clone(), stop.clone()));
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = reload.recv() => info!(decision = "reload", "process"),
+            }
+        }
+        info!(decision = "stopping", "process");
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        let _ = phase.send(StopPhase::Leaving);
+        let deadline = tokio::time::Instant::now() + self.settings.grace() - GRACE_MARGIN;
+        joining.abort();
+        control_stop.cancel();
+        self.tell_all(&self.word());
+        let leave_members = self.leave_members(&*ports.table);
+        let given = async {
+            let _ = timeout(LEAVE_TIME, async { tokio::join!(leave_members, control) }).await;
+        };
+        tokio::join!(given, sleep(LEAVE_TIME));
+        let _ = phase.send(StopPhase::Draining);
+        if tokio::time::timeout_at(deadline, serving).await.is_err() {
+            warn!(decision = "stopped", unfinished = true, "process");
+        } else {
+            info!(decision = "stopped", unfinished = false, "process");
+        }
+        stop.cancel();
+        Ok(())
+    }
+
+    async fn serve_small(
+        &self,
+        address: SocketAddr,
+        answer: SmallAnswer,
+        stop: &CancellationToken,
+    ) -> Result<(), NodeError> {
+        let listener = bind(address).await?;
+        tokio::spawn(serve_heads(listener, answer, stop.clone()));
+        Ok(())
+    }
+
+    fn ready_answer<A: AddressCodec>(self: &Arc<Self>, codec: Arc<A>) -> SmallAnswer {
+        let parts = self.clone();
+        Arc::new(move |request| {
+            if !codec.is_ready_question(request.uri()) {
+                return empty(StatusCode::NOT_FOUND);
+            }
+            let leaving = parts.shared.leaving.load(Ordering::Relaxed);
+            let ready = !leaving && parts.view.with(|state| state.is_ready());
+            empty(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+        })
+    }
+
+    fn address_answer<A: AddressCodec>(self: &Arc<Self>, codec: Arc<A>) -> SmallAnswer {
+        let parts = self.clone();
+        Arc::new(move |request| {
+            if codec.read_question(request.uri()).is_none() {
+                return empty(StatusCode::NOT_FOUND);
+            }
+            let now = parts.shared.clock.now();
+            let answer = parts.view.with(|state| answer_addresses(&state.members, now));
+            if answer.addresses.is_empty() {
+                return empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            codec.write_answer(&answer)
+        })
+    }
+
+    fn metrics_answer(self: &Arc<Self>) -> SmallAnswer {
+        let metrics = NodeMetrics::new(self.view.clone(), self.shared.clone());
+        Arc::new(move |_| Response::new(Full::new(Bytes::from(metrics.render()))))
+    }
+
+    /// Writes this process's row once it can serve.
+    async fn join_members<T: TableStore>(self: Arc<Self>, table: Arc<T>, stop: CancellationToken) {
+        let row = MemberRow {
+            incarnation: self.own.incarnation,
+            peers: self.settings.peer_address(),
+            callers: self.settings.listen.callers,
+            failure_domain: self.settings.failure_domain.clone(),
+        };
+        let value = serde_json::to_string(&row).expect("a row of plain values can be encoded");
+        let key = RowName::Member(self.own.node.clone()).key();
+        while !stop.is_cancelled() {
+            if self.view.with(|state| state.is_ready()) {
+                let transaction = Transaction::default().put(key.clone(), value.clone());
+                match table.commit(transaction).await {
+                    Ok(_) => return,
+                    Err(error) => warn!(why = %error, "this process's row was not written"),
+                }
+            }
+            sleep(ROW_PAUSE).await;
+        }
+    }
+
+    async fn leave_members<T: TableStore>(&self, table: &T) {
+        let key = RowName::Member(self.own.node.clone()).key();
+        if let Err(error) = table.commit(Transaction::default().delete(key)).await {
+            warn!(why = %error, "this process's row was not deleted");
+        }
+    }
+
+    async fn hear_peers(self: Arc<Self>, ours: mpsc::Sender<ServerId>) {
+        loop {
+            let word = self.peers.receive().await;
+            let now = self.shared.clock.now();
+            if word.in_traffic {
+                self.shared.in_traffic.store(true, Ordering::Relaxed);
+            }
+            self.view.with(|state| {
+                state.members.note_heard(now);
+                state.members.note_count(&word.own, now);
+                for count in &word.heard {
+                    state.members.note_count(count, now);
+                }
+            });
+            if !word.broken.is_empty() {
+                self.view.note_broken(&word.broken);
+            }
+            for server in word.stalled {
+                // A full queue already names enough servers to ask.
+                let _ = ours.try_send(server);
+            }
+        }
+    }
+
+    async fn tell_peers(self: Arc<Self>, stop: CancellationToken) {
+        let mut expire = tokio::time::interval(EXPIRE_INTERVAL);
+        let mut rounds = tokio::time::interval(ROUND_INTERVAL);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = expire.tick() => self.view.expire(),
+                _ = rounds.tick() => self.tell_round(),
+            }
+        }
+    }
+
+    fn tell_round(&self) {
+        self.round.fetch_add(1, Ordering::Relaxed);
+        let word = self.word();
+        let mut peers = self.view.with(|state| state.members.peer_addresses());
+        peers.shuffle(&mut rand::rng());
+        for peer in peers.into_iter().take(PEERS_A_ROUND) {
+            self.peers.send(&word, peer);
+        }
+    }
+
+    fn tell_all(&self, word: &PeerWord) {
+        for peer in self.view.with(|state| state.members.peer_addresses()) {
+            self.peers.send(word, peer);
+        }
+    }
+
+    fn word(&self) -> PeerWord {
+        let mut heard = self.view.with(|state| state.members.counts());
+        heard.shuffle(&mut rand::rng());
+        heard.truncate(COUNTS_A_WORD);
+        let own = PeerCount {
+            node: self.own.node.clone(),
+            incarnation: self.own.incarnation,
+            count: self.round.load(Ordering::Relaxed),
+            leaving: self.shared.leaving.load(Ordering::Relaxed),
+        };
+        PeerWord {
+            own,
+            heard,
+            in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
+            stalled: Vec::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    /// Passes stalls found here to the owner of the server's fabric domain, or to the control loop
+    /// of this process if that is the owner.
+    async fn share_stalls(
+        self: Arc<Self>,
+        mut stalls: mpsc::Receiver<ServerId>,
+        ours: mpsc::Sender<ServerId>,
+    ) {
+        while let Some(server) = stalls.recv().await {
+            let owner = self.view.with(|state| {
+                let entry = state.book.entries().find(|entry| entry.id == server)?;
+                let row = state.domains.get(entry.fabric_domain.as_ref()?)?;
+                let owner = row.row.owner.as_ref()?;
+                Some((owner.node.clone(), state.members.peer_address(&owner.node)?))
+            });
+            match owner {
+                Some((node, _)) if node == self.own.node => {
+                    // A full queue already names enough servers to ask.
+                    let _ = ours.try_send(server);
+                }
+                Some((_, address)) => {
+                    let word = PeerWord { stalled: vec![server], ..self.word() };
+                    self.peers.send(&word, address);
+                }
+                None => {}
+            }
+        }
+    }
+}
+
+type SmallAnswer =
+    Arc<dyn Fn(&http::Request<hyper::body::Incoming>) -> Response<Full<Bytes>> + Send + Sync>;
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,144 @@
+//! The settings file of a process, in YAML.
+
+use {
+    base::{FailureDomainId, HostId, RegionId},
+    serde::{Deserialize, Serialize},
+    snafu::{ResultExt, Snafu, ensure},
+    std::{
+        fs, io,
+        net::{IpAddr, SocketAddr},
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// Why the settings can't be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[snafu(display("{}: can't be read: {source}", path.display()))]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The text is no YAML, or a field is missing or of another type.
+    #[snafu(display("{}: {source}", path.display()))]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// Where and what.
+        source: serde_yaml_ng::Error,
+    },
+    /// A value is out of its range.
+    #[snafu(display("{}: {field} {problem}", path.display()))]
+    OutOfRange {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// What is wrong.
+        problem: &'static str,
+    },
+}
+
+base::value_type!(
+    /// Where the process listens.
+    pub struct ListenSettings {
+        /// For callers' requests.
+        pub callers: SocketAddr,
+        /// For callers that ask which addresses to use.
+        pub addresses: SocketAddr,
+        /// For the platform's question whether the process is ready.
+        pub ready: SocketAddr,
+    }
+);
+
+base::value_type!(
+    /// The platform's store.
+    pub struct StoreSettings {
+        /// Where it listens.
+        pub address: SocketAddr,
+    }
+);
+
+/// The bound on requests that are sent a second time, over all processes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RepeatSettings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond, in each window.
+    pub slack: f64,
+    /// The window, in seconds.
+    pub window_s: f64,
+}
+
+impl Default for RepeatSettings {
+    fn default() -> Self {
+        Self { ratio: 0.1, slack: 0.0, window_s: 10.0 }
+    }
+}
+
+/// The settings of one process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeSettings {
+    /// The name of the host.
+    pub node: HostId,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomainId,
+    /// The region of that place.
+    pub region: RegionId,
+    /// The port for datagrams between processes.
+    pub peer_port: u16,
+    /// Where the process listens.
+    pub listen: ListenSettings,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// The bound on repeats.
+    #[serde(default)]
+    pub repeats: RepeatSettings,
+    /// Time from SIGTERM until the process is killed, in seconds.
+    #[serde(default = "default_grace_s")]
+    pub grace_s: f64,
+    /// Port of the metrics; none serves none.
+    #[serde(default)]
+    pub metrics_port: Option<u16>,
+}
+
+/// Default of `grace_s`: what most supervisors leave a process.
+fn default_grace_s() -> f64 {
+    8.0
+}
+
+impl NodeSettings {
+    /// Time from SIGTERM until the process is killed.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Where datagrams from other processes arrive.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_port)
+    }
+}
+
+/// Reads and checks a settings file.
+pub fn load_settings(path: &Path) -> Result<NodeSettings, SettingsError> {
+    let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+    let settings: NodeSettings = serde_yaml_ng::from_str(&text).context(MalformedSnafu { path })?;
+    let finite = |value: f64| value.is_finite() && value >= 0.0;
+    let range = |ok: bool, field: &'static str, problem: &'static str| {
+        ensure!(ok, OutOfRangeSnafu { path, field, problem });
+        Ok::<(), SettingsError>(())
+    };
+    range(settings.peer_port != 0, "peer_port", "must not be 0")?;
+    range(finite(settings.repeats.ratio), "repeats.ratio", "must be 0 or more")?;
+    range(finite(settings.repeats.slack), "repeats.slack", "must be 0 or more")?;
+    range(settings.repeats.window_s > 0.0, "repeats.window_s", "must be above 0")?;
+    range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,310 @@
+//! What this process believes, and the table of servers that follows from it.
+
+use {
+    crate::{
+        book::{BookNews, ServerBook},
+        members::MemberTable,
+        owners::OwnedRow,
+        ports::{ConfigUpdate, RowChange, ServerChange, ServerEntry, ServerStanding, WatchPage},
+        rows::{MemberRow, OwnerRow, RowName, read_value},
+    },
+    base::{FabricDomainId, ModelName, Tick},
+    parking_lot::Mutex,
+    plan::staged::{MemberPhase, Membership},
+    relay::{BackendServer, RelayShared, ServerCounters, ServerId, ServerTable},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::sync::Notify,
+    tracing::info,
+};
+
+/// How long the word that a group is broken keeps requests from its head; by then the host list
+/// shows it.
+const BROKEN_SPAN: Duration = Duration::from_millis(2_000);
+
+/// The beliefs, behind one lock that is held for short steps only.
+pub struct NodeView {
+    state: Mutex<ViewState>,
+    shared: Arc<RelayShared>,
+    /// Rings when something changed that an owner should look at.
+    pub changed: Notify,
+}
+
+/// The beliefs.
+pub struct ViewState {
+    /// The newest configuration.
+    pub config: Option<Arc<ConfigUpdate>>,
+    /// The server list.
+    pub book: ServerBook,
+    /// The processes.
+    pub members: MemberTable,
+    /// The rows of the fabric domains.
+    pub domains: BTreeMap<FabricDomainId, OwnedRow>,
+    /// Whether our own rows were read once.
+    pub rows_known: bool,
+    /// Whether the server list was read once.
+    pub servers_known: bool,
+    counters: BTreeMap<ServerId, Arc<ServerCounters>>,
+    broken: BTreeMap<ServerId, Tick>,
+}
+
+impl NodeView {
+    /// A view that knows nothing.
+    pub fn new(members: MemberTable, shared: Arc<RelayShared>) -> Self {
+        let state = ViewState {
+            config: None,
+            book: ServerBook::default(),
+            members,
+            domains: BTreeMap::new(),
+            rows_known: false,
+            servers_known: false,
+            counters: BTreeMap::new(),
+            broken: BTreeMap::new(),
+        };
+        Self { state: Mutex::new(state), shared, changed: Notify::new() }
+    }
+
+    /// Does something with the beliefs.
+    pub fn with<R>(&self, act: impl FnOnce(&mut ViewState) -> R) -> R {
+        act(&mut self.state.lock())
+    }
+
+    fn now(&self) -> Tick {
+        self.shared.clock.now()
+    }
+
+    /// Takes a configuration in; a lower or equal version changes nothing.
+    pub fn apply_config(&self, update: ConfigUpdate) {
+        let mut state = self.state.lock();
+        let known = state.config.as_ref().map(|config| config.relay.version);
+        if known.is_some_and(|known| known >= update.relay.version) {
+            return;
+        }
+        info!(
+            decision = "config-taken",
+            version = update.relay.version,
+            before = known,
+            routes = update.relay.route_count(),
+            "state"
+        );
+        self.shared.config.store(Some(Arc::new(update.relay.clone())));
+        state.config = Some(Arc::new(update));
+        self.rebuild(&mut state);
+        self.changed.notify_one();
+    }
+
+    /// Takes changes of the server list in.
+    pub fn apply_servers(&self, page: WatchPage<ServerChange>) {
+        let mut state = self.state.lock();
+        let news = state.book.apply(page, self.now());
+        state.servers_known = true;
+        self.take_news(&mut state, &news);
+        self.rebuild(&mut state);
+        self.changed.notify_one();
+    }
+
+    /// Ends beliefs that have a time.
+    pub fn expire(&self) {
+        let mut state = self.state.lock();
+        let now = self.now();
+        let news = state.book.expire(now);
+        let broken = state.broken.len();
+        state.broken.retain(|_, until| *until > now);
+        if !news.gone.is_empty() || broken != state.broken.len() {
+            self.take_news(&mut state, &news);
+            self.rebuild(&mut state);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn note_outage(&self) {
+        self.state.lock().book.note_outage(self.now());
+    }
+
+    /// Takes changes of our own rows in.
+    pub fn apply_rows(&self, page: WatchPage<RowChange>) {
+        let mut state = self.state.lock();
+        let now = self.now();
+        if page.whole {
+            state.keep_rows(&page.changes);
+        }
+        for change in page.changes {
+            state.apply_row(change, now);
+        }
+        state.rows_known = true;
+        let members = state.members.listed().count();
+        self.shared.processes.store(members.max(1), Ordering::Relaxed);
+        self.changed.notify_one();
+    }
+
+    /// Keeps requests from heads of groups that are known to be broken.
+    pub fn note_broken(&self, heads: &[ServerId]) {
+        let mut state = self.state.lock();
+        let until = self.now() + BROKEN_SPAN;
+        let mut fresh = false;
+        for head in heads {
+            fresh |= state.broken.insert(head.clone(), until).is_none();
+        }
+        if fresh {
+            self.rebuild(&mut state);
+        }
+    }
+
+    fn take_news(&self, state: &mut ViewState, news: &BookNews) {
+        for id in &news.gone {
+            info!(decision = "server-gone", server = %id, "state");
+            state.counters.remove(id);
+        }
+        for id in &news.added {
+            info!(decision = "server-known", server = %id, "state");
+        }
+    }
+
+    fn rebuild(&self, state: &mut ViewState) {
+        let servers = state.open_servers();
+        self.shared.servers.store(Arc::new(servers));
+    }
+}
+
+impl ViewState {
+    /// Whether enough is known to serve callers.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.servers_known
+    }
+
+    /// Model engines by fabric domain.
+    pub fn engine_domains(&self) -> BTreeMap<FabricDomainId, Vec<ServerEntry>> {
+        let mut domains: BTreeMap<FabricDomainId, Vec<ServerEntry>> = BTreeMap::new();
+        for entry in self.book.entries() {
+            if let Some(domain) = &entry.fabric_domain {
+                domains.entry(domain.clone()).or_default().push(entry.clone());
+            }
+        }
+        domains
+    }
+
+    /// Groups of each model that serve or come about outside one fabric domain.
+    pub fn groups_elsewhere(&self, domain: &FabricDomainId) -> BTreeMap<ModelName, u32> {
+        let mut groups = BTreeMap::new();
+        for entry in
+            self.book.entries().filter(|entry| entry.fabric_domain.as_ref() != Some(domain))
+        {
+            let Some(facts) = &entry.facts else { continue };
+            let heads = facts.membership.as_ref().is_some_and(|membership| {
+                membership.rank == 0 && membership.phase != MemberPhase::Broken
+            });
+            if let (true, Some(model)) = (heads, &facts.model) {
+                *groups.entry(model.clone()).or_insert(0) += 1;
+            }
+        }
+        groups
+    }
+
+    fn keep_rows(&mut self, changes: &[RowChange]) {
+        let key = |change: &RowChange| match change {
+            RowChange::Written(row) => RowName::parse(&row.key),
+            RowChange::Deleted(_) => None,
+        };
+        let names: Vec<RowName> = changes.iter().filter_map(key).collect();
+        let members: Vec<_> = self.members.listed().cloned().collect();
+        for node in members {
+            if !names.contains(&RowName::Member(node.clone())) {
+                self.members.unlist(&node);
+            }
+        }
+        self.domains.retain(|domain, _| names.contains(&RowName::Domain(domain.clone())));
+    }
+
+    fn apply_row(&mut self, change: RowChange, now: Tick) {
+        match change {
+            RowChange::Written(row) => match RowName::parse(&row.key) {
+                Some(RowName::Member(node)) => {
+                    if let Some(value) = read_value::<MemberRow>(&row.key, &row.value) {
+                        self.members.list(node, value, now);
+                    }
+                }
+                Some(RowName::Domain(domain)) => {
+                    if let Some(value) = read_value::<OwnerRow>(&row.key, &row.value) {
+                        self.set_owner(domain, OwnedRow { row: value, version: row.version });
+                    }
+                }
+                None => {}
+            },
+            RowChange::Deleted(key) => match RowName::parse(&key) {
+                Some(RowName::Member(node)) => self.members.unlist(&node),
+                Some(RowName::Domain(domain)) => {
+                    self.domains.remove(&domain);
+                }
+                None => {}
+            },
+        }
+    }
+
+    /// Takes in who owns a fabric domain; an older row changes nothing.
+    pub fn set_owner(&mut self, domain: FabricDomainId, row: OwnedRow) {
+        let newer = self.domains.get(&domain).is_none_or(|known| known.version < row.version);
+        if newer {
+            info!(decision = "owner-known", domain = %domain, term = row.row.term.0,
+                owner = row.row.owner.as_ref().map(|owner| owner.node.as_str()), "state");
+            self.domains.insert(domain, row);
+        }
+    }
+
+    fn open_servers(&mut self) -> ServerTable {
+        let Some(config) = self.config.clone() else { return ServerTable::default() };
+        let sizes = self.group_sizes();
+        let mut services: BTreeMap<_, Vec<BackendServer>> = BTreeMap::new();
+        let mut known = BTreeSet::new();
+        for entry in self.book.entries() {
+            known.insert(entry.id.clone());
+            if entry.standing == ServerStanding::Leaving || self.broken.contains_key(&entry.id) {
+                continue;
+            }
+            let engine = config.engines.iter().find(|engine| engine.name == entry.service);
+            let model = match engine {
+                None => None,
+                Some(engine) => {
+                    let Some(facts) = &entry.facts else { continue };
+                    let Some(membership) = open_head(facts.membership.as_ref()) else { continue };
+                    let Some(model) = &facts.model else { continue };
+                    let size = engine.models.iter().find(|rule| rule.name == *model);
+                    let listed = sizes.get(&(membership.group.clone(), membership.epoch));
+                    if size.is_none_or(|rule| listed < Some(&rule.size)) {
+                        continue;
+                    }
+                    Some(model.clone())
+                }
+            };
+            let counters = self.counters.entry(entry.id.clone()).or_default().clone();
+            services.entry(entry.service.clone()).or_default().push(BackendServer {
+                id: entry.id.clone(),
+                address: entry.address,
+                failure_domain: entry.failure_domain.clone(),
+                model,
+                counters,
+            });
+        }
+        self.counters.retain(|id, _| known.contains(id));
+        ServerTable::new(services)
+    }
+
+    /// Listed members of each composition.
+    fn group_sizes(&self) -> BTreeMap<(base::GroupId, base::Epoch), usize> {
+        let mut sizes = BTreeMap::new();
+        for entry in self.book.entries() {
+            let membership = entry.facts.as_ref().and_then(|facts| facts.membership.as_ref());
+            if let Some(membership) = membership {
+                *sizes.entry((membership.group.clone(), membership.epoch)).or_insert(0) += 1;
+            }
+        }
+        sizes
+    }
+}
+
+fn open_head(membership: Option<&Membership>) -> Option<&Membership> {
+    membership.filter(|membership| membership.rank == 0 && membership.phase == MemberPhase::Open)
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -4,6 +4,7 @@
 //! gives the orders that the owner of the fabric domain should send. It does no I/O and has no
 //! time of its own. [`place_sets`] divides the replicas of each group set over the fabric domains;
 //! every owner computes the same division from the same input without talking to the others.
+//! [`staged`] does the same for engines with another life cycle of groups.
 
 mod adopt;
 mod capacity;
@@ -21,6 +22,7 @@
 mod reshape;
 mod review;
 mod settings;
+pub mod staged;
 mod types;
 
 pub use crate::{
