--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -31,6 +31,8 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two questions to an engine that answers.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two questions to an engine that is lost.
+const LOST_ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit of a question to an engine.
 const ASK_LIMIT: Duration = Duration::from_millis(250);
 /// Time limit of an order.
@@ -161,7 +163,12 @@
         let Some(owned) = self.domains.get_mut(domain) else { return };
         if let Some(ask) = owned.asks.get_mut(host) {
             ask.running = false;
-            ask.due = if word.is_ok() { at + ASK_INTERVAL } else { now };
+            let lost = owned.planner.is_lost(host, now);
+            ask.due = match word {
+                Ok(_) => at + ASK_INTERVAL,
+                Err(_) if lost => now + LOST_ASK_INTERVAL,
+                Err(_) => now,
+            };
         }
         match word {
             Ok(word) => {
@@ -177,6 +184,7 @@
                 owned.planner.note_loss(host, at, mark);
                 if let Some(ask) = owned.asks.get_mut(host)
                     && error == AskError::Refused
+                    && !owned.planner.is_lost(host, now)
                 {
                     ask.due = now + ASK_LIMIT / 2;
                 }
@@ -266,7 +274,7 @@
             .map(|rule| StagedModel {
                 name: rule.name.clone(),
                 size: rule.size,
-                demand: DemandWeight(rule.share * rule.pace),
+                demand: DemandWeight(rule.share),
                 elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
             })
             .collect();
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,7 +6,7 @@
         view::NodeView,
     },
     std::{future::Future, sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
@@ -16,7 +16,7 @@
 /// Longest pause after failed reads; a change has to be in force well within two seconds.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a page of the server list, so that entries that change together are read together.
-const SERVER_PAUSE: Duration = Duration::from_millis(80);
+const SERVER_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a page of our own rows.
 const ROW_PAUSE: Duration = Duration::from_millis(50);
 
@@ -26,15 +26,21 @@
     view: Arc<NodeView>,
     stop: CancellationToken,
 ) {
+    // The watch of the configuration is answered at short intervals; when it fails, the others may
+    // be waiting for an answer that never comes, and begin anew.
+    let lost = Notify::new();
+    let never = Notify::new();
     let config = follow(
         "config",
+        &never,
         Duration::ZERO,
         |after| watch.watch_config(after),
         |page| page.changes.into_iter().for_each(|update| view.apply_config(update)),
-        || {},
+        || lost.notify_waiters(),
     );
     let servers = follow(
         "servers",
+        &lost,
         SERVER_PAUSE,
         |after| watch.watch_servers(after),
         |page| view.apply_servers(page),
@@ -42,6 +48,7 @@
     );
     let rows = follow(
         "rows",
+        &lost,
         ROW_PAUSE,
         |after| watch.watch_rows(after),
         |page| view.apply_rows(page),
@@ -56,6 +63,7 @@
 
 async fn follow<T, F>(
     what: &'static str,
+    lost: &Notify,
     pause: Duration,
     mut read: impl FnMut(Option<WatchPosition>) -> F,
     mut apply: impl FnMut(WatchPage<T>),
@@ -66,7 +74,14 @@
     let mut after = None;
     let mut failures: u32 = 0;
     loop {
-        match read(after).await {
+        let page = tokio::select! {
+            page = read(after) => page,
+            () = lost.notified() => {
+                let detail = "another watch found no answer".to_owned();
+                Err(WatchError::Unavailable { detail })
+            }
+        };
+        match page {
             Ok(page) => {
                 if failures > 0 {
                     info!(decision = "store-regained", what, failures, "state");
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -34,7 +34,9 @@
 
     /// The models, the one whose groups carry the most work each first.
     fn by_need<'a>(&self, input: &StagedInput<'a>) -> Vec<&'a StagedModel> {
-        let need = |model: &StagedModel| model.demand.0 / (f64::from(self.supply(model)) + 0.5);
+        let need = |model: &StagedModel| {
+            model.demand.0 / model.size as f64 / (f64::from(self.supply(model)) + 0.5)
+        };
         let mut models: Vec<&StagedModel> = input.models.iter().collect();
         models.sort_by(|a, b| need(b).partial_cmp(&need(a)).unwrap_or(Ordering::Equal));
         models
@@ -43,6 +45,11 @@
     /// Forms groups while hosts are free. Hosts with the model at hand come first; without traffic,
     /// when loads are quick, any host will do.
     pub(super) fn form_groups(&mut self, input: &StagedInput<'_>) {
+        let growing = input.now.since(self.grown_at) < self.settings.gather_time;
+        if !input.in_traffic && growing {
+            // A choice made before the hosts are known would fix a poor division of them.
+            return;
+        }
         loop {
             let free = self.free_hosts(input);
             let models = self.by_need(input);
@@ -123,7 +130,8 @@
     pub(super) fn stage_models(&mut self, input: &StagedInput<'_>) {
         let free = self.free_hosts(input);
         let forming = |instance: &GroupInstance| matches!(instance.life, InstanceLife::Forming(_));
-        if !input.in_traffic && self.instances.values().any(forming) {
+        let growing = input.now.since(self.grown_at) < self.settings.gather_time;
+        if !input.in_traffic && (growing || self.instances.values().any(forming)) {
             // Groups come first while the weight store is busy with them.
             return;
         }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -97,6 +97,14 @@
         self.facts = Some(facts);
     }
 
+    /// Notes that the host has left its group, before it says so itself.
+    pub(super) fn forget_membership(&mut self) {
+        if let Some(facts) = &mut self.facts {
+            facts.membership = None;
+            facts.model = None;
+        }
+    }
+
     /// Whether nothing was ordered and nothing changed for `span` before `at`.
     fn is_quiet(&self, at: Tick, span: Duration) -> bool {
         let ordered = self.last.as_ref().is_some_and(|order| at.since(order.sent) < span);
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -10,12 +10,18 @@
         },
     },
     base::{Epoch, FabricDomainId, GroupId, HostId, Term, Tick},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Bits of an epoch below the term, so that each term's epochs are above all of the one before.
 const EPOCH_BITS: u32 = 20;
 
+/// How long ended compositions are remembered; above the time that an order may be late.
+const ENDED_SPAN: Duration = Duration::from_secs(60);
+
 /// What a step looks at.
 #[derive(Clone, Copy, Debug)]
 pub struct StagedInput<'a> {
@@ -38,6 +44,10 @@
     pub(super) settings: StagedSettings,
     pub(super) hosts: BTreeMap<HostId, HostRecord>,
     pub(super) instances: BTreeMap<(GroupId, Epoch), GroupInstance>,
+    /// When compositions ended whose head was seen to leave; engines may show them a little longer.
+    ended: BTreeMap<(GroupId, Epoch), Tick>,
+    /// When the last host was listed that was not known.
+    pub(super) grown_at: Tick,
     /// Loads that may start now.
     pub(super) load_tokens: f64,
     pub(super) refilled: Tick,
@@ -54,6 +64,8 @@
             settings,
             hosts: BTreeMap::new(),
             instances: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            grown_at: now,
             load_tokens: settings.load_burst,
             refilled: now,
             prefix: format!("{domain}.{term}"),
@@ -109,6 +121,7 @@
     pub fn step(&mut self, input: &StagedInput<'_>) -> Vec<StagedOrder> {
         self.sync_hosts(input.hosts, input.now);
         self.refill_loads(input.now);
+        self.ended.retain(|_, ended| input.now.since(*ended) < ENDED_SPAN);
         self.adopt_strangers(input);
         for key in self.instances.keys().cloned().collect::<Vec<_>>() {
             let Some(mut instance) = self.instances.remove(&key) else { continue };
@@ -121,6 +134,11 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Whether a host is taken as lost.
+    pub fn is_lost(&self, host: &HostId, now: Tick) -> bool {
+        self.hosts.get(host).is_some_and(|record| record.is_lost(now, &self.settings))
+    }
+
     /// The hosts that should be asked for their state.
     pub fn known_hosts(&self) -> impl Iterator<Item = &StagedHost> {
         self.hosts.values().map(|record| &record.entry)
@@ -166,6 +184,7 @@
             match self.hosts.get_mut(&entry.host) {
                 Some(record) => record.entry = entry.clone(),
                 None => {
+                    self.grown_at = now;
                     self.hosts.insert(entry.host.clone(), HostRecord::new(entry.clone()));
                 }
             }
@@ -193,7 +212,8 @@
             let membership = record.facts.as_ref().and_then(|facts| facts.membership.as_ref());
             let Some(membership) = membership else { continue };
             let key = (membership.group.clone(), membership.epoch);
-            if !self.instances.contains_key(&key) {
+            let known = self.instances.contains_key(&key);
+            if !known && !self.is_afterglow(&key, record, input.now) {
                 found.entry(key).or_default().push((host.clone(), membership.clone()));
             }
         }
@@ -203,6 +223,14 @@
         }
     }
 
+    /// Whether a host only shows a composition that has ended because its word is old.
+    fn is_afterglow(&self, key: &(GroupId, Epoch), record: &HostRecord, now: Tick) -> bool {
+        let Some(ended) = self.ended.get(key) else { return false };
+        let facts = record.facts.as_ref().and_then(|facts| facts.membership.as_ref());
+        let runs = facts.is_some_and(Membership::may_run);
+        !runs || now.since(*ended) < self.settings.answer_lag
+    }
+
     fn adopt(
         &self,
         group: GroupId,
@@ -382,6 +410,10 @@
                 && matches!(last.end, Some(OrderEnd::Accepted | OrderEnd::Refused))
         });
         if left {
+            self.ended.insert((instance.group.clone(), instance.epoch), now);
+            if let Some(record) = self.hosts.get_mut(&head) {
+                record.forget_membership();
+            }
             return true;
         }
         self.order(&head, leave, now);
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -28,7 +28,7 @@
     pub name: ModelName,
     /// Hosts of one group.
     pub size: usize,
-    /// Its share of the work, times what one group needs for a unit of it.
+    /// Its share of the work, in hosts.
     pub demand: DemandWeight,
     /// Groups of it that serve or are being formed in other fabric domains.
     pub elsewhere: u32,
@@ -195,6 +195,9 @@
     /// A group whose members do not get ready within this time is given up; above a load that
     /// shares the weight store with others.
     pub form_limit: Duration,
+    /// Before there is traffic, groups are formed once no new host was listed for this long;
+    /// several intervals between the first entries of hosts that start together.
+    pub gather_time: Duration,
     /// Loads that one fabric domain may start each second.
     pub loads_per_s: f64,
     /// Loads that may start at once after a pause.
@@ -210,6 +213,7 @@
             answer_lag: Duration::from_millis(1_000),
             close_limit: Duration::from_secs(4),
             form_limit: Duration::from_secs(60),
+            gather_time: Duration::from_millis(700),
             loads_per_s: 0.7,
             load_burst: 1.0,
         }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -223,7 +223,7 @@
             let Some(server) = self.next_server(terms, progress, now) else {
                 return Err(self.give_up(terms, progress));
             };
-            let wait = self.head_wait(terms, progress, left);
+            let wait = self.head_wait(terms, progress, &server, left);
             let request = self.write_call(terms, progress, &server, left);
             info!(id = %terms.id, decision = "sent", route = %terms.route, server = %server.id,
                 load = server.counters.load(now), send = progress.sends + 1,
@@ -275,8 +275,15 @@
     }
 
     /// How long to wait for a head. Where another server may take over, not to the end.
-    fn head_wait(&self, terms: &CallTerms, progress: &CallProgress, left: Duration) -> Duration {
-        if !terms.kind.may_repeat() || progress.sends + 1 >= terms.attempts {
+    fn head_wait(
+        &self,
+        terms: &CallTerms,
+        progress: &CallProgress,
+        server: &BackendServer,
+        left: Duration,
+    ) -> Duration {
+        let alone = !self.has_other(terms, progress, server);
+        if !terms.kind.may_repeat() || progress.sends + 1 >= terms.attempts || alone {
             return left;
         }
         match terms.kind {
@@ -285,6 +292,22 @@
         }
     }
 
+    /// Whether another sound server could take the request over from this one.
+    fn has_other(
+        &self,
+        terms: &CallTerms,
+        progress: &CallProgress,
+        server: &BackendServer,
+    ) -> bool {
+        let table = self.shared.servers.load();
+        let now = self.shared.clock.now();
+        table.candidates(&terms.service, terms.model.as_ref()).any(|other| {
+            other.id != server.id
+                && !progress.tried.contains(&other.id)
+                && !other.counters.is_shunned(now)
+        })
+    }
+
     fn next_server(
         &self,
         terms: &CallTerms,
@@ -409,14 +432,14 @@
 fn pick_service(route: &RouteRule) -> Option<ServiceName> {
     let total: f64 = route.splits.iter().map(|split| split.weight).sum();
     let mut draw = rand::random::<f64>() * total;
-    let positive = route.splits.iter().filter(|split| split.weight > 0.0);
+    let mut positive = route.splits.iter().filter(|split| split.weight > 0.0);
     for split in positive.clone() {
         if draw < split.weight {
             return Some(split.service.clone());
         }
         draw -= split.weight;
     }
-    positive.last().map(|split| split.service.clone())
+    positive.next_back().map(|split| split.service.clone())
 }
 
 async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
