Remember servers that the list dropped, and keep the slack of repeats over restarts

Now entries are remembered for a minute, and a composition without a known head is left alone until the process has read the list for 12 s. A member that is no longer listed leaves its group in order, as after a notice.

A new process shared the slack of repeats with as many processes as it knew, at first one, and did not know what its earlier life had used. Now the slack rests for one window.

--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -14,6 +14,10 @@
 /// this time.
 const LAPSE_SPAN: Duration = Duration::from_millis(2_000);
 
+/// How long an entry is remembered after the server is no longer believed in; above the time for
+/// which a live server may be cut off from the store.
+const GHOST_SPAN: Duration = Duration::from_secs(60);
+
 /// One server and whether its entry may only have lapsed.
 #[derive(Clone, Debug)]
 struct BookLine {
@@ -26,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct ServerBook {
     lines: BTreeMap<ServerId, BookLine>,
+    /// Entries of servers that are no longer believed in, and since when.
+    ghosts: BTreeMap<ServerId, (ServerEntry, Tick)>,
     /// When the store last failed to answer.
     failed_at: Option<Tick>,
 }
@@ -65,8 +71,9 @@
         let gone: Vec<ServerId> =
             self.lines.iter().filter(|(_, line)| over(line)).map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.lines.remove(id);
+            self.bury(id, now);
         }
+        self.ghosts.retain(|_, (_, since)| now.since(*since) < GHOST_SPAN);
         BookNews { added: Vec::new(), gone }
     }
 
@@ -75,8 +82,21 @@
         self.lines.values().map(|line| &line.entry)
     }
 
+    /// Entries of servers that were believed in until a while ago. They may live on, cut off from the
+    /// store.
+    pub fn ghosts(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.ghosts.values().map(|(entry, _)| entry)
+    }
+
+    fn bury(&mut self, id: &ServerId, now: Tick) {
+        if let Some(line) = self.lines.remove(id) {
+            self.ghosts.insert(id.clone(), (line.entry, now));
+        }
+    }
+
     fn list(&mut self, entry: ServerEntry, news: &mut BookNews) {
         let id = entry.id.clone();
+        self.ghosts.remove(&id);
         let added = self.lines.insert(id.clone(), BookLine { entry, lapses_at: None }).is_none();
         if added {
             news.added.push(id);
@@ -89,7 +109,7 @@
         if after_outage && line.entry.standing == ServerStanding::Live {
             line.lapses_at.get_or_insert(now + LAPSE_SPAN);
         } else {
-            self.lines.remove(id);
+            self.bury(id, now);
             news.gone.push(id.clone());
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -285,7 +285,10 @@
                 elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
             })
             .collect();
-        let hosts: Vec<StagedHost> = entries.iter().map(to_host).collect();
+        let ghosts = self.view.with(|state| state.ghosts_of(domain));
+        let listed = entries.iter().map(|entry| to_host(entry, true));
+        let hosts: Vec<StagedHost> =
+            listed.chain(ghosts.iter().map(|entry| to_host(entry, false))).collect();
         let settings = StagedSettings {
             loads_per_s: LOAD_PART * engine.loads_per_s / sizes.len().max(1) as f64,
             ..StagedSettings::default()
@@ -302,8 +305,8 @@
             }
         };
         owned.planner.list_hosts(&hosts, now);
-        owned.listed.retain(|id, _| entries.iter().any(|entry| entry.id == *id));
-        for entry in entries {
+        owned.listed.retain(|id, _| entries.iter().chain(&ghosts).any(|entry| entry.id == *id));
+        for entry in entries.iter().chain(&ghosts) {
             let Some(facts) = &entry.facts else { continue };
             if owned.listed.get(&entry.id) != Some(facts) {
                 let source = ObservationSource::HostList;
@@ -316,6 +319,7 @@
             models: &models,
             hosts: &hosts,
             first_groups: division.get(domain).map_or(&[], Vec::as_slice),
+            reads_since: self.settled_at.unwrap_or(now),
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
             now,
         };
@@ -438,10 +442,11 @@
     }
 }
 
-fn to_host(entry: &ServerEntry) -> StagedHost {
+fn to_host(entry: &ServerEntry, listed: bool) -> StagedHost {
     StagedHost {
         host: entry.id.clone(),
         address: entry.address,
         leaving: entry.standing == ServerStanding::Leaving,
+        listed,
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -122,11 +122,14 @@
     let shared = Arc::new(RelayShared {
         config: ArcSwapOption::empty(),
         servers: ArcSwap::from_pointee(ServerTable::default()),
-        budget: RepeatBudget::new(RepeatTerms {
-            ratio: settings.repeats.ratio,
-            slack: settings.repeats.slack,
-            window: Duration::from_secs_f64(settings.repeats.window_s),
-        }),
+        budget: RepeatBudget::new(
+            RepeatTerms {
+                ratio: settings.repeats.ratio,
+                slack: settings.repeats.slack,
+                window: Duration::from_secs_f64(settings.repeats.window_s),
+            },
+            clock.now(),
+        ),
         processes: AtomicUsize::new(1),
         in_traffic: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -187,6 +187,12 @@
         domains
     }
 
+    /// Entries of a fabric domain that are no longer listed.
+    pub fn ghosts_of(&self, domain: &FabricDomainId) -> Vec<ServerEntry> {
+        let here = |entry: &&ServerEntry| entry.fabric_domain.as_ref() == Some(domain);
+        self.book.ghosts().filter(here).cloned().collect()
+    }
+
     /// Groups of each model that serve or come about outside one fabric domain.
     pub fn groups_elsewhere(&self, domain: &FabricDomainId) -> BTreeMap<ModelName, u32> {
         let mut groups = BTreeMap::new();
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -43,8 +43,8 @@
 impl HostRecord {
     pub(super) fn new(entry: StagedHost) -> Self {
         Self {
+            listed: entry.listed,
             entry,
-            listed: true,
             facts: None,
             facts_at: Tick(0),
             answered: None,
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -33,6 +33,8 @@
     pub first_groups: &'a [ModelName],
     /// Whether callers send requests already; before, loads are quick and not limited.
     pub in_traffic: bool,
+    /// Since when this process reads the host list.
+    pub reads_since: Tick,
     /// The present time.
     pub now: Tick,
 }
@@ -178,13 +180,16 @@
     }
 
     fn sync_hosts(&mut self, hosts: &[StagedHost], now: Tick) {
-        let listed: BTreeSet<&HostId> = hosts.iter().map(|entry| &entry.host).collect();
+        let known: BTreeSet<&HostId> = hosts.iter().map(|entry| &entry.host).collect();
         for (host, record) in &mut self.hosts {
-            record.listed = listed.contains(host);
+            record.listed &= known.contains(host);
         }
         for entry in hosts {
             match self.hosts.get_mut(&entry.host) {
-                Some(record) => record.entry = entry.clone(),
+                Some(record) => {
+                    record.entry = entry.clone();
+                    record.listed = entry.listed;
+                }
                 None => {
                     self.grown_at = now;
                     self.hosts.insert(entry.host.clone(), HostRecord::new(entry.clone()));
@@ -279,7 +284,7 @@
             InstanceLife::Retiring => {}
         }
         match instance.life {
-            InstanceLife::Retiring => !self.is_retired(instance, input.now),
+            InstanceLife::Retiring => !self.is_retired(instance, input),
             _ => true,
         }
     }
@@ -315,11 +320,9 @@
     }
 
     fn has_leaving_member(&self, instance: &GroupInstance) -> bool {
-        instance
-            .members
-            .iter()
-            .flatten()
-            .any(|host| self.hosts.get(host).is_some_and(|record| record.entry.leaving))
+        instance.members.iter().flatten().any(|host| {
+            self.hosts.get(host).is_some_and(|record| record.entry.leaving || !record.listed)
+        })
     }
 
     fn review_forming(&mut self, instance: &mut GroupInstance, mut life: FormingLife, now: Tick) {
@@ -393,9 +396,10 @@
     }
 
     /// Orders the head of an ending composition out of it; true once no request can run there.
-    fn is_retired(&mut self, instance: &GroupInstance, now: Tick) -> bool {
+    fn is_retired(&mut self, instance: &GroupInstance, input: &StagedInput<'_>) -> bool {
+        let now = input.now;
         let Some(head) = instance.head().cloned() else {
-            return self.is_headless(instance, now);
+            return self.is_headless(instance, input);
         };
         let Some(record) = self.hosts.get(&head) else { return true };
         if record.is_gone(now, &self.settings) {
@@ -423,7 +427,11 @@
     }
 
     /// Whether no host of the domain is the head of a composition of which only others were found.
-    fn is_headless(&self, instance: &GroupInstance, now: Tick) -> bool {
+    fn is_headless(&self, instance: &GroupInstance, input: &StagedInput<'_>) -> bool {
+        let now = input.now;
+        if now.since(input.reads_since) < self.settings.headless_wait {
+            return false;
+        }
         let mut listed = self.hosts.values().filter(|record| record.listed);
         let all_known =
             listed.all(|record| record.facts.is_some() && !record.is_lost(now, &self.settings));
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -14,6 +14,8 @@
         pub address: SocketAddr,
         /// Whether the host is about to leave.
         pub leaving: bool,
+        /// Whether the host list shows it now; if not, it did a while ago.
+        pub listed: bool,
     }
 );
 
@@ -191,6 +193,10 @@
     /// A lost host that the host list no longer shows is gone for good after this long without an
     /// answer. Longer than the host list needs to drop a dead host.
     pub gone_after: Duration,
+    /// A composition without a known head may have one that the host list dropped before this
+    /// process began to read it. It is given up only when the process has read the list for this
+    /// long; above the time for which a live host may be cut off from the list.
+    pub headless_wait: Duration,
     /// An order without effect is given again after this long; above the time an engine needs to
     /// show the effect in the host list.
     pub order_retry: Duration,
@@ -217,6 +223,7 @@
         Self {
             lost_after: Duration::from_millis(290),
             gone_after: Duration::from_millis(1_500),
+            headless_wait: Duration::from_secs(12),
             order_retry: Duration::from_millis(500),
             answer_lag: Duration::from_millis(1_000),
             close_limit: Duration::from_secs(4),
--- a/crates/relay/src/retry.rs
+++ b/crates/relay/src/retry.rs
@@ -42,13 +42,16 @@
 #[derive(Debug)]
 pub struct RepeatBudget {
     terms: RepeatTerms,
+    /// When this process began. What an earlier life of it used is not known, so the slack is left
+    /// alone for one window.
+    began: Tick,
     logs: Mutex<BTreeMap<ServiceName, WindowLog>>,
 }
 
 impl RepeatBudget {
     /// A budget without any request yet.
-    pub fn new(terms: RepeatTerms) -> Self {
-        Self { terms, logs: Mutex::new(BTreeMap::new()) }
+    pub fn new(terms: RepeatTerms, began: Tick) -> Self {
+        Self { terms, began, logs: Mutex::new(BTreeMap::new()) }
     }
 
     /// Counts a caller's request.
@@ -69,7 +72,8 @@
         let log = logs.entry(service.clone()).or_default();
         trim(&mut log.requests, now, self.terms.window);
         trim(&mut log.repeats, now, self.terms.window);
-        let slack = self.terms.slack / processes.max(1) as f64;
+        let young = now.since(self.began) < self.terms.window;
+        let slack = if young { 0.0 } else { self.terms.slack / processes.max(1) as f64 };
         let bound = USED_PART * (self.terms.ratio * log.requests.len() as f64 + slack);
         if (log.repeats.len() + 1) as f64 > bound {
             return false;
