Give each fabric domain one model, and load one host of it at a time

Loads were started at 4 a second while the weight store shares its rate between all above 6, so each took a minute; a load that the engine refused as busy was given again. Compositions whose head was gone were taken up again as a stranger's, and blocked their members until 12 s after a restart. After a restart of everything the planner took itself to be before the first traffic.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -282,6 +282,7 @@
                 name: rule.name.clone(),
                 size: rule.size,
                 demand: DemandWeight(rule.share),
+                load_time: rule.load_time,
                 elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
             })
             .collect();
@@ -290,6 +291,7 @@
         let hosts: Vec<StagedHost> =
             listed.chain(ghosts.iter().map(|entry| to_host(entry, false))).collect();
         let settings = StagedSettings {
+            loads_at_once: (engine.loads_at_once / sizes.len().max(1)).max(1),
             loads_per_s: LOAD_PART * engine.loads_per_s / sizes.len().max(1) as f64,
             ..StagedSettings::default()
         };
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -54,6 +54,8 @@
     pub share: f64,
     /// Factor on all times of its groups.
     pub pace: f64,
+    /// Time to load it onto a host.
+    pub load_time: Duration,
 }
 
 /// A service whose servers are model engines.
@@ -65,6 +67,8 @@
     pub models: Vec<ModelRule>,
     /// Loads that may start each second over all its hosts.
     pub loads_per_s: f64,
+    /// Loads at the same time that do not slow each other down.
+    pub loads_at_once: usize,
 }
 
 /// One version of the configuration.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -131,7 +131,7 @@
             clock.now(),
         ),
         processes: AtomicUsize::new(1),
-        in_traffic: AtomicBool::new(false),
+        in_traffic: AtomicBool::new(!settings.first_start),
         leaving: AtomicBool::new(false),
         clock,
         stalls,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -101,6 +101,9 @@
     /// The bound on repeats.
     #[serde(default)]
     pub repeats: RepeatSettings,
+    /// Whether the whole system starts for the first time, so that no caller can be there yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Time from SIGTERM until the process is killed, in seconds.
     #[serde(default = "default_grace_s")]
     pub grace_s: f64,
--- a/crates/plan/src/staged/divide.rs
+++ b/crates/plan/src/staged/divide.rs
@@ -6,15 +6,51 @@
     std::{cmp::Reverse, collections::BTreeMap},
 };
 
-/// Part of a domain's hosts that is left free, for the groups of the domain to be mended with.
+/// Part of a domain's hosts that is left free where models share domains, for groups to be mended
+/// with.
 const RESERVE_PART: f64 = 0.1;
+/// Domains for each model from which on each domain serves one model only.
+const DOMAINS_A_MODEL: usize = 2;
 
 /// Divides groups over domains by the number of hosts of each. Every owner computes the same
 /// division from the same numbers, without a word to the others.
 ///
+/// With enough domains each serves one model: then all its hosts have the same weights at hand, and
+/// what is left of several broken groups can form a whole one without a load.
+pub fn divide_groups(
+    hosts: &BTreeMap<FabricDomainId, usize>,
+    models: &[StagedModel],
+) -> BTreeMap<FabricDomainId, Vec<ModelName>> {
+    if hosts.len() >= DOMAINS_A_MODEL * models.len() {
+        whole_domains(hosts, models)
+    } else {
+        shared_domains(hosts, models)
+    }
+}
+
+/// Gives whole domains to models by their share of the work, in turns, so that neighbours in the
+/// order, which often stand in one failure domain, serve different models.
+fn whole_domains(
+    hosts: &BTreeMap<FabricDomainId, usize>,
+    models: &[StagedModel],
+) -> BTreeMap<FabricDomainId, Vec<ModelName>> {
+    let mut given = vec![0_usize; models.len()];
+    let mut division = BTreeMap::new();
+    for (domain, hosts) in hosts {
+        let fits = |at: &usize| (1..=*hosts).contains(&models[*at].size);
+        let claim = |at: usize| models[at].demand.0 / (2 * given[at] + 1) as f64;
+        let candidates = (0..models.len()).filter(fits);
+        let Some(at) = candidates.max_by(|a, b| claim(*a).total_cmp(&claim(*b))) else { continue };
+        given[at] += 1;
+        let model = &models[at];
+        division.insert(domain.clone(), vec![model.name.clone(); hosts / model.size]);
+    }
+    division
+}
+
 /// Models take turns by how much work one more group of each would carry; a group goes to the
 /// domain with the most hosts left.
-pub fn divide_groups(
+fn shared_domains(
     hosts: &BTreeMap<FabricDomainId, usize>,
     models: &[StagedModel],
 ) -> BTreeMap<FabricDomainId, Vec<ModelName>> {
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        host::RunningLoad,
         instance::{FormingLife, GroupInstance, InstanceLife},
         planner::{StagedInput, StagedPlanner},
         types::{StagedCommand, StagedModel},
@@ -146,6 +147,7 @@
     /// something onto each host that has nothing at hand, so that it can mend a group quickly.
     pub(super) fn stage_models(&mut self, input: &StagedInput<'_>) {
         let free = self.free_hosts(input);
+        self.clear_leftovers(&free, input.now);
         let forming = |instance: &GroupInstance| matches!(instance.life, InstanceLife::Forming(_));
         let growing = input.now.since(self.grown_at) < self.settings.gather_time;
         if !input.in_traffic && (growing || self.instances.values().any(forming)) {
@@ -157,7 +159,8 @@
         models.sort_by(|a, b| {
             let worth = |model: &StagedModel| {
                 let lacking = model.size - self.count_with(&spare, model).min(model.size);
-                model.need(self.supply(model)) / (1.0 + lacking as f64)
+                let time = 1.0 + lacking as f64 * model.load_time.as_secs_f64();
+                model.need(self.supply(model)) / time
             };
             worth(b).total_cmp(&worth(a))
         });
@@ -203,19 +206,21 @@
     fn will_have(&self, host: &HostId, model: &ModelName) -> bool {
         let record = &self.hosts[host];
         match &record.staging {
-            Some(staging) => staging == model,
+            Some(load) => load.model == *model,
             None => record.has_staged(model),
         }
     }
 
     fn stage(&mut self, host: &HostId, model: ModelName, input: &StagedInput<'_>) {
-        if input.in_traffic && self.load_tokens < 1.0 {
+        let loads = self.hosts.values().filter(|record| record.staging.is_some()).count();
+        let full = self.load_tokens < 1.0 || loads >= self.settings.loads_at_once;
+        if input.in_traffic && full {
             return;
         }
         if self.order(host, StagedCommand::Stage { model: model.clone() }, input.now) {
             self.load_tokens -= 1.0;
             if let Some(record) = self.hosts.get_mut(host) {
-                record.staging = Some(model);
+                record.staging = Some(RunningLoad { model, since: input.now });
             }
         }
     }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -17,6 +17,13 @@
     pub(super) end: Option<OrderEnd>,
 }
 
+/// A model on its way onto a host.
+#[derive(Clone, Debug)]
+pub(super) struct RunningLoad {
+    pub(super) model: ModelName,
+    pub(super) since: Tick,
+}
+
 /// One host with what it said and what it was told.
 #[derive(Clone, Debug)]
 pub(super) struct HostRecord {
@@ -33,8 +40,8 @@
     silences: u32,
     refused: bool,
     pub(super) last: Option<SentOrder>,
-    /// A model that was ordered onto the host and has not been seen there yet.
-    pub(super) staging: Option<ModelName>,
+    /// A load that was ordered and has not been seen to end.
+    pub(super) staging: Option<RunningLoad>,
 }
 
 /// Unanswered questions in a row before a host counts as lost; one may be lost on the way.
@@ -88,7 +95,7 @@
         if lagging {
             return;
         }
-        if self.staging.as_ref().is_some_and(|model| facts.staged.contains(model)) {
+        if self.staging.as_ref().is_some_and(|load| facts.staged.contains(&load.model)) {
             self.staging = None;
         }
         if self.facts.as_ref() != Some(&facts) {
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        host::{HostRecord, SentOrder},
+        host::{HostRecord, RunningLoad, SentOrder},
         instance::{EndingLife, FormingLife, GroupInstance, InstanceLife},
         types::{
             EngineFacts, LossMark, MemberPhase, Membership, ObservationSource, OrderEnd,
@@ -111,7 +111,8 @@
             last.end = Some(end);
         }
         let staged = matches!(order.command, StagedCommand::Stage { .. });
-        if staged && matches!(end, OrderEnd::Refused | OrderEnd::NotSent | OrderEnd::Unknown) {
+        // An engine that refuses is busy with another load; one that did not answer may load.
+        if staged && matches!(end, OrderEnd::NotSent) {
             record.staging = None;
         }
     }
@@ -125,6 +126,7 @@
     pub fn step(&mut self, input: &StagedInput<'_>) -> Vec<StagedOrder> {
         self.sync_hosts(input.hosts, input.now);
         self.refill_loads(input.now);
+        self.end_loads(input.now);
         self.ended.retain(|_, ended| input.now.since(*ended) < ENDED_SPAN);
         self.adopt_strangers(input);
         for key in self.instances.keys().cloned().collect::<Vec<_>>() {
@@ -205,6 +207,17 @@
         });
     }
 
+    /// Gives up loads that take too long.
+    fn end_loads(&mut self, now: Tick) {
+        let limit = self.settings.load_limit;
+        for record in self.hosts.values_mut() {
+            let over = |load: &RunningLoad| now.since(load.since) >= limit;
+            if record.staging.as_ref().is_some_and(over) {
+                record.staging = None;
+            }
+        }
+    }
+
     fn refill_loads(&mut self, now: Tick) {
         let grown = now.since(self.refilled).as_secs_f64() * self.settings.loads_per_s;
         self.load_tokens = (self.load_tokens + grown).min(self.settings.load_burst);
@@ -402,11 +415,9 @@
             return self.is_headless(instance, input);
         };
         let Some(record) = self.hosts.get(&head) else { return true };
-        if record.is_gone(now, &self.settings) {
-            return true;
-        }
         let born = record.facts.as_ref().and_then(|facts| facts.born);
-        if born != instance.borns[0] {
+        if record.is_gone(now, &self.settings) || born != instance.borns[0] {
+            self.note_ended(instance, now);
             return true;
         }
         // An order to join or open may still be on its way to a head that shows no membership.
@@ -416,7 +427,7 @@
                 && matches!(last.end, Some(OrderEnd::Accepted | OrderEnd::Refused))
         });
         if left {
-            self.ended.insert((instance.group.clone(), instance.epoch), now);
+            self.note_ended(instance, now);
             if let Some(record) = self.hosts.get_mut(&head) {
                 record.forget_membership();
             }
@@ -426,6 +437,25 @@
         false
     }
 
+    fn note_ended(&mut self, instance: &GroupInstance, now: Tick) {
+        self.ended.insert((instance.group.clone(), instance.epoch), now);
+    }
+
+    /// Orders free hosts out of compositions that have ended, so that another owner, which does not
+    /// know of the end, finds them free.
+    pub(super) fn clear_leftovers(&mut self, free: &[HostId], now: Tick) {
+        for host in free {
+            let facts = self.hosts.get(host).and_then(|record| record.facts.as_ref());
+            let Some(membership) = facts.and_then(|facts| facts.membership.clone()) else {
+                continue;
+            };
+            if self.ended.contains_key(&(membership.group.clone(), membership.epoch)) {
+                let Membership { group, epoch, .. } = membership;
+                self.order(host, StagedCommand::Leave { group, epoch }, now);
+            }
+        }
+    }
+
     /// Whether no host of the domain is the head of a composition of which only others were found.
     fn is_headless(&self, instance: &GroupInstance, input: &StagedInput<'_>) -> bool {
         let now = input.now;
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -32,6 +32,8 @@
     pub size: usize,
     /// Its share of the work, in hosts.
     pub demand: DemandWeight,
+    /// Time to load it onto a host, while the weight store is not busy.
+    pub load_time: Duration,
     /// Groups of it that serve or are being formed in other fabric domains.
     pub elsewhere: u32,
 }
@@ -212,6 +214,12 @@
     /// Before there is traffic, groups are formed once no new host was listed for this long;
     /// several intervals between the first entries of hosts that start together.
     pub gather_time: Duration,
+    /// Loads of one fabric domain at the same time. The weight store shares its rate between all
+    /// loads, so that with more of them each of them ends later.
+    pub loads_at_once: usize,
+    /// A load that did not show its effect after this long is taken as failed; well above the time
+    /// of a load that shares the weight store.
+    pub load_limit: Duration,
     /// Loads that one fabric domain may start each second.
     pub loads_per_s: f64,
     /// Loads that may start at once after a pause.
@@ -229,6 +237,8 @@
             close_limit: Duration::from_secs(4),
             form_limit: Duration::from_secs(60),
             gather_time: Duration::from_millis(700),
+            loads_at_once: 1,
+            load_limit: Duration::from_secs(60),
             loads_per_s: 0.7,
             load_burst: 1.0,
         }
