Count groups, not hosts, when domains are given to models; keep models at hand

Where fewer hosts were free than a group of the domain's model needs, warm hosts were loaded with the other model.

--- a/crates/plan/src/staged/divide.rs
+++ b/crates/plan/src/staged/divide.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Gives whole domains to models by their share of the work, in turns, so that neighbours in the
+/// Gives whole domains to models in turns, each to the model whose groups would carry most, so that neighbours in the
 /// order, which often stand in one failure domain, serve different models.
 fn whole_domains(
     hosts: &BTreeMap<FabricDomainId, usize>,
@@ -38,11 +38,15 @@
     let mut division = BTreeMap::new();
     for (domain, hosts) in hosts {
         let fits = |at: &usize| (1..=*hosts).contains(&models[*at].size);
-        let claim = |at: usize| models[at].demand.0 / (2 * given[at] + 1) as f64;
+        // Half of what one more domain would bring, as for the first seat of a party.
+        let claim = |at: usize| {
+            let more = (hosts / models[at].size) as f64;
+            models[at].demand.0 / models[at].size as f64 / (given[at] as f64 + more / 2.0)
+        };
         let candidates = (0..models.len()).filter(fits);
         let Some(at) = candidates.max_by(|a, b| claim(*a).total_cmp(&claim(*b))) else { continue };
-        given[at] += 1;
         let model = &models[at];
+        given[at] += hosts / model.size;
         division.insert(domain.clone(), vec![model.name.clone(); hosts / model.size]);
     }
     division
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -192,6 +192,11 @@
             let staged = |known: &StagedModel| self.will_have(host, &known.name);
             !input.models.iter().any(staged)
         };
+        let able = spare.iter().filter(|host| self.will_have(host, &model.name) || empty(host));
+        if able.count() < model.size {
+            // A host with another model at hand keeps it: that model's groups will lose members too.
+            return;
+        }
         spare.sort_by_key(|host| (!self.will_have(host, &model.name), !empty(host)));
         let chosen: Vec<HostId> = spare.drain(..model.size).collect();
         for host in chosen {
@@ -229,15 +234,21 @@
         hosts.iter().filter(|host| self.will_have(host, &model.name)).count()
     }
 
-    /// The model with the most members in this domain for each free host that has, or gets, its
-    /// weights; on a tie the one whose groups carry the most work.
+    /// The model that a host with nothing at hand should get: one of which a part of a group is free
+    /// already, the largest part first, or else the one with the most members in this domain for
+    /// each free host with it; on a tie the one whose groups carry the most work.
     fn scarcest(&self, free: &[HostId], input: &StagedInput<'_>) -> Option<ModelName> {
-        let risk = |model: &StagedModel| {
+        let rank = |model: &StagedModel| {
+            let with = self.count_with(free, model) as f64;
+            let part = if with < model.size as f64 { with / model.size as f64 } else { 0.0 };
             let members = self.groups_here(model) * model.size;
-            members as f64 / (self.count_with(free, model) as f64 + 0.5)
+            (part, members as f64 / (with + 0.5))
         };
         let mut models = self.by_need(input);
-        models.sort_by(|a, b| risk(b).total_cmp(&risk(a)));
+        models.sort_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1))
+        });
         models.first().map(|model| model.name.clone())
     }
 }
