Divide domains once all engines are listed; use hosts that answered the new owner

A new owner put hosts that had died into groups, for it had not asked them yet: three groups in a row never opened.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -42,6 +42,9 @@
 /// Time after the first look at the members in which nobody takes a domain, so that processes which
 /// start together share the domains.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Before there is traffic, groups are formed once no new engine was listed for this long; several
+/// intervals between the entries of servers that start together.
+const GATHER_TIME: Duration = Duration::from_millis(700);
 /// Part of the loads a second that the weight store admits which this system starts.
 const LOAD_PART: f64 = 0.9;
 
@@ -78,6 +81,9 @@
     domains: BTreeMap<FabricDomainId, OwnedDomain>,
     claims: BTreeMap<FabricDomainId, Tick>,
     settled_at: Option<Tick>,
+    /// Engines known, and when there last was one more.
+    engine_count: usize,
+    grown_at: Tick,
     events: mpsc::UnboundedSender<ControlEvent>,
 }
 
@@ -109,6 +115,8 @@
             domains: BTreeMap::new(),
             claims: BTreeMap::new(),
             settled_at: None,
+            engine_count: 0,
+            grown_at: Tick(0),
             events,
         };
         let mut ticks = interval(STEP_INTERVAL);
@@ -224,6 +232,11 @@
         let domains = self.view.with(|state| state.engine_domains());
         let sizes: BTreeMap<FabricDomainId, usize> =
             domains.iter().map(|(domain, entries)| (domain.clone(), entries.len())).collect();
+        let engines = sizes.values().sum();
+        if engines > self.engine_count {
+            self.grown_at = now;
+        }
+        self.engine_count = engines;
         for (domain, entries) in &domains {
             self.step_domain(domain, entries, &sizes, now);
         }
@@ -322,6 +335,7 @@
             hosts: &hosts,
             first_groups: division.get(domain).map_or(&[], Vec::as_slice),
             reads_since: self.settled_at.unwrap_or(now),
+            gathering: now.since(self.grown_at) < GATHER_TIME,
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
             now,
         };
@@ -355,12 +369,11 @@
         let Some(owned) = self.domains.get_mut(domain) else { return };
         let hosts: Vec<StagedHost> = owned.planner.known_hosts().cloned().collect();
         owned.asks.retain(|id, _| hosts.iter().any(|host| host.host == *id));
-        for (place, host) in hosts.iter().enumerate() {
-            let first = now + ASK_INTERVAL.mul_f64((place + 1) as f64 / (hosts.len() + 1) as f64);
+        for host in &hosts {
             let ask = owned
                 .asks
                 .entry(host.host.clone())
-                .or_insert(AskState { due: first, running: false });
+                .or_insert(AskState { due: now, running: false });
             if ask.running || ask.due > now {
                 continue;
             }
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -46,8 +46,7 @@
     /// Forms groups while hosts are free. Hosts with the model at hand come first; without traffic,
     /// when loads are quick, any host will do.
     pub(super) fn form_groups(&mut self, input: &StagedInput<'_>) {
-        let growing = input.now.since(self.grown_at) < self.settings.gather_time;
-        if !input.in_traffic && growing {
+        if !input.in_traffic && input.gathering {
             // A choice made before the hosts are known would fix a poor division of them.
             return;
         }
@@ -149,8 +148,7 @@
         let free = self.free_hosts(input);
         self.clear_leftovers(&free, input.now);
         let forming = |instance: &GroupInstance| matches!(instance.life, InstanceLife::Forming(_));
-        let growing = input.now.since(self.grown_at) < self.settings.gather_time;
-        if !input.in_traffic && (growing || self.instances.values().any(forming)) {
+        if !input.in_traffic && (input.gathering || self.instances.values().any(forming)) {
             // Groups come first while the weight store is busy with them.
             return;
         }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -153,6 +153,7 @@
         self.listed
             && !self.entry.leaving
             && self.facts.is_some()
+            && self.answered.is_some()
             && self.silences == 0
             && !self.is_lost(now, settings)
     }
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -31,6 +31,8 @@
     pub hosts: &'a [StagedHost],
     /// Models whose groups the domain should begin with, see [`super::divide_groups`].
     pub first_groups: &'a [ModelName],
+    /// Whether the host list may still lack hosts that start at the same time.
+    pub gathering: bool,
     /// Whether callers send requests already; before, loads are quick and not limited.
     pub in_traffic: bool,
     /// Since when this process reads the host list.
@@ -50,8 +52,6 @@
     pub(super) instances: BTreeMap<(GroupId, Epoch), GroupInstance>,
     /// When compositions ended whose head was seen to leave; engines may show them a little longer.
     ended: BTreeMap<(GroupId, Epoch), Tick>,
-    /// When the last host was listed that was not known.
-    pub(super) grown_at: Tick,
     /// Loads that may start now.
     pub(super) load_tokens: f64,
     pub(super) refilled: Tick,
@@ -69,7 +69,6 @@
             hosts: BTreeMap::new(),
             instances: BTreeMap::new(),
             ended: BTreeMap::new(),
-            grown_at: now,
             load_tokens: settings.load_burst,
             refilled: now,
             prefix: format!("{domain}.{term}"),
@@ -193,7 +192,6 @@
                     record.listed = entry.listed;
                 }
                 None => {
-                    self.grown_at = now;
                     self.hosts.insert(entry.host.clone(), HostRecord::new(entry.clone()));
                 }
             }
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -211,9 +211,6 @@
     /// A group whose members do not get ready within this time is given up; above a load that
     /// shares the weight store with others.
     pub form_limit: Duration,
-    /// Before there is traffic, groups are formed once no new host was listed for this long;
-    /// several intervals between the first entries of hosts that start together.
-    pub gather_time: Duration,
     /// Loads of one fabric domain at the same time. The weight store shares its rate between all
     /// loads, so that with more of them each of them ends later.
     pub loads_at_once: usize,
@@ -236,7 +233,6 @@
             answer_lag: Duration::from_millis(1_000),
             close_limit: Duration::from_secs(4),
             form_limit: Duration::from_secs(60),
-            gather_time: Duration::from_millis(700),
             loads_at_once: 1,
             load_limit: Duration::from_secs(60),
             loads_per_s: 0.7,
