Tell all processes the loads of heads, and refuse what full groups can't run

Ruled out: the least loaded of all groups as the choice; all processes see the same words and would send everything there until the next one.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         owners::{OwnedRow, OwnerStep, owner_step},
+        peers::HeadLoad,
         ports::{AskError, EngineAccess, EngineWord, ServerEntry, ServerStanding},
         rows::{OwnerRow, RowName, RowOwner},
         view::NodeView,
@@ -10,12 +11,12 @@
     base::{FabricDomainId, SharedClock, Term, Tick},
     infra::{CommitOutcome, TableStore, Transaction},
     plan::staged::{
-        DemandWeight, EngineFacts, LossMark, ObservationSource, OrderEnd, StagedHost, StagedInput,
-        StagedModel, StagedOrder, StagedPlanner, StagedSettings, divide_groups,
+        DemandWeight, EngineFacts, LossMark, MemberPhase, ObservationSource, OrderEnd, StagedHost,
+        StagedInput, StagedModel, StagedOrder, StagedPlanner, StagedSettings, divide_groups,
     },
-    relay::{RelayShared, ServerId},
+    relay::{LoadWord, RelayShared, ServerId},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
@@ -35,6 +36,8 @@
 const LOST_ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit of a question to an engine.
 const ASK_LIMIT: Duration = Duration::from_millis(150);
+/// Time between two words about loads.
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
 /// Time limit of an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(600);
 /// Time between two tries to take a domain.
@@ -70,6 +73,15 @@
     running: bool,
 }
 
+/// What the loop found out about heads, for all processes.
+#[derive(Debug, Default)]
+pub struct HeadFindings {
+    /// Heads of groups that have just lost a member.
+    pub broken: Vec<ServerId>,
+    /// Loads of serving groups.
+    pub loads: Vec<HeadLoad>,
+}
+
 /// The control loop.
 pub struct ControlLoop<T, E> {
     table: Arc<T>,
@@ -85,6 +97,11 @@
     engine_count: usize,
     grown_at: Tick,
     events: mpsc::UnboundedSender<ControlEvent>,
+    findings: mpsc::Sender<HeadFindings>,
+    /// Broken heads that were told already.
+    told: BTreeSet<ServerId>,
+    loads: Vec<HeadLoad>,
+    loads_told: Tick,
 }
 
 impl<T, E> ControlLoop<T, E>
@@ -101,6 +118,7 @@
         shared: Arc<RelayShared>,
         own: RowOwner,
         mut stalls: mpsc::Receiver<ServerId>,
+        findings: mpsc::Sender<HeadFindings>,
         stop: CancellationToken,
     ) {
         let (events, mut received) = mpsc::unbounded_channel();
@@ -118,6 +136,10 @@
             engine_count: 0,
             grown_at: Tick(0),
             events,
+            findings,
+            told: BTreeSet::new(),
+            loads: Vec::new(),
+            loads_told: Tick(0),
         };
         let mut ticks = interval(STEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -183,8 +205,10 @@
                 Err(_) => now,
             };
         }
+        let mut load = None;
         match word {
             Ok(word) => {
+                load = Some(word.clone());
                 owned.planner.observe(host, ObservationSource::Engine, at, word.facts);
             }
             Err(error) => {
@@ -203,6 +227,9 @@
                 }
             }
         }
+        if let Some(word) = load {
+            self.note_load(host, &word);
+        }
     }
 
     /// Asks all engines of a server's domain at once, if it is ours.
@@ -241,13 +268,40 @@
             self.step_domain(domain, entries, &sizes, now);
         }
         self.domains.retain(|domain, _| domains.contains_key(domain));
-        let broken: Vec<ServerId> = self
+        let broken: BTreeSet<ServerId> = self
             .domains
             .values()
             .flat_map(|owned| owned.planner.broken_heads().cloned().collect::<Vec<_>>())
             .collect();
-        if !broken.is_empty() {
-            self.view.note_broken(&broken);
+        self.tell_findings(broken, now);
+    }
+
+    /// Tells newly broken heads at once, and loads a few times a second.
+    fn tell_findings(&mut self, broken: BTreeSet<ServerId>, now: Tick) {
+        let fresh: Vec<ServerId> = broken.difference(&self.told).cloned().collect();
+        self.told = broken;
+        let due = now.since(self.loads_told) >= LOAD_INTERVAL && !self.loads.is_empty();
+        if fresh.is_empty() && !due {
+            return;
+        }
+        let loads = if due { std::mem::take(&mut self.loads) } else { Vec::new() };
+        if due {
+            self.loads_told = now;
+        }
+        // A full channel means that newer findings are on their way already.
+        let _ = self.findings.try_send(HeadFindings { broken: fresh, loads });
+    }
+
+    fn note_load(&mut self, host: &ServerId, word: &EngineWord) {
+        let open = word.facts.membership.as_ref().is_some_and(|membership| {
+            membership.rank == 0 && membership.phase == MemberPhase::Open
+        });
+        let config = self.view.with(|state| state.config.clone());
+        if let (true, Some(config)) = (open, config) {
+            let slots = config.engines.first().map_or(0, |engine| engine.slots);
+            let LoadWord { running, waiting, .. } = word.load;
+            self.loads.retain(|load| load.head != *host);
+            self.loads.push(HeadLoad { head: host.clone(), running, waiting, slots });
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,6 +15,8 @@
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 /// Peers that get a word each round.
 pub const PEERS_A_ROUND: usize = 2;
+/// Loads in one word.
+pub const LOADS_A_WORD: usize = 24;
 /// Numbers in one word.
 pub const COUNTS_A_WORD: usize = 24;
 
@@ -32,6 +34,20 @@
     }
 );
 
+base::value_type!(
+    /// The load of a serving group, as its head said.
+    pub struct HeadLoad {
+        /// The head.
+        pub head: ServerId,
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait.
+        pub waiting: u32,
+        /// Requests that can run at once.
+        pub slots: u32,
+    }
+);
+
 base::value_type!(
     /// What one process tells another.
     pub struct PeerWord {
@@ -45,6 +61,8 @@
         pub stalled: Vec<ServerId>,
         /// Heads of groups that are known to be broken.
         pub broken: Vec<ServerId>,
+        /// Load of heads that the sender asked.
+        pub loads: Vec<HeadLoad>,
     }
 );
 
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -63,6 +63,8 @@
 pub struct EngineService {
     /// The service.
     pub name: ServiceName,
+    /// Requests that a group runs at once.
+    pub slots: u32,
     /// What its groups may serve.
     pub models: Vec<ModelRule>,
     /// Loads that may start each second over all its hosts.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -3,12 +3,15 @@
 use {
     crate::{
         addresses::answer_addresses,
-        control::ControlLoop,
+        control::{ControlLoop, HeadFindings},
         follow::follow_all,
         http::serve_heads,
         members::MemberTable,
         metrics::NodeMetrics,
-        peers::{COUNTS_A_WORD, PEERS_A_ROUND, PeerCount, PeerSocket, PeerWord, ROUND_INTERVAL},
+        peers::{
+            COUNTS_A_WORD, LOADS_A_WORD, PEERS_A_ROUND, PeerCount, PeerSocket, PeerWord,
+            ROUND_INTERVAL,
+        },
         ports::{AddressCodec, EngineAccess, PlatformWatch},
         rows::{MemberRow, RowName, RowOwner},
         settings::NodeSettings,
@@ -54,6 +57,8 @@
 const ROW_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two looks at beliefs that run out.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
+/// Findings of the control loop that may wait to be sent; more are dropped, for newer ones follow.
+const FINDINGS_WAITING: usize = 16;
 /// Stalls that may wait to be looked at; one for each server is enough.
 const STALLS_WAITING: usize = 64;
 
@@ -177,6 +182,8 @@
         let (forwarded, stalls_ours) = mpsc::channel(STALLS_WAITING);
         tokio::spawn(self.clone().hear_peers(forwarded.clone()));
         tokio::spawn(self.clone().share_stalls(stalls, forwarded));
+        let (findings, found) = mpsc::channel(FINDINGS_WAITING);
+        tokio::spawn(self.clone().share_findings(found));
         let control_stop = stop.child_token();
         let control = tokio::spawn(ControlLoop::run(
             ports.table.clone(),
@@ -185,6 +192,7 @@
             self.shared.clone(),
             self.own.clone(),
             stalls_ours,
+            findings,
             control_stop.clone(),
         ));
         let joining = tokio::spawn(self.clone().join_members(ports.table.clone(), stop.clone()));
@@ -302,6 +310,7 @@
                     state.members.note_count(count, now);
                 }
             });
+            self.view.note_loads(&word.loads);
             if !word.broken.is_empty() {
                 self.view.note_broken(&word.broken);
             }
@@ -356,6 +365,25 @@
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
             stalled: Vec::new(),
             broken: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    /// Tells all processes what the control loop found out about heads.
+    async fn share_findings(self: Arc<Self>, mut found: mpsc::Receiver<HeadFindings>) {
+        while let Some(HeadFindings { broken, loads }) = found.recv().await {
+            self.view.note_loads(&loads);
+            for chunk in loads.chunks(LOADS_A_WORD) {
+                self.tell_all(&PeerWord {
+                    loads: chunk.to_vec(),
+                    heard: Vec::new(),
+                    ..self.word()
+                });
+            }
+            if !broken.is_empty() {
+                self.view.note_broken(&broken);
+                self.tell_all(&PeerWord { broken, heard: Vec::new(), ..self.word() });
+            }
         }
     }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,13 +5,14 @@
         book::{BookNews, ServerBook},
         members::MemberTable,
         owners::OwnedRow,
+        peers::HeadLoad,
         ports::{ConfigUpdate, RowChange, ServerChange, ServerEntry, ServerStanding, WatchPage},
         rows::{MemberRow, OwnerRow, RowName, read_value},
     },
     base::{FabricDomainId, ModelName, Tick},
     parking_lot::Mutex,
     plan::staged::{MemberPhase, Membership},
-    relay::{BackendServer, RelayShared, ServerCounters, ServerId, ServerTable},
+    relay::{BackendServer, LoadWord, RelayShared, ServerCounters, ServerId, ServerTable},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::{Arc, atomic::Ordering},
@@ -154,6 +155,18 @@
         }
     }
 
+    /// Takes in the load of heads.
+    pub fn note_loads(&self, loads: &[HeadLoad]) {
+        let state = self.state.lock();
+        let now = self.now();
+        for load in loads {
+            if let Some(counters) = state.counters.get(&load.head) {
+                let HeadLoad { running, waiting, slots, .. } = *load;
+                counters.note_load(LoadWord { running, waiting, slots }, now);
+            }
+        }
+    }
+
     fn take_news(&self, state: &mut ViewState, news: &BookNews) {
         for id in &news.gone {
             info!(decision = "server-gone", server = %id, "state");
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -3,7 +3,7 @@
 use {
     crate::server::{BackendServer, ServerId},
     base::Tick,
-    std::time::Duration,
+    std::{cmp::Ordering, time::Duration},
 };
 
 /// Time to a first byte that adds as much to a server's cost as one more request; keeps slow
@@ -21,18 +21,56 @@
     pub now: Tick,
 }
 
-/// Picks the server with the least expected wait; shunned servers only when nothing else is left.
+/// What a choice came to.
+#[derive(Clone, Copy, Debug)]
+pub enum ServerChoice<'a> {
+    /// This server.
+    Server(&'a BackendServer),
+    /// Servers exist, but each has as much work as it can run at once.
+    Full,
+    /// There is no server that was not tried.
+    Nothing,
+}
+
+/// Picks the cheaper of two random servers that are sound and not full; shunned servers only when
+/// nothing else is left. All processes see the same words about load, so the least loaded server of
+/// all would get everything that arrives until the next word.
 pub fn choose_server<'a>(
     servers: impl Iterator<Item = &'a BackendServer>,
     facts: &ChoiceFacts<'_>,
+) -> ServerChoice<'a> {
+    let untried: Vec<&BackendServer> =
+        servers.filter(|server| !facts.tried.contains(&server.id)).collect();
+    if untried.is_empty() {
+        return ServerChoice::Nothing;
+    }
+    let sound: Vec<&BackendServer> =
+        untried.iter().filter(|server| !server.counters.is_shunned(facts.now)).copied().collect();
+    let usable = if sound.is_empty() { untried } else { sound };
+    let open: Vec<&BackendServer> =
+        usable.into_iter().filter(|server| !server.counters.is_full(facts.now)).collect();
+    match cheaper_of_two(&open, facts) {
+        Some(server) => ServerChoice::Server(server),
+        None => ServerChoice::Full,
+    }
+}
+
+fn cheaper_of_two<'a>(
+    servers: &[&'a BackendServer],
+    facts: &ChoiceFacts<'_>,
 ) -> Option<&'a BackendServer> {
-    let untried = servers.filter(|server| !facts.tried.contains(&server.id));
-    let ranked = untried.enumerate().map(|(place, server)| {
-        let shunned = server.counters.is_shunned(facts.now);
-        (shunned, cost(server, place, facts), server)
-    });
-    let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    best.map(|(_, _, server)| server)
+    let count = servers.len() as u64;
+    if count <= 2 {
+        return servers.iter().min_by(|a, b| compare(a, b, facts)).copied();
+    }
+    let first = facts.draw % count;
+    let second = (first + 1 + (facts.draw / count) % (count - 1)) % count;
+    let pair = [servers[first as usize], servers[second as usize]];
+    pair.into_iter().min_by(|a, b| compare(a, b, facts))
+}
+
+fn compare(a: &BackendServer, b: &BackendServer, facts: &ChoiceFacts<'_>) -> Ordering {
+    cost(a, 0, facts).total_cmp(&cost(b, 1, facts))
 }
 
 /// Requests ahead, with up to one more for a slow first byte each, and up to one at random.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod service;
 
 pub use crate::{
-    choose::{ChoiceFacts, choose_server},
+    choose::{ChoiceFacts, ServerChoice, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -33,6 +33,7 @@
     in_flight: AtomicU32,
     reported: AtomicU32,
     reported_at: AtomicU64,
+    slots: AtomicU32,
     sent_since: AtomicU32,
     progressed_at: AtomicU64,
     shunned_until: AtomicU64,
@@ -41,8 +42,12 @@
     first_byte_us: AtomicU64,
 }
 
-/// Time after which half of a load word is forgotten; requests last about a second.
-const WORD_HALF_LIFE_MS: f64 = 1_000.0;
+/// Time after which half of a load word is forgotten; requests last about a second, and words come
+/// several times a second.
+const WORD_HALF_LIFE_MS: f64 = 2_000.0;
+/// Part of a server's slots up to which it gets more work. What waits beyond its slots is answered
+/// late, and so is what comes after it; words lag, so that some of it is over already.
+const FULL_PART: f64 = 1.1;
 /// Part of a new sample in the moving mean of first bytes: one in this many.
 const MEAN_PARTS: u64 = 8;
 
@@ -58,6 +63,7 @@
     pub fn note_load(&self, word: LoadWord, now: Tick) {
         self.reported.store(word.running + 2 * word.waiting, Ordering::Relaxed);
         self.reported_at.store(now.0, Ordering::Relaxed);
+        self.slots.store(word.slots, Ordering::Relaxed);
         self.sent_since.store(0, Ordering::Relaxed);
     }
 
@@ -107,6 +113,12 @@
         (reported + since).max(f64::from(self.in_flight()))
     }
 
+    /// Whether the server has as much work as it can run at once, as far as can be told.
+    pub fn is_full(&self, now: Tick) -> bool {
+        let slots = self.slots.load(Ordering::Relaxed);
+        slots > 0 && self.load(now) >= f64::from(slots) * FULL_PART
+    }
+
     /// Moving mean of the time to a first byte.
     pub fn first_byte(&self) -> Duration {
         Duration::from_micros(self.first_byte_us.load(Ordering::Relaxed))
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        choose::{ChoiceFacts, choose_server},
+        choose::{ChoiceFacts, ServerChoice, choose_server},
         codec::{BackendCall, RequestCodec, Verdict},
         config::{RelayConfig, RouteRule},
         plain::collect_answer,
@@ -320,7 +320,10 @@
         let table = self.shared.servers.load();
         let facts = ChoiceFacts { tried: &progress.tried, draw: rand::random(), now };
         let servers = table.candidates(&terms.service, terms.model.as_ref());
-        let server = choose_server(servers, &facts)?.clone();
+        let server = match choose_server(servers, &facts) {
+            ServerChoice::Server(server) => server.clone(),
+            ServerChoice::Full | ServerChoice::Nothing => return None,
+        };
         if progress.sends > 0 {
             let processes = self.shared.processes.load(Ordering::Relaxed);
             if !self.shared.budget.take(&terms.service, processes, now) {
