--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,10 +24,12 @@
         source: io::Error,
     },
     /// The text is no YAML, or a field is missing or of another type.
-    #[snafu(display("{}: {source}", path.display()))]
+    #[snafu(display("{}: {field}: {source}", path.display()))]
     Malformed {
         /// The file.
         path: PathBuf,
+        /// The field, or a dot for the whole file.
+        field: String,
         /// Where and what.
         source: serde_yaml_ng::Error,
     },
@@ -132,7 +134,12 @@
 /// Reads and checks a settings file.
 pub fn load_settings(path: &Path) -> Result<NodeSettings, SettingsError> {
     let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
-    let settings: NodeSettings = serde_yaml_ng::from_str(&text).context(MalformedSnafu { path })?;
+    let deserializer = serde_yaml_ng::Deserializer::from_str(&text);
+    let settings: NodeSettings =
+        serde_path_to_error::deserialize(deserializer).map_err(|error| {
+            let field = error.path().to_string();
+            SettingsError::Malformed { path: path.to_owned(), field, source: error.into_inner() }
+        })?;
     let finite = |value: f64| value.is_finite() && value >= 0.0;
     let range = |ok: bool, field: &'static str, problem: &'static str| {
         ensure!(ok, OutOfRangeSnafu { path, field, problem });
--- /dev/null
+++ b/crates/node/tests/beliefs.rs
@@ -0,0 +1,248 @@
+//! What a process believes of servers and other processes.
+
+use {
+    base::{
+        FabricDomainId, FailureDomainId, HostId, Incarnation, RowVersion, ServiceName, Term, Tick,
+    },
+    node::{
+        ServerBook, ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
+        addresses::answer_addresses,
+        members::{DEAD_AFTER, MemberTable},
+        owners::{OwnedRow, OwnerStep, owner_step},
+        peers::PeerCount,
+        rows::{MemberRow, OwnerRow, RowName, RowOwner},
+    },
+    std::time::Duration,
+    yare::parameterized,
+};
+
+const START: Tick = Tick(1_000_000_000_000);
+
+fn after(ms: u64) -> Tick {
+    START + Duration::from_millis(ms)
+}
+
+fn entry(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: HostId::new(id).unwrap(),
+        address: ([127, 0, 0, 1], 9).into(),
+        service: ServiceName::new("s").unwrap(),
+        failure_domain: FailureDomainId::new("z").unwrap(),
+        standing: ServerStanding::Live,
+        fabric_domain: None,
+        facts: None,
+    }
+}
+
+fn page(changes: Vec<ServerChange>, whole: bool) -> WatchPage<ServerChange> {
+    WatchPage { changes, position: WatchPosition(1), whole }
+}
+
+fn listed(id: &str) -> ServerChange {
+    ServerChange::Listed(Box::new(entry(id)))
+}
+
+fn dropped(id: &str) -> ServerChange {
+    ServerChange::Dropped(HostId::new(id).unwrap())
+}
+
+fn believed(book: &ServerBook) -> Vec<String> {
+    book.entries().map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn a_dropped_server_is_gone_at_once_on_a_calm_day() {
+    let mut book = ServerBook::default();
+    book.apply(page(vec![listed("a"), listed("b")], true), START);
+    book.apply(page(vec![dropped("a")], false), after(100));
+    assert_eq!(believed(&book), ["b"]);
+}
+
+/// Live servers' entries that the store lost while it was away are back within two seconds.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_believed_for_two_seconds() {
+    let mut book = ServerBook::default();
+    book.apply(page(vec![listed("a"), listed("b")], true), START);
+    book.note_outage(after(5_000));
+    book.apply(page(vec![listed("b")], true), after(5_500));
+    assert_eq!(believed(&book), ["a", "b"]);
+    book.expire(after(7_400));
+    assert_eq!(believed(&book), ["a", "b"]);
+    book.expire(after(7_600));
+    assert_eq!(believed(&book), ["b"]);
+}
+
+#[test]
+fn an_entry_that_comes_back_stays() {
+    let mut book = ServerBook::default();
+    book.apply(page(vec![listed("a")], true), START);
+    book.note_outage(after(1_000));
+    book.apply(page(Vec::new(), true), after(1_100));
+    book.apply(page(vec![listed("a")], false), after(2_000));
+    book.expire(after(9_000));
+    assert_eq!(believed(&book), ["a"]);
+}
+
+/// A head that the store dropped may serve on; the next owner of its domain has to know of it.
+#[test]
+fn dropped_servers_are_remembered_for_a_minute() {
+    let mut book = ServerBook::default();
+    book.apply(page(vec![listed("a")], true), START);
+    book.apply(page(vec![dropped("a")], false), after(100));
+    assert_eq!(book.ghosts().count(), 1);
+    book.expire(after(59_000));
+    assert_eq!(book.ghosts().count(), 1);
+    book.expire(after(61_000));
+    assert_eq!(book.ghosts().count(), 0);
+}
+
+#[test]
+fn a_server_that_left_in_the_gap_of_a_dropped_history_is_gone() {
+    let mut book = ServerBook::default();
+    book.apply(page(vec![listed("a"), listed("b")], true), START);
+    let news = book.apply(page(vec![listed("b"), listed("c")], true), after(50_000));
+    assert_eq!(believed(&book), ["b", "c"]);
+    assert_eq!(news.gone, [HostId::new("a").unwrap()]);
+    assert_eq!(news.added, [HostId::new("c").unwrap()]);
+}
+
+fn row(node: u16, zone: &str) -> MemberRow {
+    MemberRow {
+        incarnation: Incarnation(u64::from(node) + 100),
+        peers: ([127, 0, 0, 1], 1_000 + node).into(),
+        callers: ([127, 0, 0, 1], 2_000 + node).into(),
+        failure_domain: FailureDomainId::new(zone).unwrap(),
+    }
+}
+
+fn name(node: u16) -> HostId {
+    HostId::new(format!("n{node}")).unwrap()
+}
+
+fn table(nodes: u16) -> MemberTable {
+    let mut table = MemberTable::new(name(0));
+    for node in 0..nodes {
+        table.list(name(node), row(node, if node % 2 == 0 { "even" } else { "odd" }), START);
+    }
+    table
+}
+
+fn count(node: u16, count: u64, leaving: bool) -> PeerCount {
+    PeerCount { node: name(node), incarnation: Incarnation(u64::from(node) + 100), count, leaving }
+}
+
+/// Everybody but `silent` is heard of until `at`.
+fn hear(table: &mut MemberTable, nodes: u16, silent: u16, at: Tick) {
+    table.note_heard(at);
+    for node in (1..nodes).filter(|node| *node != silent) {
+        table.note_count(&count(node, at.0, false), at);
+    }
+}
+
+#[test]
+fn a_process_whose_number_stands_still_is_dead() {
+    let mut table = table(4);
+    hear(&mut table, 4, 2, after(2_000));
+    assert!(!table.is_alive(&name(2), None, after(2_000)));
+    assert!(table.is_alive(&name(1), None, after(2_000)));
+    let answer = answer_addresses(&table, after(2_000));
+    assert_eq!(answer.addresses.len(), 3);
+    assert!(!answer.addresses.contains(&row(2, "even").callers));
+}
+
+/// A process that hears nobody is cut off itself; callers that still reach it get all addresses.
+#[test]
+fn a_process_that_hears_nobody_takes_nobody_as_dead() {
+    let table = table(4);
+    let later = after(30_000);
+    assert!(table.is_cut_off(later));
+    assert_eq!(answer_addresses(&table, later).addresses.len(), 4);
+}
+
+#[test]
+fn a_leaving_process_leaves_the_answers_at_once() {
+    let mut table = table(4);
+    hear(&mut table, 4, 9, after(100));
+    table.note_count(&count(3, 1, true), after(200));
+    let answer = answer_addresses(&table, after(200));
+    assert!(!answer.addresses.contains(&row(3, "odd").callers));
+}
+
+#[test]
+fn a_number_of_an_earlier_life_keeps_nobody_alive() {
+    let mut table = table(3);
+    let now = START + DEAD_AFTER + Duration::from_millis(1);
+    table.note_heard(now);
+    let old = PeerCount { incarnation: Incarnation(1), ..count(2, u64::MAX, false) };
+    table.note_count(&old, now);
+    assert!(!table.is_alive(&name(2), None, now));
+}
+
+fn owner(node: u16) -> RowOwner {
+    RowOwner { node: name(node), incarnation: Incarnation(u64::from(node) + 100) }
+}
+
+fn known(owner: Option<RowOwner>) -> OwnedRow {
+    OwnedRow { row: OwnerRow { term: Term(7), owner }, version: RowVersion(40) }
+}
+
+fn step(own: u16, known: Option<&OwnedRow>, table: &MemberTable, now: Tick) -> OwnerStep {
+    let domain = FabricDomainId::new("d").unwrap();
+    owner_step(&domain, None, known, &owner(own), table, now)
+}
+
+#[test]
+fn a_living_owner_keeps_its_domain() {
+    let mut table = table(4);
+    hear(&mut table, 4, 9, after(1_000));
+    let row = known(Some(owner(2)));
+    assert_eq!(step(0, Some(&row), &table, after(1_000)), OwnerStep::Leave);
+    assert_eq!(step(2, Some(&row), &table, after(1_000)), OwnerStep::Own(Term(7)));
+}
+
+/// A dead owner's domain goes to one of the living, under a higher term and on the row as it is.
+#[test]
+fn one_process_claims_the_domain_of_a_dead_owner() {
+    let mut table = table(4);
+    hear(&mut table, 4, 2, after(2_500));
+    let row = known(Some(owner(2)));
+    let steps: Vec<OwnerStep> =
+        [0, 1, 3].iter().map(|own| step(*own, Some(&row), &table, after(2_500))).collect();
+    let claim = OwnerStep::Claim { expected: RowVersion(40), term: Term(8) };
+    assert_eq!(steps.iter().filter(|step| **step == claim).count(), 1, "{steps:?}");
+}
+
+/// The same host, another life: its memory of the domain is gone.
+#[test]
+fn a_restarted_owner_does_not_go_on_under_its_old_term() {
+    let mut table = table(1);
+    table.note_heard(after(100));
+    let earlier = RowOwner { incarnation: Incarnation(1), ..owner(0) };
+    let claim = OwnerStep::Claim { expected: RowVersion(40), term: Term(8) };
+    assert_eq!(step(0, Some(&known(Some(earlier))), &table, after(100)), claim);
+}
+
+#[test]
+fn a_domain_that_was_given_away_is_claimed_at_once() {
+    let mut table = table(3);
+    hear(&mut table, 3, 9, after(100));
+    let row = known(None);
+    let claims = (0..3).filter(|own| {
+        matches!(step(*own, Some(&row), &table, after(100)), OwnerStep::Claim { .. })
+    });
+    assert_eq!(claims.count(), 1);
+}
+
+#[parameterized(
+    member = { "member/n1", true },
+    domain = { "domain/d1", true },
+    other = { "claim/x", false },
+    no_name = { "member/", false },
+    bad_name = { "domain/a b", false },
+)]
+fn keys_of_others_are_passed_over(key: &str, ours: bool) {
+    assert_eq!(RowName::parse(key).is_some(), ours);
+    if let Some(name) = RowName::parse(key) {
+        assert_eq!(name.key(), key);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,67 @@
+//! The settings file.
+
+use {
+    node::load_settings,
+    std::{
+        fs,
+        path::PathBuf,
+        sync::atomic::{AtomicU32, Ordering},
+    },
+    yare::parameterized,
+};
+
+const GOOD: &str = "\
+node: n1
+ip: 127.0.0.1
+failure_domain: z1
+region: r1
+peer_port: 7340
+listen:
+  callers: 127.0.0.1:8227
+  addresses: 127.0.0.1:8224
+  ready: 127.0.0.1:8220
+store:
+  address: 127.0.0.2:8223
+repeats:
+  ratio: 0.2
+  slack: 260
+  window_s: 10
+first_start: true
+grace_s: 8
+";
+
+/// A file of its own for each test; tests run side by side.
+fn file(text: &str) -> PathBuf {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("gypsumfork-{}-{number}.yaml", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn a_whole_file_is_read() {
+    let path = file(GOOD);
+    let settings = load_settings(&path).unwrap();
+    assert_eq!(settings.peer_address(), "127.0.0.1:7340".parse().unwrap());
+    assert!(settings.first_start);
+    fs::remove_file(path).unwrap();
+}
+
+#[parameterized(
+    missing_field = { "peer_port: 7340\n", "", "peer_port" },
+    port_zero = { "peer_port: 7340", "peer_port: 0", "peer_port" },
+    negative = { "ratio: 0.2", "ratio: -1", "repeats.ratio" },
+    no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
+    no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
+    no_address = { "callers: 127.0.0.1:8227", "callers: nowhere", "callers" },
+    no_name = { "node: n1", "node: ''", "node" },
+)]
+fn a_bad_value_is_named(old: &str, new: &str, field: &str) {
+    let path = file(&GOOD.replace(old, new));
+    let error = load_settings(&path).unwrap_err().to_string();
+    assert!(error.contains(field), "{error}");
+    assert!(error.contains(".yaml"), "the file is named: {error}");
+    fs::remove_file(path).unwrap();
+}
--- a/crates/plan/src/staged/instance.rs
+++ b/crates/plan/src/staged/instance.rs
@@ -53,6 +53,18 @@
         self.members.iter().flatten().any(|member| member == host)
     }
 
+    /// Puts a host into a place that is not known yet.
+    pub(super) fn fill(&mut self, rank: usize, host: &HostId, born: Option<u64>) {
+        if rank >= self.members.len() {
+            self.members.resize(rank + 1, None);
+            self.borns.resize(rank + 1, None);
+        }
+        if self.members[rank].is_none() {
+            self.members[rank] = Some(host.clone());
+            self.borns[rank] = born;
+        }
+    }
+
     pub(super) fn is_ending(&self) -> bool {
         matches!(self.life, InstanceLife::Closing(_) | InstanceLife::Retiring)
     }
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -128,6 +128,7 @@
         self.end_loads(input.now);
         self.ended.retain(|_, ended| input.now.since(*ended) < ENDED_SPAN);
         self.adopt_strangers(input);
+        self.fill_places();
         for key in self.instances.keys().cloned().collect::<Vec<_>>() {
             let Some(mut instance) = self.instances.remove(&key) else { continue };
             if self.review(&mut instance, input) {
@@ -241,6 +242,18 @@
         }
     }
 
+    /// Adds hosts that say they are members of a known composition in a place that was not found when
+    /// it was taken over: what they said had not arrived then.
+    fn fill_places(&mut self) {
+        for (host, record) in &self.hosts {
+            let Some(facts) = &record.facts else { continue };
+            let Some(membership) = &facts.membership else { continue };
+            let key = (membership.group.clone(), membership.epoch);
+            let Some(instance) = self.instances.get_mut(&key) else { continue };
+            instance.fill(membership.rank as usize, host, facts.born);
+        }
+    }
+
     /// Whether a host only shows a composition that has ended because its word is old.
     fn is_afterglow(&self, key: &(GroupId, Epoch), record: &HostRecord, now: Tick) -> bool {
         let Some(ended) = self.ended.get(key) else { return false };
--- /dev/null
+++ b/crates/relay/tests/outcomes.rs
@@ -0,0 +1,201 @@
+//! What callers get, and what reaches servers, when servers misbehave.
+
+mod support;
+
+use {
+    relay::{RequestKind, StopPhase},
+    std::{sync::atomic::Ordering, time::Duration},
+    support::{Act, ScriptedServer, TestRelay},
+    tokio::time::sleep,
+    yare::parameterized,
+};
+
+const KEY: &str = "x-key: k\r\n";
+const WHOLE: Act = Act::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok");
+const CUT: Act = Act::SendAndClose("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\nhalf");
+const FOREIGN: Act = Act::Send("HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 5\r\n\r\nalien");
+const RUBBISH: Act = Act::SendAndClose("\u{1}\u{2}\u{3} no answer");
+const DOUBLED: Act = Act::Send(
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nx-id: r1\r\n\
+     content-length: 4\r\n\r\nmore",
+);
+const NOT_RUN: Act =
+    Act::Send("HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+const FAILED: Act = Act::Send("HTTP/1.1 500 Failed\r\nx-id: r1\r\ncontent-length: 4\r\n\r\noops");
+const STREAM_HEAD_AND_TWO: Act = Act::SendAndClose(
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\
+     transfer-encoding: chunked\r\n\r\n1d\r\nid: 1\ndata: a\n\nid: 2\ndata: b\r\n",
+);
+const STREAM_REST: Act = Act::Send(
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\
+     transfer-encoding: chunked\r\n\r\nf\r\nid: 2\ndata: B\n\n\r\n0\r\n\r\n",
+);
+const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
+
+#[tokio::test]
+async fn a_whole_answer_is_passed_on_unchanged() {
+    let server = ScriptedServer::start(WHOLE).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&server]).await;
+    let answer = relay.ask(KEY).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\nok"), "{answer}");
+    let request = server.requests.lock()[0].clone();
+    assert!(request.contains("x-workspace: w"), "{request}");
+    assert!(!request.contains("x-key"), "the key must not be passed on: {request}");
+}
+
+/// A request that may run once at most is sent once, whatever comes back.
+#[parameterized(
+    cut = { CUT },
+    foreign = { FOREIGN },
+    rubbish = { RUBBISH },
+    silent = { Act::Hang },
+)]
+#[test_macro(tokio::test)]
+async fn once_only_requests_are_never_sent_twice(act: Act) {
+    let first = ScriptedServer::start(act).await;
+    let second = ScriptedServer::start(act).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&first, &second]).await;
+    let answer = relay.ask(&format!("{KEY}x-deadline: 600\r\n")).await;
+    assert_eq!(first.count() + second.count(), 1);
+    assert!(answer.starts_with("HTTP/1.1 502"), "it may have run: {answer}");
+}
+
+#[tokio::test]
+async fn a_promise_of_not_run_frees_the_request_for_another_server() {
+    let refusing = ScriptedServer::start(NOT_RUN).await;
+    let working = ScriptedServer::start(WHOLE).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&refusing, &working]).await;
+    for _ in 0..10 {
+        assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(working.count(), 10);
+}
+
+#[tokio::test]
+async fn refused_by_all_is_told_as_not_run() {
+    let refusing = ScriptedServer::start(NOT_RUN).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&refusing]).await;
+    let answer = relay.ask(KEY).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
+
+#[parameterized(
+    cut = { CUT },
+    foreign = { FOREIGN },
+    rubbish = { RUBBISH },
+    failed = { FAILED },
+)]
+#[test_macro(tokio::test)]
+async fn idempotent_requests_are_answered_by_another_server(act: Act) {
+    let broken = ScriptedServer::start(act).await;
+    let working = ScriptedServer::start(WHOLE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&broken, &working]).await;
+    for _ in 0..6 {
+        let answer = relay.ask(KEY).await;
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("ok"), "{answer}");
+    }
+}
+
+/// The only server failed; its own answer is the caller's.
+#[tokio::test]
+async fn a_servers_failure_is_passed_on_when_nobody_else_is_there() {
+    let server = ScriptedServer::start(FAILED).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    let answer = relay.ask(KEY).await;
+    assert!(answer.starts_with("HTTP/1.1 500") && answer.ends_with("oops"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_second_answer_reaches_nobody() {
+    let server = ScriptedServer::start(DOUBLED).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    for _ in 0..5 {
+        let answer = relay.ask(KEY).await;
+        assert!(answer.ends_with("\r\n\r\nok"), "{answer}");
+    }
+}
+
+/// A stream that breaks inside an event goes on at another server, after the last whole event.
+#[tokio::test]
+async fn a_broken_stream_is_resumed_after_its_last_whole_event() {
+    let broken = ScriptedServer::start(STREAM_HEAD_AND_TWO).await;
+    let rest = ScriptedServer::start(STREAM_REST).await;
+    let relay = TestRelay::start(RESUMABLE, &[&broken, &rest]).await;
+    let mut resumed = 0;
+    for _ in 0..10 {
+        let before = broken.count();
+        let answer = relay.ask(KEY).await;
+        if broken.count() > before {
+            resumed += 1;
+            assert!(answer.contains("data: a"), "{answer}");
+            assert!(!answer.contains("data: b"), "half an event was passed on: {answer}");
+            assert!(answer.contains("data: B") && answer.ends_with("0\r\n\r\n"), "{answer}");
+            let requests = rest.requests.lock();
+            assert!(requests.last().unwrap().contains("x-after: 1"), "{requests:?}");
+        }
+        sleep(Duration::from_millis(400)).await;
+    }
+    assert!(resumed > 0);
+}
+
+/// Without anybody to go on, the stream must not look complete.
+#[tokio::test]
+async fn a_cut_stream_has_no_end_mark() {
+    let broken = ScriptedServer::start(STREAM_HEAD_AND_TWO).await;
+    let relay = TestRelay::start(RESUMABLE, &[&broken]).await;
+    let answer = relay.ask(KEY).await;
+    assert!(answer.contains("data: a"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work() {
+    let server = ScriptedServer::start(Act::Hang).await;
+    let relay = TestRelay::start(RESUMABLE, &[&server]).await;
+    relay.ask_and_leave(Duration::from_millis(200)).await;
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(server.closed.load(Ordering::SeqCst), 1);
+}
+
+/// Nobody listens: nothing was sent, and nothing will be.
+#[tokio::test]
+async fn unreachable_servers_are_told_as_not_run() {
+    let closed = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let relay = TestRelay::start_with(RequestKind::Unsafe, 2, vec![address]).await;
+    assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 503"));
+}
+
+#[tokio::test]
+async fn an_unknown_key_reaches_no_server() {
+    let server = ScriptedServer::start(WHOLE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    let answer = relay.ask("x-key: stolen\r\n").await;
+    assert!(answer.contains("unknown-key"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+/// The time of the route ends the wait, not the caller's.
+#[tokio::test]
+async fn a_silent_server_is_given_up_when_the_route_says() {
+    let server = ScriptedServer::start(Act::Hang).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&server]).await;
+    let began = std::time::Instant::now();
+    let answer = relay.ask(&format!("{KEY}x-deadline: 60000\r\n")).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(began.elapsed() < Duration::from_millis(3_500), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn a_planned_stop_finishes_what_runs_and_takes_no_more() {
+    let server = ScriptedServer::start(WHOLE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    relay.shared.leaving.store(true, Ordering::Relaxed);
+    let answer = relay.ask(KEY).await;
+    assert!(answer.contains("connection: close"), "{answer}");
+    relay.phase.send(StopPhase::Draining).unwrap();
+    sleep(Duration::from_millis(100)).await;
+    assert!(tokio::net::TcpStream::connect(relay.address).await.is_err());
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,245 @@
+//! A relay between a caller and scripted servers on loopback.
+
+use {
+    arc_swap::{ArcSwap, ArcSwapOption},
+    base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, TickClock, WorkspaceId},
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
+    http_body_util::Full,
+    relay::{
+        AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
+        RelayConfig, RelayService, RelayShared, RepeatBudget, RepeatTerms, RequestCodec, RequestId,
+        RequestKind, RouteRule, ServerTable, ServiceSplit, StopPhase, Verdict, WorkspaceRule,
+        serve_callers,
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::{mpsc, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// What a scripted server does with one request.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Sends these bytes and keeps the connection.
+    Send(&'static str),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(&'static str),
+    /// Says nothing.
+    Hang,
+}
+
+/// A server that does the same with each request.
+pub struct ScriptedServer {
+    pub address: SocketAddr,
+    pub requests: Arc<parking_lot::Mutex<Vec<String>>>,
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl ScriptedServer {
+    pub async fn start(act: Act) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(parking_lot::Mutex::new(Vec::new()));
+        let closed = Arc::new(AtomicUsize::new(0));
+        let server = Self { address, requests: requests.clone(), closed: closed.clone() };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer(stream, act, requests.clone(), closed.clone()));
+            }
+        });
+        server
+    }
+
+    pub fn count(&self) -> usize {
+        self.requests.lock().len()
+    }
+}
+
+async fn answer(
+    mut stream: TcpStream,
+    act: Act,
+    requests: Arc<parking_lot::Mutex<Vec<String>>>,
+    closed: Arc<AtomicUsize>,
+) {
+    let head = read_head(&mut stream).await;
+    if head.is_empty() {
+        return;
+    }
+    requests.lock().push(head);
+    match act {
+        Act::Send(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+        Act::SendAndClose(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+            return;
+        }
+        Act::Hang => {}
+    }
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
+    closed.fetch_add(1, Ordering::SeqCst);
+}
+
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte).await {
+            Ok(1) => bytes.push(byte[0]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&bytes).to_lowercase()
+}
+
+/// A codec with plain names.
+#[derive(Clone, Copy)]
+pub struct TestCodec;
+
+impl RequestCodec for TestCodec {
+    fn read_caller(&self, head: &request::Parts) -> Result<CallerHead, HeadError> {
+        let get = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let id = get("x-id").ok_or(HeadError::Missing { header: "x-id" })?;
+        Ok(CallerHead {
+            id: RequestId(id.into()),
+            host: "h".into(),
+            key: get("x-key").map(Into::into),
+            deadline: get("x-deadline")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
+            model: None,
+            last_event: None,
+        })
+    }
+
+    fn write_call(&self, headers: &mut HeaderMap, call: &BackendCall<'_>) {
+        headers.remove("x-key");
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::CONNECTION);
+        if let Some(workspace) = call.workspace {
+            headers.insert("x-workspace", HeaderValue::from_str(workspace.as_str()).unwrap());
+        }
+        if let Some(event) = call.last_event {
+            headers.insert("x-after", HeaderValue::from(event));
+        }
+    }
+
+    fn read_answer(&self, id: &RequestId, head: &response::Parts) -> AnswerFacts {
+        let echoed =
+            head.headers.get("x-id").is_some_and(|value| value.as_bytes() == id.0.as_bytes());
+        let verdict = match (echoed, head.headers.contains_key("x-not-run")) {
+            (_, true) => Verdict::NotRun,
+            (true, false) => Verdict::Answered,
+            (false, false) => Verdict::Foreign,
+        };
+        AnswerFacts { verdict, load: None }
+    }
+
+    fn strip_answer(&self, headers: &mut HeaderMap) {
+        headers.remove(http::header::CONNECTION);
+        headers.remove(http::header::TRANSFER_ENCODING);
+    }
+
+    fn refuse(&self, _id: Option<&RequestId>, refusal: &Refusal) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::from(refusal.kind.word()));
+        *response.status_mut() = match refusal.kind.promises_not_run() {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::BAD_GATEWAY,
+        };
+        response
+    }
+}
+
+/// A relay that serves on loopback.
+pub struct TestRelay {
+    pub address: SocketAddr,
+    pub phase: watch::Sender<StopPhase>,
+    pub shared: Arc<RelayShared>,
+}
+
+impl TestRelay {
+    pub async fn start(kind: RequestKind, servers: &[&ScriptedServer]) -> Self {
+        Self::start_with(kind, 2, servers.iter().map(|server| server.address).collect()).await
+    }
+
+    pub async fn start_with(kind: RequestKind, attempts: u32, servers: Vec<SocketAddr>) -> Self {
+        let service = ServiceName::new("s").unwrap();
+        let clock: SharedClock = Arc::new(BootClock);
+        let began = clock.now().back(Duration::from_secs(60));
+        let terms = RepeatTerms { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+        let (stalls, _) = mpsc::channel(8);
+        let servers = servers.into_iter().enumerate().map(|(at, address)| BackendServer {
+            id: HostId::new(format!("s{at}")).unwrap(),
+            address,
+            failure_domain: FailureDomainId::new("z").unwrap(),
+            model: None,
+            counters: Arc::default(),
+        });
+        let table = ServerTable::new(BTreeMap::from([(service.clone(), servers.collect())]));
+        let shared = Arc::new(RelayShared {
+            config: ArcSwapOption::from_pointee(config(kind, attempts, service)),
+            servers: ArcSwap::from_pointee(table),
+            budget: RepeatBudget::new(terms, began),
+            processes: AtomicUsize::new(1),
+            in_traffic: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            clock,
+            stalls,
+        });
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (phase, phases) = watch::channel(StopPhase::Running);
+        let service = Arc::new(RelayService::new(TestCodec, shared.clone()));
+        tokio::spawn(serve_callers(listener, service, phases));
+        Self { address, phase, shared }
+    }
+
+    /// Sends one request and reads until the connection is closed or nothing more comes.
+    pub async fn ask(&self, extra: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let head =
+            format!("GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n{extra}connection: close\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let _ = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Sends one request and leaves after a while.
+    pub async fn ask_and_leave(&self, after: Duration) {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream
+            .write_all(b"GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-key: k\r\n\r\n")
+            .await
+            .unwrap();
+        sleep(after).await;
+    }
+}
+
+fn config(kind: RequestKind, attempts: u32, service: ServiceName) -> RelayConfig {
+    let rule = RouteRule {
+        name: "r".into(),
+        prefix: "/a/".into(),
+        kind,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_millis(100),
+        attempts,
+        public: false,
+        splits: vec![ServiceSplit { service, weight: 1.0 }],
+    };
+    let workspace = WorkspaceRule { name: WorkspaceId::new("w").unwrap(), keys: vec!["k".into()] };
+    RelayConfig::new(1, vec![("h".into(), rule)], vec![workspace], CallerLimits::default())
+}
