--- /dev/null
+++ b/crates/node/tests/follow.rs
@@ -0,0 +1,154 @@
+//! Following the store.
+
+use {
+    arc_swap::{ArcSwap, ArcSwapOption},
+    base::{HostId, ManualClock, Tick},
+    node::{
+        ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
+        follow::follow_all, members::MemberTable, view::NodeView,
+    },
+    relay::{
+        CallerLimits, RelayConfig, RelayMetrics, RelayShared, RepeatBudget, RepeatTerms,
+        ServerTable,
+    },
+    std::{
+        future::pending,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::mpsc, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// A store whose watches can be made to fail or to wait for ever.
+#[derive(Default)]
+struct FakeStore {
+    config_fails: AtomicBool,
+    version: AtomicU64,
+    gone_once: AtomicBool,
+    server_calls: AtomicUsize,
+    whole_reads: AtomicUsize,
+}
+
+impl PlatformWatch for FakeStore {
+    async fn watch_config(
+        &self,
+        after: Option<WatchPosition>,
+    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+        sleep(Duration::from_millis(200)).await;
+        if self.config_fails.load(Ordering::SeqCst) {
+            return Err(WatchError::Unavailable { detail: "no answer".to_owned() });
+        }
+        let version = self.version.load(Ordering::SeqCst);
+        let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
+        let changes = vec![ConfigUpdate { relay, engines: Vec::new() }];
+        Ok(WatchPage { changes, position: WatchPosition(1), whole: after.is_none() })
+    }
+
+    async fn watch_servers(
+        &self,
+        after: Option<WatchPosition>,
+    ) -> Result<WatchPage<ServerChange>, WatchError> {
+        self.server_calls.fetch_add(1, Ordering::SeqCst);
+        match after {
+            None => {
+                self.whole_reads.fetch_add(1, Ordering::SeqCst);
+                Ok(WatchPage { changes: Vec::new(), position: WatchPosition(1), whole: true })
+            }
+            Some(position) if self.gone_once.swap(false, Ordering::SeqCst) => {
+                Err(WatchError::HistoryGone { position })
+            }
+            Some(_) => pending().await,
+        }
+    }
+
+    async fn watch_rows(
+        &self,
+        _after: Option<WatchPosition>,
+    ) -> Result<WatchPage<RowChange>, WatchError> {
+        pending().await
+    }
+}
+
+fn view() -> Arc<NodeView> {
+    let (stalls, _) = mpsc::channel(1);
+    let shared = Arc::new(RelayShared {
+        config: ArcSwapOption::empty(),
+        servers: ArcSwap::from_pointee(ServerTable::default()),
+        budget: RepeatBudget::new(RepeatTerms::default(), Tick(0)),
+        processes: AtomicUsize::new(1),
+        in_traffic: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
+        metrics: RelayMetrics::default(),
+        clock: Arc::new(ManualClock::new()),
+        stalls,
+    });
+    let members = MemberTable::new(HostId::new("n0").unwrap());
+    Arc::new(NodeView::new(members, shared))
+}
+
+fn start(store: &Arc<FakeStore>) -> Arc<NodeView> {
+    let view = view();
+    tokio::spawn(follow_all(store.clone(), view.clone(), CancellationToken::new()));
+    view
+}
+
+fn version(view: &NodeView) -> Option<u64> {
+    view.with(|state| state.config.as_ref().map(|config| config.relay.version))
+}
+
+/// The store took the watches and answers none of them (CONFIG on trilhavia-sul, trouble-3): the
+/// short watch of the configuration fails, and the others must not go on waiting.
+#[tokio::test(start_paused = true)]
+async fn a_failed_watch_of_the_configuration_restarts_the_others() {
+    let store = Arc::new(FakeStore::default());
+    start(&store);
+    sleep(Duration::from_secs(2)).await;
+    let before = store.server_calls.load(Ordering::SeqCst);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(store.server_calls.load(Ordering::SeqCst), before, "nothing failed yet");
+    store.config_fails.store(true, Ordering::SeqCst);
+    sleep(Duration::from_secs(2)).await;
+    assert!(store.server_calls.load(Ordering::SeqCst) > before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lower_version_changes_nothing() {
+    let store = Arc::new(FakeStore::default());
+    store.version.store(9, Ordering::SeqCst);
+    let view = start(&store);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(version(&view), Some(9));
+    store.version.store(8, Ordering::SeqCst);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(version(&view), Some(9));
+    store.version.store(12, Ordering::SeqCst);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(version(&view), Some(12));
+}
+
+/// Without its history everything is read again.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_history_is_read_anew() {
+    let store = Arc::new(FakeStore::default());
+    store.gone_once.store(true, Ordering::SeqCst);
+    start(&store);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(store.whole_reads.load(Ordering::SeqCst), 2);
+}
+
+/// A store that is away leaves the last known in force.
+#[tokio::test(start_paused = true)]
+async fn the_last_known_configuration_stays_in_an_outage() {
+    let store = Arc::new(FakeStore::default());
+    store.version.store(5, Ordering::SeqCst);
+    let view = start(&store);
+    sleep(Duration::from_secs(1)).await;
+    store.config_fails.store(true, Ordering::SeqCst);
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(version(&view), Some(5));
+    assert!(view.with(|state| state.is_ready()));
+}
