Let a few processes look for a silent store; peers tell newer configurations

Ruled out: longer intervals for all, which would find a silent store after the configuration's time.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -18,9 +18,13 @@
 /// Pause after a page of the server list for the owner of a fabric domain, which plans on it; entries
 /// that change together are read together.
 const OWNER_PAUSE: Duration = Duration::from_millis(100);
-/// The same for other processes, which hear of opened and broken groups from owners. A leaving server
-/// has to be known within two seconds.
+/// The same for other processes, which hear of opened and broken groups from owners; it grows with
+/// their number, for each change wakes them all.
 const SERVER_PAUSE: Duration = Duration::from_millis(400);
+/// Processes for which [`SERVER_PAUSE`] holds as it is.
+const FEW_PROCESSES: usize = 24;
+/// Longest pause: a leaving server has to be known within two seconds.
+const MAX_SERVER_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause after a page of our own rows.
 const ROW_PAUSE: Duration = Duration::from_millis(50);
 
@@ -30,22 +34,21 @@
     view: Arc<NodeView>,
     stop: CancellationToken,
 ) {
-    // The watch of the configuration is answered at short intervals; when it fails, the others may
-    // be waiting for an answer that never comes, and begin anew.
+    // When the watch of the configuration fails, or a peer has a newer one, the others may be waiting
+    // for an answer that never comes, and begin anew.
     let lost = Notify::new();
-    let never = Notify::new();
     let config = follow(
         "config",
-        &never,
+        &view.outdated,
         || Duration::ZERO,
-        |after| watch.watch_config(after),
+        |after| watch.watch_config(after, view.is_sentinel()),
         |page| page.changes.into_iter().for_each(|update| view.apply_config(update)),
         || lost.notify_waiters(),
     );
     let servers = follow(
         "servers",
         &lost,
-        || if view.owns_domains() { OWNER_PAUSE } else { SERVER_PAUSE },
+        || if view.owns_domains() { OWNER_PAUSE } else { server_pause(view.process_count()) },
         |after| watch.watch_servers(after),
         |page| view.apply_servers(page),
         || view.note_outage(),
@@ -65,6 +68,11 @@
     }
 }
 
+fn server_pause(processes: usize) -> Duration {
+    let more = (processes as f64 / FEW_PROCESSES as f64).max(1.0);
+    SERVER_PAUSE.mul_f64(more).min(MAX_SERVER_PAUSE)
+}
+
 async fn follow<T, F>(
     what: &'static str,
     lost: &Notify,
@@ -81,7 +89,7 @@
         let page = tokio::select! {
             page = read(after) => page,
             () = lost.notified() => {
-                let detail = "another watch found no answer".to_owned();
+                let detail = "another watch or a peer shows that it stands still".to_owned();
                 Err(WatchError::Unavailable { detail })
             }
         };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -59,6 +59,12 @@
         self.members.keys()
     }
 
+    /// Whether this process is among the first `count` by name, or has no row yet.
+    pub fn is_among_first(&self, count: usize) -> bool {
+        let before = self.members.keys().filter(|node| **node < self.own).count();
+        !self.members.contains_key(&self.own) || before < count
+    }
+
     /// Takes in a number that a process passed on, or its own.
     pub fn note_count(&mut self, count: &PeerCount, now: Tick) {
         let Some(state) = self.members.get_mut(&count.node) else { return };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -57,6 +57,8 @@
         pub own: PeerCount,
         /// Numbers it heard.
         pub heard: Vec<PeerCount>,
+        /// The sender's version of the configuration; 0 before it knows one.
+        pub config_version: u64,
         /// Whether callers' requests have come.
         pub in_traffic: bool,
         /// Servers at which requests stand still; the owners of their fabric domains should ask.
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -133,10 +133,12 @@
 /// Each call waits until there is something new, or until a time that the adapter chooses has
 /// passed; `after` none reads everything.
 pub trait PlatformWatch: Send + Sync + 'static {
-    /// The configuration; an unreadable one is left out.
+    /// The configuration; an unreadable one is left out. A sentinel's watch is answered at short
+    /// intervals, so that a store that never answers is found.
     fn watch_config(
         &self,
         after: Option<WatchPosition>,
+        sentinel: bool,
     ) -> impl Future<Output = Result<WatchPage<ConfigUpdate>, WatchError>> + Send;
 
     /// The server list.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -304,6 +304,7 @@
         loop {
             let word = self.peers.receive().await;
             let now = self.shared.clock.now();
+            self.view.note_peer_version(word.config_version);
             if word.in_traffic {
                 self.shared.in_traffic.store(true, Ordering::Relaxed);
             }
@@ -366,6 +367,7 @@
         PeerWord {
             own,
             heard,
+            config_version: self.view.config_version(),
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
             stalled: Vec::new(),
             broken: Vec::new(),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -36,11 +36,19 @@
 /// show it; a few intervals between words.
 const TOLD_SPAN: Duration = Duration::from_millis(1_500);
 
+/// A peer may have a configuration newer for this long before the watch is taken as standing still;
+/// above the time that the store needs to answer all watches, under a change's time to be in force.
+const OUTDATED_SPAN: Duration = Duration::from_millis(500);
+/// Processes that look for a silent store; several, so that some of them reach it and live.
+const SENTINELS: usize = 16;
+
 /// The beliefs, behind one lock that is held for short steps only.
 pub struct NodeView {
     state: Mutex<ViewState>,
     shared: Arc<RelayShared>,
     owns_domains: AtomicBool,
+    /// Rings when a peer has a newer configuration.
+    pub outdated: Notify,
     /// Rings when something changed that an owner should look at.
     pub changed: Notify,
 }
@@ -61,6 +69,8 @@
     pub servers_known: bool,
     counters: BTreeMap<ServerId, Arc<ServerCounters>>,
     broken: BTreeMap<ServerId, Tick>,
+    /// Since when a peer has had a newer configuration.
+    outdated_since: Option<Tick>,
     /// Heads that their owners have told of, with the model and the end of that belief.
     told: BTreeMap<ServerId, (ModelName, Tick)>,
 }
@@ -77,12 +87,14 @@
             servers_known: false,
             counters: BTreeMap::new(),
             broken: BTreeMap::new(),
+            outdated_since: None,
             told: BTreeMap::new(),
         };
         Self {
             state: Mutex::new(state),
             shared,
             owns_domains: AtomicBool::new(false),
+            outdated: Notify::new(),
             changed: Notify::new(),
         }
     }
@@ -162,6 +174,36 @@
         self.changed.notify_one();
     }
 
+    /// The version of the newest configuration; 0 before one is known.
+    pub fn config_version(&self) -> u64 {
+        self.shared.config.load().as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Takes in the version that a peer has. A higher one than ours means that our watch missed it.
+    pub fn note_peer_version(&self, version: u64) {
+        if version <= self.config_version() {
+            self.with(|state| state.outdated_since = None);
+            return;
+        }
+        let now = self.now();
+        let since = self.with(|state| *state.outdated_since.get_or_insert(now));
+        if now.since(since) >= OUTDATED_SPAN {
+            self.with(|state| state.outdated_since = None);
+            self.outdated.notify_one();
+        }
+    }
+
+    /// Whether this process should look for a silent store itself, by a watch that is answered at
+    /// short intervals. A few processes are enough: the others hear of a new version from peers.
+    pub fn is_sentinel(&self) -> bool {
+        self.with(|state| state.members.is_among_first(SENTINELS))
+    }
+
+    /// Processes that have rows.
+    pub fn process_count(&self) -> usize {
+        self.shared.processes.load(Ordering::Relaxed)
+    }
+
     /// Whether this process owns a fabric domain.
     pub fn owns_domains(&self) -> bool {
         self.owns_domains.load(Ordering::Relaxed)
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -2,10 +2,10 @@
 
 use {
     arc_swap::{ArcSwap, ArcSwapOption},
-    base::{HostId, ManualClock, Tick},
+    base::{FailureDomainId, HostId, Incarnation, ManualClock, Tick},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
-        follow::follow_all, members::MemberTable, view::NodeView,
+        follow::follow_all, members::MemberTable, rows::MemberRow, view::NodeView,
     },
     relay::{
         CallerLimits, RelayConfig, RelayMetrics, RelayShared, RepeatBudget, RepeatTerms,
@@ -27,6 +27,8 @@
 #[derive(Default)]
 struct FakeStore {
     config_fails: AtomicBool,
+    config_hangs: AtomicBool,
+    sentinel: AtomicBool,
     version: AtomicU64,
     gone_once: AtomicBool,
     server_calls: AtomicUsize,
@@ -37,7 +39,13 @@
     async fn watch_config(
         &self,
         after: Option<WatchPosition>,
+        sentinel: bool,
     ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+        if self.config_hangs.load(Ordering::SeqCst) && after.is_some() {
+            self.config_hangs.store(false, Ordering::SeqCst);
+            return pending().await;
+        }
+        self.sentinel.store(sentinel, Ordering::SeqCst);
         sleep(Duration::from_millis(200)).await;
         if self.config_fails.load(Ordering::SeqCst) {
             return Err(WatchError::Unavailable { detail: "no answer".to_owned() });
@@ -73,7 +81,7 @@
     }
 }
 
-fn view() -> Arc<NodeView> {
+fn view(clock: Arc<ManualClock>) -> Arc<NodeView> {
     let (stalls, _) = mpsc::channel(1);
     let shared = Arc::new(RelayShared {
         config: ArcSwapOption::empty(),
@@ -83,7 +91,7 @@
         in_traffic: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
         metrics: RelayMetrics::default(),
-        clock: Arc::new(ManualClock::new()),
+        clock,
         stalls,
     });
     let members = MemberTable::new(HostId::new("n0").unwrap());
@@ -91,7 +99,11 @@
 }
 
 fn start(store: &Arc<FakeStore>) -> Arc<NodeView> {
-    let view = view();
+    start_on(store, Arc::new(ManualClock::new()))
+}
+
+fn start_on(store: &Arc<FakeStore>, clock: Arc<ManualClock>) -> Arc<NodeView> {
+    let view = view(clock);
     tokio::spawn(follow_all(store.clone(), view.clone(), CancellationToken::new()));
     view
 }
@@ -152,3 +164,63 @@
     assert_eq!(version(&view), Some(5));
     assert!(view.with(|state| state.is_ready()));
 }
+
+/// A process that does not look for a silent store hears of a new version from a peer, and reads it
+/// although its own watch waits for ever.
+#[tokio::test(start_paused = true)]
+async fn a_newer_version_of_a_peer_restarts_the_watch() {
+    let store = Arc::new(FakeStore::default());
+    store.version.store(5, Ordering::SeqCst);
+    let clock = Arc::new(ManualClock::new());
+    let view = start_on(&store, clock.clone());
+    sleep(Duration::from_secs(1)).await;
+    store.config_hangs.store(true, Ordering::SeqCst);
+    sleep(Duration::from_secs(1)).await;
+    store.version.store(6, Ordering::SeqCst);
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(version(&view), Some(5));
+    view.note_peer_version(6);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(version(&view), Some(5), "the watch may be about to tell");
+    clock.advance(Duration::from_millis(600));
+    view.note_peer_version(6);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(version(&view), Some(6));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peers_lower_version_disturbs_nothing() {
+    let store = Arc::new(FakeStore::default());
+    store.version.store(5, Ordering::SeqCst);
+    let view = start(&store);
+    sleep(Duration::from_secs(1)).await;
+    store.config_hangs.store(true, Ordering::SeqCst);
+    sleep(Duration::from_secs(1)).await;
+    view.note_peer_version(4);
+    view.note_peer_version(5);
+    sleep(Duration::from_secs(1)).await;
+    assert!(!store.config_hangs.load(Ordering::SeqCst), "the watch hangs");
+    store.version.store(7, Ordering::SeqCst);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(version(&view), Some(5));
+}
+
+/// Only processes with the first names look for a silent store.
+#[test]
+fn a_few_processes_are_sentinels() {
+    let row = || MemberRow {
+        incarnation: Incarnation(1),
+        peers: ([127, 0, 0, 1], 1).into(),
+        callers: ([127, 0, 0, 1], 2).into(),
+        failure_domain: FailureDomainId::new("z").unwrap(),
+    };
+    let sentinels = (0..100).filter(|own| {
+        let mut table = MemberTable::new(HostId::new(format!("n{own:03}")).unwrap());
+        assert!(table.is_among_first(1), "without a row it must look for itself");
+        for node in 0..100 {
+            table.list(HostId::new(format!("n{node:03}")).unwrap(), row(), Tick(0));
+        }
+        table.is_among_first(16)
+    });
+    assert_eq!(sentinels.count(), 16);
+}
