--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -26,6 +26,16 @@
     sizes.iter().enumerate().map(|(at, size)| (name(at), *size)).collect()
 }
 
+/// A domain of four hosts under traffic, three of which serve as a group.
+fn serving_small() -> DomainRig {
+    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
+    rig.first_groups = vec!["small"];
+    rig.add_hosts(4);
+    rig.run(Duration::from_secs(8));
+    rig.in_traffic = true;
+    rig
+}
+
 /// Hosts that are listed one after the other must not fix a poor division of the rest.
 #[test]
 fn nothing_is_formed_while_hosts_are_still_listed() {
@@ -73,11 +83,7 @@
 /// has left (TWO).
 #[test]
 fn members_stay_while_their_unlisted_head_may_serve() {
-    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
-    rig.first_groups = vec!["small"];
-    rig.add_hosts(4);
-    rig.run(Duration::from_secs(8));
-    rig.in_traffic = true;
+    let mut rig = serving_small();
     let head = rig.member_of_serving(0);
     rig.set_fate(&head, HostFate::CutFromList);
     rig.replace_owner();
@@ -89,11 +95,7 @@
 /// connection is no sign that it has ended (TWO on preisfeld-hq, scale-1 --seed 648688295544).
 #[test]
 fn members_stay_while_their_leaving_head_finishes_its_work() {
-    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
-    rig.first_groups = vec!["small"];
-    rig.add_hosts(4);
-    rig.run(Duration::from_secs(8));
-    rig.in_traffic = true;
+    let mut rig = serving_small();
     let head = rig.member_of_serving(0);
     rig.set_fate(&head, HostFate::Lingers);
     rig.run(Duration::from_secs(9));
@@ -106,11 +108,7 @@
 /// The same, when the new owner has never read of the head.
 #[test]
 fn members_of_an_unknown_head_are_left_alone() {
-    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
-    rig.first_groups = vec!["small"];
-    rig.add_hosts(4);
-    rig.run(Duration::from_secs(8));
-    rig.in_traffic = true;
+    let mut rig = serving_small();
     let head = rig.member_of_serving(0);
     rig.set_fate(&head, HostFate::CutFromList);
     rig.forget_unlisted();
@@ -124,11 +122,7 @@
 /// again in turn with the join of its new group: one day had 20,879 orders.
 #[test]
 fn an_old_word_of_a_left_group_causes_no_orders() {
-    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
-    rig.first_groups = vec!["small"];
-    rig.add_hosts(4);
-    rig.run(Duration::from_secs(8));
-    rig.in_traffic = true;
+    let mut rig = serving_small();
     rig.list_lag = Duration::from_secs(60);
     let member = rig.member_of_serving(2);
     rig.set_fate(&member, HostFate::Dead);
