--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,7 +10,7 @@
         rows::RowOwner,
         view::NodeView,
     },
-    base::{FabricDomainId, SharedClock, Term, Tick},
+    base::{FabricDomainId, ModelName, SharedClock, Term, Tick},
     infra::TableStore,
     plan::staged::{
         DemandWeight, EngineFacts, LossMark, MemberPhase, ObservationSource, OrderEnd, StagedHost,
@@ -62,6 +62,8 @@
 struct OwnedDomain {
     term: Term,
     planner: StagedPlanner,
+    /// Requests that one of its groups runs at once.
+    slots: u32,
     asks: BTreeMap<ServerId, AskState>,
     listed: BTreeMap<ServerId, EngineFacts>,
 }
@@ -205,10 +207,14 @@
                 Err(_) => now,
             };
         }
-        let mut load = None;
         match word {
             Ok(word) => {
-                load = Some(word.clone());
+                if let Some(model) = serving_model(&owned.planner, host, &word.facts) {
+                    let LoadWord { running, waiting, .. } = word.load;
+                    let (head, model, slots) = (host.clone(), model.clone(), owned.slots);
+                    self.loads.retain(|load| load.head != *host);
+                    self.loads.push(HeadLoad { head, model, running, waiting, slots });
+                }
                 owned.planner.observe(host, ObservationSource::Engine, at, word.facts);
             }
             Err(error) => {
@@ -227,9 +233,6 @@
                 }
             }
         }
-        if let Some(word) = load {
-            self.note_load(domain, host, &word);
-        }
     }
 
     /// Asks all engines of a server's domain at once, if it is ours.
@@ -296,22 +299,6 @@
         let _ = self.findings.try_send(HeadFindings { broken: fresh, loads });
     }
 
-    fn note_load(&mut self, domain: &FabricDomainId, host: &ServerId, word: &EngineWord) {
-        let planner = self.domains.get(domain).map(|owned| &owned.planner);
-        let open = word.facts.membership.as_ref().filter(|membership| {
-            membership.phase == MemberPhase::Open
-                && planner.is_some_and(|planner| planner.is_serving_head(host, membership))
-        });
-        let config = self.view.with(|state| state.config.clone());
-        if let (Some(_), Some(model), Some(config)) = (open, &word.facts.model, config) {
-            let slots = config.engines.first().map_or(0, |engine| engine.slots);
-            let LoadWord { running, waiting, .. } = word.load;
-            self.loads.retain(|load| load.head != *host);
-            let (head, model) = (host.clone(), model.clone());
-            self.loads.push(HeadLoad { head, model, running, waiting, slots });
-        }
-    }
-
     fn step_domain(
         &mut self,
         domain: &FabricDomainId,
@@ -374,12 +361,18 @@
             _ => {
                 info!(decision = "domain-taken", domain = %domain, term = term.0, "groups");
                 let planner = StagedPlanner::new(domain, term, settings, now);
-                let owned =
-                    OwnedDomain { term, planner, asks: BTreeMap::new(), listed: BTreeMap::new() };
+                let owned = OwnedDomain {
+                    term,
+                    planner,
+                    slots: engine.slots,
+                    asks: BTreeMap::new(),
+                    listed: BTreeMap::new(),
+                };
                 self.domains.insert(domain.clone(), owned);
                 self.domains.get_mut(domain).expect("it was just put in")
             }
         };
+        owned.slots = engine.slots;
         owned.planner.list_hosts(&hosts, now);
         owned.listed.retain(|id, _| entries.iter().chain(&ghosts).any(|entry| entry.id == *id));
         for entry in entries.iter().chain(&ghosts) {
@@ -387,11 +380,7 @@
             if owned.listed.get(&entry.id) != Some(facts) {
                 let source = ObservationSource::HostList;
                 owned.planner.observe(&entry.id, source, now, facts.clone());
-                let opened = facts.membership.as_ref().filter(|membership| {
-                    membership.phase == MemberPhase::Open
-                        && owned.planner.is_serving_head(&entry.id, membership)
-                });
-                if let (Some(_), Some(model)) = (opened, &facts.model) {
+                if let Some(model) = serving_model(&owned.planner, &entry.id, facts) {
                     // The other processes read the list less often.
                     self.loads_told = Tick(0);
                     self.loads.push(HeadLoad {
@@ -405,14 +394,16 @@
                 owned.listed.insert(entry.id.clone(), facts.clone());
             }
         }
-        let division = divide_groups(sizes, &models);
+        let in_traffic = self.shared.in_traffic.load(Ordering::Relaxed);
+        // Only the first groups follow the division.
+        let division = if in_traffic { BTreeMap::new() } else { divide_groups(sizes, &models) };
         let input = StagedInput {
             models: &models,
             hosts: &hosts,
             first_groups: division.get(domain).map_or(&[], Vec::as_slice),
             reads_since: self.settled_at.unwrap_or(now),
             gathering: now.since(self.grown_at) < GATHER_TIME,
-            in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
+            in_traffic,
             now,
         };
         let orders = owned.planner.step(&input);
@@ -468,6 +459,17 @@
     }
 }
 
+/// The model of a group that should serve and whose head says that it does.
+fn serving_model<'a>(
+    planner: &StagedPlanner,
+    host: &ServerId,
+    facts: &'a EngineFacts,
+) -> Option<&'a ModelName> {
+    let membership = facts.membership.as_ref()?;
+    let serves = membership.phase == MemberPhase::Open && planner.is_serving_head(host, membership);
+    facts.model.as_ref().filter(|_| serves)
+}
+
 fn to_host(entry: &ServerEntry, listed: bool) -> StagedHost {
     StagedHost {
         host: entry.id.clone(),
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -158,11 +158,6 @@
         })
     }
 
-    /// Compositions that exist, in any state.
-    pub fn instance_count(&self) -> usize {
-        self.instances.len()
-    }
-
     /// Heads of groups that lost a member and were not seen to end yet.
     pub fn broken_heads(&self) -> impl Iterator<Item = &HostId> {
         let broken = |instance: &&GroupInstance| matches!(instance.life, InstanceLife::Retiring);
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -37,13 +37,6 @@
     pub splits: Vec<ServiceSplit>,
 }
 
-/// A service as the configuration names it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServiceRule {
-    /// The service.
-    pub name: ServiceName,
-}
-
 /// A workspace with the keys of its callers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkspaceRule {
@@ -120,11 +113,6 @@
         self.hosts.get(host)?.iter().find(|rule| path.starts_with(rule.prefix.as_str()))
     }
 
-    /// Whether the host has any route.
-    pub fn knows_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host)
-    }
-
     /// The workspace that holds a key.
     pub fn workspace(&self, key: &str) -> Option<&WorkspaceId> {
         self.keys.get(key)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,7 +25,7 @@
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
-    config::{CallerLimits, RelayConfig, RouteRule, ServiceRule, ServiceSplit, WorkspaceRule},
+    config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
     metrics::RelayMetrics,
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
