Tell more numbers of processes in a word, the newest first

A word named 24 of 103 processes, picked at random and at 27 bytes each, so that a number took up to five seconds to get around; the limit there was 2.9 s. Ruled out: lost datagrams and stopped processes; every old owner answered and gave its domain up only when it saw the new row. Change: a number is named by the random life of its process (nine bytes), 140 fit into a word, those that moved last first; the limit grows by a round for each doubling of the processes.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -5,16 +5,20 @@
 //! written at the start and the planned end of a process, never renewed.
 
 use {
-    crate::{peers::PeerCount, rows::MemberRow},
+    crate::{
+        peers::{COUNTS_A_WORD, PeerCount, ROUND_INTERVAL},
+        rows::MemberRow,
+    },
     base::{HostId, Incarnation, Tick},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    rand::seq::SliceRandom,
+    std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
-/// A process whose number stands still for this long is taken as dead; several rounds of words with
-/// a dozen processes.
+/// A process whose number stands still for this long is taken as dead; several rounds of words.
 pub const DEAD_AFTER: Duration = Duration::from_millis(1_800);
-/// Processes that [`DEAD_AFTER`] is enough for; with more, numbers take longer to get around.
-const SMALL_CROWD: usize = 64;
+
+/// Processes that [`DEAD_AFTER`] is enough for.
+const SMALL_CROWD: f64 = 16.0;
 
 #[derive(Clone, Debug)]
 struct MemberState {
@@ -29,13 +33,15 @@
 pub struct MemberTable {
     own: HostId,
     members: BTreeMap<HostId, MemberState>,
+    /// The processes by their present lives.
+    lives: BTreeMap<Incarnation, HostId>,
     heard_at: Option<Tick>,
 }
 
 impl MemberTable {
     /// A table that knows nobody.
     pub fn new(own: HostId) -> Self {
-        Self { own, members: BTreeMap::new(), heard_at: None }
+        Self { own, members: BTreeMap::new(), lives: BTreeMap::new(), heard_at: None }
     }
 
     /// Takes in the row of a process.
@@ -43,6 +49,8 @@
         match self.members.get_mut(&node) {
             Some(state) if state.row.incarnation == row.incarnation => state.row = row,
             _ => {
+                self.unlist(&node);
+                self.lives.insert(row.incarnation, node.clone());
                 let state = MemberState { row, count: 0, moved_at: now, leaving: false };
                 self.members.insert(node, state);
             }
@@ -51,7 +59,9 @@
 
     /// Takes in that the row of a process is gone.
     pub fn unlist(&mut self, node: &HostId) {
-        self.members.remove(node);
+        if let Some(state) = self.members.remove(node) {
+            self.lives.remove(&state.row.incarnation);
+        }
     }
 
     /// Processes that have rows.
@@ -67,10 +77,8 @@
 
     /// Takes in a number that a process passed on, or its own.
     pub fn note_count(&mut self, count: &PeerCount, now: Tick) {
-        let Some(state) = self.members.get_mut(&count.node) else { return };
-        if state.row.incarnation != count.incarnation {
-            return;
-        }
+        let Some(node) = self.lives.get(&count.incarnation) else { return };
+        let Some(state) = self.members.get_mut(node) else { return };
         state.leaving |= count.leaving;
         if count.count > state.count {
             state.count = count.count;
@@ -83,15 +91,21 @@
         self.heard_at = Some(now);
     }
 
-    /// Numbers to pass on.
-    pub fn counts(&self) -> Vec<PeerCount> {
-        let count = |(node, state): (&HostId, &MemberState)| PeerCount {
-            node: node.clone(),
+    /// Numbers of others to pass on, at most `limit`; those that moved last come first, for they are
+    /// news to most.
+    pub fn numbers_to_tell(&self, limit: usize) -> Vec<PeerCount> {
+        let others = self.members.iter().filter(|(node, _)| **node != self.own);
+        let mut states: Vec<&MemberState> = others.map(|(_, state)| state).collect();
+        // Of numbers that moved together, other ones are told each time.
+        states.shuffle(&mut rand::rng());
+        states.sort_by_key(|state| Reverse(state.moved_at));
+        let told = states.into_iter().take(limit);
+        told.map(|state| PeerCount {
             incarnation: state.row.incarnation,
             count: state.count,
             leaving: state.leaving,
-        };
-        self.members.iter().filter(|(node, _)| **node != self.own).map(count).collect()
+        })
+        .collect()
     }
 
     /// Whether a life of a process is taken as alive. While nobody is heard, nobody is taken as
@@ -135,7 +149,12 @@
         others.map(|(_, state)| state.row.peers).collect()
     }
 
+    /// Each doubling of the processes takes a number one more round to get around, and numbers that
+    /// do not fit into one word take turns.
     fn dead_after(&self) -> Duration {
-        DEAD_AFTER.mul_f64((self.members.len() as f64 / SMALL_CROWD as f64).max(1.0))
+        let processes = self.members.len() as f64;
+        let doublings = (processes / SMALL_CROWD).log2().max(0.0);
+        let turns = (processes / COUNTS_A_WORD as f64).max(1.0);
+        (DEAD_AFTER + ROUND_INTERVAL.mul_f64(doublings)).mul_f64(turns)
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between processes.
 
 use {
-    base::{HostId, Incarnation, ModelName},
+    base::{Incarnation, ModelName},
     relay::ServerId,
     std::{io, net::SocketAddr, time::Duration},
     tokio::net::UdpSocket,
@@ -17,15 +17,13 @@
 pub const PEERS_A_ROUND: usize = 2;
 /// Loads in one word.
 pub const LOADS_A_WORD: usize = 12;
-/// Numbers in one word.
-pub const COUNTS_A_WORD: usize = 24;
+/// Numbers in one word, at up to nine bytes each: what fits into [`MAX_WORD_BYTES`] beside the rest.
+pub const COUNTS_A_WORD: usize = 140;
 
 base::value_type!(
     /// The number that one life of a process counts up.
     pub struct PeerCount {
-        /// The process's host.
-        pub node: HostId,
-        /// Its life.
+        /// The life of the process; random, so that it names the process too.
         pub incarnation: Incarnation,
         /// The number.
         pub count: u64,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -355,11 +355,8 @@
     }
 
     fn word(&self) -> PeerWord {
-        let mut heard = self.view.with(|state| state.members.counts());
-        heard.shuffle(&mut rand::rng());
-        heard.truncate(COUNTS_A_WORD);
+        let heard = self.view.with(|state| state.members.numbers_to_tell(COUNTS_A_WORD));
         let own = PeerCount {
-            node: self.own.node.clone(),
             incarnation: self.own.incarnation,
             count: self.round.load(Ordering::Relaxed),
             leaving: self.shared.leaving.load(Ordering::Relaxed),
