--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -68,7 +68,8 @@
     }
 }
 
-fn server_pause(processes: usize) -> Duration {
+/// Time between two pages of the server list for a process that owns no fabric domain.
+pub fn server_pause(processes: usize) -> Duration {
     let more = (processes as f64 / FEW_PROCESSES as f64).max(1.0);
     SERVER_PAUSE.mul_f64(more).min(MAX_SERVER_PAUSE)
 }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -5,7 +5,7 @@
     async_trait::async_trait,
     base::{
         Epoch, FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, ManualClock,
-        ModelName, RowVersion, ServiceName, Term,
+        ModelName, RowVersion, ServiceName, Term, Tick,
     },
     infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     node::{
@@ -183,13 +183,17 @@
     }
 }
 
-fn member_row(own: &RowOwner) -> WatchPage<RowChange> {
-    let row = MemberRow {
-        incarnation: own.incarnation,
+fn member(incarnation: Incarnation) -> MemberRow {
+    MemberRow {
+        incarnation,
         peers: ([127, 0, 0, 1], 1).into(),
         callers: ([127, 0, 0, 1], 2).into(),
         failure_domain: FailureDomainId::new("z").unwrap(),
-    };
+    }
+}
+
+fn member_row(own: &RowOwner) -> WatchPage<RowChange> {
+    let row = member(own.incarnation);
     let stored = StoredRow {
         key: RowName::Member(own.node.clone()).key(),
         version: RowVersion(1),
@@ -216,6 +220,35 @@
     }
 }
 
+/// Load pattern: more than two hundred engines start together and are listed over four seconds, read
+/// in pages more than a second apart. Groups formed on the first page of two domains took the hosts
+/// of the model with large groups (preisfeld-hq-grown, quiet-1).
+#[tokio::test(start_paused = true)]
+async fn first_groups_wait_for_the_whole_list() {
+    let rig = Rig::start().await;
+    rig.view.with(|state| {
+        // Other processes are listed and dead, so that the domain falls to this one.
+        state.members.note_heard(Tick(u64::MAX));
+        for node in 1..100 {
+            let row = member(Incarnation(1_000 + node));
+            state.members.list(HostId::new(format!("n{node}")).unwrap(), row, Tick(0));
+        }
+    });
+    rig.view.apply_rows(WatchPage {
+        changes: Vec::new(),
+        position: WatchPosition(2),
+        whole: false,
+    });
+    let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    for listed in [2, 4, 6] {
+        rig.list(&names[..listed]);
+        rig.run(Duration::from_millis(1_250)).await;
+        assert!(rig.engines.compositions().is_empty(), "after {listed} hosts");
+    }
+    rig.run(Duration::from_secs(3)).await;
+    assert!(!rig.engines.compositions().is_empty());
+}
+
 /// A fabric domain goes dark as a whole and comes back with other engines while its owner lives.
 /// Names and epochs must not begin anew under the same term: the next owner could not tell the two
 /// compositions apart, and gave the head of the later one away (TWO on preisfeld-hq, trouble-2
