Load spare hosts with the model of their domain before traffic

Cause: hosts left over beside the first groups were loaded as one more group of the other model, which the division did not want. In a domain of 37 hosts with two groups of 16, four of five spares got the small model; one death was mended, the second left 15 warm hosts and no group until a load had ended. Change: before traffic only groups that the division wants are completed; the rest of the hosts are spares of the model with most members here. Test: staged_planner::spare_hosts_of_a_domain_mend_its_groups_again_and_again, red before at the second death.

--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -153,7 +153,8 @@
             return;
         }
         let mut spare = free.clone();
-        let mut models = self.by_need(input);
+        // Before traffic, hosts beyond the first groups are spares.
+        let mut models = self.formable(input);
         models.sort_by(|a, b| {
             let worth = |model: &StagedModel| {
                 let lacking = model.size - self.count_with(&spare, model).min(model.size);
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -185,6 +185,28 @@
     assert_eq!(rig.count_orders(|command| matches!(command, StagedCommand::Stage { .. })), 0);
 }
 
+/// Load pattern: hosts of a domain with large groups die one after the other. Before traffic loads are
+/// free; hosts left over then were loaded with another model, and every second death left a domain
+/// without a whole group until a load had ended (preisfeld-hq-grown, quiet-1).
+#[test]
+fn spare_hosts_of_a_domain_mend_its_groups_again_and_again() {
+    let mut rig = DomainRig::new(vec![model("big", 16, 0.5), model("small", 4, 0.5)]);
+    rig.first_groups = vec!["big", "big"];
+    rig.add_hosts(37);
+    rig.run(Duration::from_secs(12));
+    assert_eq!(rig.serving_of("big"), 2);
+    rig.in_traffic = true;
+    for death in 0..5 {
+        rig.run(Duration::from_secs(2));
+        let member = rig.member_of_serving(1);
+        rig.set_fate(&member, HostFate::Dead);
+        rig.run(Duration::from_millis(700));
+        let mended = rig.run_until(Duration::from_secs(5), |rig| rig.serving_of("big") == 2);
+        assert!(mended.is_some(), "death {death}");
+    }
+    rig.assert_kept();
+}
+
 #[parameterized(
     two_models = { &[9, 9, 9, 9, 9, 9], &[4, 3] },
     large_groups = { &[37, 37, 37, 37, 37, 37], &[16, 4] },
