Read our own rows from the watchers too

Change: watchers keep pages of both tables; a question names the table. A spare that is being primed is not counted as a group of its model elsewhere. Test: share::rows_come_from_a_watcher_too.

--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -125,14 +125,15 @@
     }
 );
 
-/// A change of one of our own rows.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RowChange {
-    /// The row has this value.
-    Written(StoredRow),
-    /// The row is gone.
-    Deleted(SmolStr),
-}
+base::value_type!(
+    /// A change of one of our own rows.
+    pub enum RowChange {
+        /// The row has this value.
+        Written(StoredRow),
+        /// The row is gone.
+        Deleted(SmolStr),
+    }
+);
 
 /// Reads and follows what lies in the platform's store.
 ///
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,8 +15,7 @@
         ports::{AddressCodec, EngineAccess, PlatformWatch},
         rows::{MemberRow, RowName, RowOwner},
         settings::NodeSettings,
-        share::{ListSource, serve_list},
-        shelf::PageShelf,
+        share::{SharedWatch, StoreShelves, serve_shelves},
         view::NodeView,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
@@ -183,12 +182,12 @@
                 warn!(%error, "metrics are not served");
             }
         }
-        let shelf = Arc::new(PageShelf::default());
+        let shelves = Arc::new(StoreShelves::default());
         let clock = self.shared.clock.clone();
-        let lists = bind(self.settings.peer_address()).await?;
-        tokio::spawn(serve_list(lists, shelf.clone(), clock.clone(), stop.clone()));
-        let source = Arc::new(ListSource::new(ports.watch, self.view.clone(), shelf, clock));
-        tokio::spawn(follow_all(source, self.view.clone(), stop.clone()));
+        let readers = bind(self.settings.peer_address()).await?;
+        tokio::spawn(serve_shelves(readers, shelves.clone(), clock.clone(), stop.clone()));
+        let watch = Arc::new(SharedWatch::new(ports.watch, self.view.clone(), shelves, clock));
+        tokio::spawn(follow_all(watch, self.view.clone(), stop.clone()));
         tokio::spawn(self.clone().tell_peers(stop.clone()));
         let (forwarded, stalls_ours) = mpsc::channel(STALLS_WAITING);
         tokio::spawn(self.clone().hear_peers(forwarded.clone()));
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -1,7 +1,7 @@
-//! Reading the server list from another process that follows the store.
+//! Reading the server list and our own rows from another process that follows the store.
 //!
-//! Each change of the list concerns every process. With a hundred of them the store would answer a
-//! hundred calls for each change, so a few processes read it there and the others ask these.
+//! Each change there concerns every process. With a hundred of them the store would answer a hundred
+//! calls for each change, so a few processes read it and the others ask these.
 
 use {
     crate::{
@@ -14,6 +14,7 @@
     },
     base::{HostId, SharedClock},
     parking_lot::Mutex,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     snafu::{ResultExt, Snafu},
     std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -38,13 +39,20 @@
 /// Length in front of an answer without a page.
 const NO_PAGE: u32 = 0;
 
-base::value_type!(
-    /// Changes since the position that was asked for.
-    struct SharedPage {
-        changes: Vec<ServerChange>,
-        position: WatchPosition,
-    }
-);
+/// What is asked for, as the first byte of a question.
+#[derive(Clone, Copy)]
+#[repr(u8)]
+enum SharedTable {
+    Servers = 1,
+    Rows = 2,
+}
+
+/// Changes since the position that was asked for.
+#[derive(Serialize, Deserialize)]
+struct SharedPage<T> {
+    changes: Vec<T>,
+    position: WatchPosition,
+}
 
 /// Why another process gave no page.
 #[derive(Debug, Snafu)]
@@ -61,82 +69,97 @@
     Unreadable { source: postcard::Error },
 }
 
+/// What this process read from the store and keeps for others.
+#[derive(Debug, Default)]
+pub struct StoreShelves {
+    /// The server list.
+    pub servers: PageShelf<ServerChange>,
+    /// Our own rows.
+    pub rows: PageShelf<RowChange>,
+}
+
 /// A kept connection to a process that reads from the store.
 struct PeerLink {
     node: HostId,
     stream: TcpStream,
 }
 
-/// The watches of the store, but for the server list where another process reads it.
-pub struct ListSource<W> {
+/// The watches of the store, but for what another process reads there.
+pub struct SharedWatch<W> {
     watch: Arc<W>,
     view: Arc<NodeView>,
-    shelf: Arc<PageShelf>,
+    shelves: Arc<StoreShelves>,
     clock: SharedClock,
-    link: tokio::sync::Mutex<Option<PeerLink>>,
+    servers: tokio::sync::Mutex<Option<PeerLink>>,
+    rows: tokio::sync::Mutex<Option<PeerLink>>,
     /// Processes that did not answer, until when.
     avoided: Mutex<BTreeMap<HostId, Instant>>,
 }
 
-impl<W: PlatformWatch> ListSource<W> {
-    /// A source over the store's watches. What it reads from the store goes onto the shelf.
+impl<W: PlatformWatch> SharedWatch<W> {
+    /// A watch over the store's. What it reads from the store goes onto the shelves.
     pub fn new(
         watch: Arc<W>,
         view: Arc<NodeView>,
-        shelf: Arc<PageShelf>,
+        shelves: Arc<StoreShelves>,
         clock: SharedClock,
     ) -> Self {
-        let avoided = Mutex::new(BTreeMap::new());
-        Self { watch, view, shelf, clock, link: tokio::sync::Mutex::new(None), avoided }
+        Self {
+            watch,
+            view,
+            shelves,
+            clock,
+            servers: tokio::sync::Mutex::new(None),
+            rows: tokio::sync::Mutex::new(None),
+            avoided: Mutex::new(BTreeMap::new()),
+        }
     }
 
-    async fn ask_store(
+    /// Keeps what the store gave, or notes that it gave nothing.
+    fn keep<T: Clone>(
         &self,
-        after: Option<WatchPosition>,
-    ) -> Result<WatchPage<ServerChange>, WatchError> {
-        let page = self.watch.watch_servers(after).await;
+        shelf: &PageShelf<T>,
+        page: Result<WatchPage<T>, WatchError>,
+    ) -> Result<WatchPage<T>, WatchError> {
         match &page {
-            Ok(page) => self.shelf.put(page, self.clock.now()),
-            Err(_) => self.shelf.doubt(),
+            Ok(page) => shelf.put(page, self.clock.now()),
+            Err(_) => shelf.doubt(),
         }
         page
     }
 
-    async fn ask_peer(
+    /// A page of the process that reads this table for others; none if the store has to be asked.
+    async fn ask_reader<T: DeserializeOwned>(
         &self,
-        node: &HostId,
-        address: SocketAddr,
-        after: WatchPosition,
-    ) -> Result<SharedPage, ShareError> {
-        let mut slot = self.link.lock().await;
+        table: SharedTable,
+        link: &tokio::sync::Mutex<Option<PeerLink>>,
+        after: Option<WatchPosition>,
+    ) -> Option<WatchPage<T>> {
+        let after = after?;
+        let (node, address) = self.view.store_reader()?;
+        if self.is_avoided(&node) {
+            return None;
+        }
+        let mut slot = link.lock().await;
         // Taken out, so that a connection is given up with a question that is given up.
-        let kept = slot.take().filter(|link| link.node == *node);
-        let asked = async {
-            let mut link = match kept {
-                Some(link) => link,
-                None => {
-                    let stream = TcpStream::connect(address).await.context(BrokenSnafu)?;
-                    stream.set_nodelay(true).context(BrokenSnafu)?;
-                    PeerLink { node: node.clone(), stream }
-                }
-            };
-            link.stream.write_u64(after.0).await.context(BrokenSnafu)?;
-            let bytes = link.stream.read_u32().await.context(BrokenSnafu)?;
-            if bytes == NO_PAGE {
-                return Err(ShareError::Unknown);
+        let kept = slot.take().filter(|link| link.node == node);
+        let asked = ask_peer(kept, &node, address, table, after);
+        let answered = timeout(NEWS_WAIT + ANSWER_LIMIT, asked).await;
+        match answered.unwrap_or(Err(ShareError::Silent)) {
+            Ok((link, SharedPage { changes, position })) => {
+                *slot = Some(link);
+                Some(WatchPage { changes, position, whole: false })
             }
-            if bytes > MAX_ANSWER_BYTES {
-                return Err(ShareError::TooLarge { bytes });
+            Err(error) => {
+                info!(decision = "read-from-store", peer = %node, why = %error, "state");
+                if matches!(error, ShareError::Unknown) {
+                    // The store may have been away there, and have dropped entries meanwhile.
+                    self.view.note_outage();
+                }
+                self.avoided.lock().insert(node, Instant::now() + AVOID_SPAN);
+                None
             }
-            let mut answer = vec![0; bytes as usize];
-            link.stream.read_exact(&mut answer).await.context(BrokenSnafu)?;
-            let page = postcard::from_bytes(&answer).context(UnreadableSnafu)?;
-            Ok((link, page))
-        };
-        let answered = timeout(NEWS_WAIT + ANSWER_LIMIT, asked).await;
-        let (link, page) = answered.unwrap_or(Err(ShareError::Silent))?;
-        *slot = Some(link);
-        Ok(page)
+        }
     }
 
     fn is_avoided(&self, node: &HostId) -> bool {
@@ -147,16 +170,51 @@
     }
 }
 
-impl<W: PlatformWatch> PlatformWatch for ListSource<W> {
+async fn ask_peer<T: DeserializeOwned>(
+    kept: Option<PeerLink>,
+    node: &HostId,
+    address: SocketAddr,
+    table: SharedTable,
+    after: WatchPosition,
+) -> Result<(PeerLink, SharedPage<T>), ShareError> {
+    let mut link = match kept {
+        Some(link) => link,
+        None => {
+            let stream = TcpStream::connect(address).await.context(BrokenSnafu)?;
+            stream.set_nodelay(true).context(BrokenSnafu)?;
+            PeerLink { node: node.clone(), stream }
+        }
+    };
+    let mut question = [table as u8; 9];
+    question[1..].copy_from_slice(&after.0.to_be_bytes());
+    link.stream.write_all(&question).await.context(BrokenSnafu)?;
+    let bytes = link.stream.read_u32().await.context(BrokenSnafu)?;
+    match bytes {
+        NO_PAGE => return UnknownSnafu.fail(),
+        _ if bytes > MAX_ANSWER_BYTES => return TooLargeSnafu { bytes }.fail(),
+        _ => {}
+    }
+    let mut answer = vec![0; bytes as usize];
+    link.stream.read_exact(&mut answer).await.context(BrokenSnafu)?;
+    let page = postcard::from_bytes(&answer).context(UnreadableSnafu)?;
+    Ok((link, page))
+}
+
+impl<W: PlatformWatch> PlatformWatch for SharedWatch<W> {
     async fn watch_config(
         &self,
         after: Option<WatchPosition>,
         sentinel: bool,
     ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
         let page = self.watch.watch_config(after, sentinel).await;
-        match &page {
-            Ok(_) => self.shelf.confirm(self.clock.now()),
-            Err(_) => self.shelf.doubt(),
+        let StoreShelves { servers, rows } = &*self.shelves;
+        if page.is_ok() {
+            let now = self.clock.now();
+            servers.confirm(now);
+            rows.confirm(now);
+        } else {
+            servers.doubt();
+            rows.doubt();
         }
         page
     }
@@ -165,41 +223,27 @@
         &self,
         after: Option<WatchPosition>,
     ) -> Result<WatchPage<ServerChange>, WatchError> {
-        let reader = self.view.list_reader();
-        let (Some(known), Some((node, address))) = (after, reader) else {
-            return self.ask_store(after).await;
-        };
-        if self.is_avoided(&node) {
-            return self.ask_store(after).await;
-        }
-        match self.ask_peer(&node, address, known).await {
-            Ok(SharedPage { changes, position }) => {
-                Ok(WatchPage { changes, position, whole: false })
-            }
-            Err(error) => {
-                info!(decision = "list-from-store", peer = %node, why = %error, "state");
-                if matches!(error, ShareError::Unknown) {
-                    // The store may have been away there, and have dropped entries meanwhile.
-                    self.view.note_outage();
-                }
-                self.avoided.lock().insert(node, Instant::now() + AVOID_SPAN);
-                self.ask_store(after).await
-            }
+        if let Some(page) = self.ask_reader(SharedTable::Servers, &self.servers, after).await {
+            return Ok(page);
         }
+        self.keep(&self.shelves.servers, self.watch.watch_servers(after).await)
     }
 
     async fn watch_rows(
         &self,
         after: Option<WatchPosition>,
     ) -> Result<WatchPage<RowChange>, WatchError> {
-        self.watch.watch_rows(after).await
+        if let Some(page) = self.ask_reader(SharedTable::Rows, &self.rows, after).await {
+            return Ok(page);
+        }
+        self.keep(&self.shelves.rows, self.watch.watch_rows(after).await)
     }
 }
 
 /// Answers other processes' questions until cancelled.
-pub async fn serve_list(
+pub async fn serve_shelves(
     listener: TcpListener,
-    shelf: Arc<PageShelf>,
+    shelves: Arc<StoreShelves>,
     clock: SharedClock,
     stop: CancellationToken,
 ) {
@@ -210,14 +254,14 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let (shelf, clock, stop) = (shelf.clone(), clock.clone(), stop.clone());
+                let (shelves, clock, stop) = (shelves.clone(), clock.clone(), stop.clone());
                 tokio::spawn(async move {
                     let served = tokio::select! {
                         () = stop.cancelled() => return,
-                        served = serve_reader(stream, &shelf, &clock) => served,
+                        served = serve_reader(stream, &shelves, &clock) => served,
                     };
                     if let Err(error) = served {
-                        tracing::debug!(%peer, %error, "a reader of the server list is gone");
+                        tracing::debug!(%peer, %error, "a reader is gone");
                     }
                 });
             }
@@ -231,29 +275,39 @@
 
 async fn serve_reader(
     mut stream: TcpStream,
-    shelf: &PageShelf,
+    shelves: &StoreShelves,
     clock: &SharedClock,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     loop {
+        let table = stream.read_u8().await?;
         let after = WatchPosition(stream.read_u64().await?);
-        let Some(page) = wait_for_news(shelf, clock, after).await else {
-            stream.write_u32(NO_PAGE).await?;
-            continue;
-        };
-        let answer = postcard::to_stdvec(&page).map_err(io::Error::other)?;
+        let answer = match table {
+            1 => answer_question(&shelves.servers, clock, after).await,
+            2 => answer_question(&shelves.rows, clock, after).await,
+            _ => return Err(io::Error::other(format!("no table has the number {table}"))),
+        }?;
         let bytes = u32::try_from(answer.len()).map_err(io::Error::other)?;
         stream.write_u32(bytes).await?;
         stream.write_all(&answer).await?;
     }
 }
 
-/// None when this process can't tell what has changed.
-async fn wait_for_news(
-    shelf: &PageShelf,
+/// An encoded page; empty when this process can't tell what has changed.
+async fn answer_question<T: Clone + Serialize>(
+    shelf: &PageShelf<T>,
+    clock: &SharedClock,
+    after: WatchPosition,
+) -> io::Result<Vec<u8>> {
+    let page = wait_for_news(shelf, clock, after).await;
+    page.map_or(Ok(Vec::new()), |page| postcard::to_stdvec(&page).map_err(io::Error::other))
+}
+
+async fn wait_for_news<T: Clone>(
+    shelf: &PageShelf<T>,
     clock: &SharedClock,
     after: WatchPosition,
-) -> Option<SharedPage> {
+) -> Option<SharedPage<T>> {
     let until = Instant::now() + NEWS_WAIT;
     loop {
         let news = shelf.news.notified();
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -1,7 +1,7 @@
-//! Pages of the server list that this process read from the store, for other processes.
+//! Pages of a table that this process read from the store, for other processes.
 
 use {
-    crate::ports::{ServerChange, WatchPage, WatchPosition},
+    crate::ports::{WatchPage, WatchPosition},
     base::Tick,
     parking_lot::Mutex,
     std::{collections::VecDeque, time::Duration},
@@ -16,9 +16,9 @@
 
 /// What there is for a reader at some position.
 #[derive(Clone, Debug, PartialEq)]
-pub enum ShelfAnswer {
+pub enum ShelfAnswer<T> {
     /// Changes since.
-    News(WatchPage<ServerChange>),
+    News(WatchPage<T>),
     /// Nothing changed up to this position, which may be the reader's own.
     Nothing(WatchPosition),
     /// The pages since are not kept, or the store has not answered for a while: the reader has to
@@ -27,32 +27,39 @@
 }
 
 #[derive(Debug)]
-struct ShelfPage {
-    changes: Vec<ServerChange>,
+struct ShelfPage<T> {
+    changes: Vec<T>,
     /// Position behind the changes.
     end: WatchPosition,
 }
 
-#[derive(Debug, Default)]
-struct ShelfState {
-    /// Position before the first page; none before the list was read.
+#[derive(Debug)]
+struct ShelfState<T> {
+    /// Position before the first page; none before the table was read.
     begin: Option<WatchPosition>,
-    pages: VecDeque<ShelfPage>,
+    pages: VecDeque<ShelfPage<T>>,
     /// When the store last answered a watch.
     answered: Option<Tick>,
 }
 
 /// The pages, behind one lock that is held for short steps only.
-#[derive(Debug, Default)]
-pub struct PageShelf {
-    state: Mutex<ShelfState>,
+#[derive(Debug)]
+pub struct PageShelf<T> {
+    state: Mutex<ShelfState<T>>,
     /// Rings when there is a new page, or when the store is in doubt.
     pub news: Notify,
 }
 
-impl PageShelf {
+impl<T> Default for PageShelf<T> {
+    fn default() -> Self {
+        let state = ShelfState { begin: None, pages: VecDeque::new(), answered: None };
+        Self { state: Mutex::new(state), news: Notify::new() }
+    }
+}
+
+impl<T: Clone> PageShelf<T> {
     /// Keeps a page that the store gave.
-    pub fn put(&self, page: &WatchPage<ServerChange>, now: Tick) {
+    pub fn put(&self, page: &WatchPage<T>, now: Tick) {
         let mut state = self.state.lock();
         state.answered = Some(now);
         if page.whole {
@@ -84,7 +91,7 @@
     }
 
     /// What there is for a reader that knows everything up to `after`.
-    pub fn read(&self, after: WatchPosition, now: Tick) -> ShelfAnswer {
+    pub fn read(&self, after: WatchPosition, now: Tick) -> ShelfAnswer<T> {
         let state = self.state.lock();
         let fresh = state.answered.is_some_and(|at| now.since(at) < FRESH_SPAN);
         let kept = state.begin.is_some_and(|begin| after >= begin);
@@ -92,7 +99,7 @@
             return ShelfAnswer::Unknown;
         }
         let since = state.pages.iter().filter(|page| page.end > after);
-        let changes: Vec<ServerChange> = since.flat_map(|page| page.changes.clone()).collect();
+        let changes: Vec<T> = since.flat_map(|page| page.changes.clone()).collect();
         let end = state.pages.back().map_or(after, |page| page.end.max(after));
         if changes.is_empty() {
             return ShelfAnswer::Nothing(end);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -14,7 +14,7 @@
     },
     base::{FabricDomainId, HostId, ModelName, Tick},
     parking_lot::Mutex,
-    plan::staged::{MemberPhase, Membership},
+    plan::staged::{EngineFacts, MemberPhase, Membership},
     relay::{BackendServer, LoadWord, RelayShared, ServerCounters, ServerId, ServerTable},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -199,8 +199,9 @@
         self.with(|state| state.members.is_watcher(now))
     }
 
-    /// The process to read the server list from; none if this one should read it in the store.
-    pub fn list_reader(&self) -> Option<(HostId, SocketAddr)> {
+    /// The process to read the server list and our rows from; none if this one should read them in
+    /// the store.
+    pub fn store_reader(&self) -> Option<(HostId, SocketAddr)> {
         if self.is_busy_owner() {
             // What engines show is waited for here.
             return None;
@@ -305,13 +306,17 @@
 
     /// Groups of each model that serve or come about outside one fabric domain.
     pub fn groups_elsewhere(&self, domain: &FabricDomainId) -> BTreeMap<ModelName, u32> {
+        let sizes = self.group_sizes();
         let mut groups = BTreeMap::new();
         for entry in
             self.book.entries().filter(|entry| entry.fabric_domain.as_ref() != Some(domain))
         {
             let Some(facts) = &entry.facts else { continue };
+            // A member alone only gets ready for a group to come.
             let heads = facts.membership.as_ref().is_some_and(|membership| {
-                membership.rank == 0 && membership.phase != MemberPhase::Broken
+                let key = (membership.group.clone(), membership.epoch);
+                let alone = sizes.get(&key).copied() == Some(1) && self.group_size(facts) > Some(1);
+                membership.rank == 0 && membership.phase != MemberPhase::Broken && !alone
             });
             if let (true, Some(model)) = (heads, &facts.model) {
                 *groups.entry(model.clone()).or_insert(0) += 1;
@@ -320,6 +325,13 @@
         groups
     }
 
+    /// Hosts of a group of the model that an engine serves; none if no configuration names it.
+    fn group_size(&self, facts: &EngineFacts) -> Option<usize> {
+        let model = facts.model.as_ref()?;
+        let mut rules = self.config.as_ref()?.engines.iter().flat_map(|engine| &engine.models);
+        rules.find(|rule| rule.name == *model).map(|rule| rule.size)
+    }
+
     fn keep_rows(&mut self, changes: &[RowChange]) {
         let key = |change: &RowChange| match change {
             RowChange::Written(row) => RowName::parse(&row.key),
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -1,4 +1,4 @@
-//! Reading the server list from another process.
+//! Reading from another process what it read in the store.
 
 use {
     arc_swap::{ArcSwap, ArcSwapOption},
@@ -7,7 +7,7 @@
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
         members::MemberTable,
         rows::MemberRow,
-        share::{ListSource, serve_list},
+        share::{SharedWatch, StoreShelves, serve_shelves},
         shelf::{PageShelf, ShelfAnswer},
         view::NodeView,
     },
@@ -116,16 +116,17 @@
         &self,
         _after: Option<WatchPosition>,
     ) -> Result<WatchPage<RowChange>, WatchError> {
-        Err(WatchError::Unavailable { detail: "not played here".to_owned() })
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        Err(WatchError::Unavailable { detail: "away".to_owned() })
     }
 }
 
 /// One of a hundred processes, which is no watcher, with a watcher that listens on loopback.
 struct ReaderRig {
     store: Arc<QuietStore>,
-    shelf: Arc<PageShelf>,
+    shelves: Arc<StoreShelves>,
     clock: Arc<ManualClock>,
-    source: ListSource<QuietStore>,
+    watch: SharedWatch<QuietStore>,
     view: Arc<NodeView>,
     stop: CancellationToken,
 }
@@ -137,22 +138,24 @@
         let clock = Arc::new(ManualClock::new());
         clock.advance(Duration::from_secs(1_000));
         let view = (0..100).map(|own| view(own, address, clock.clone()));
-        let view = view.into_iter().find(|view| view.list_reader().is_some()).unwrap();
-        let shelf = Arc::new(PageShelf::default());
+        let view = view.into_iter().find(|view| view.store_reader().is_some()).unwrap();
+        let shelves = Arc::new(StoreShelves::default());
         let stop = CancellationToken::new();
-        tokio::spawn(serve_list(listener, shelf.clone(), clock.clone(), stop.clone()));
+        tokio::spawn(serve_shelves(listener, shelves.clone(), clock.clone(), stop.clone()));
         let store = Arc::new(QuietStore::default());
-        let own_shelf = Arc::new(PageShelf::default());
-        let source = ListSource::new(store.clone(), view.clone(), own_shelf, clock.clone());
-        Self { store, shelf, clock, source, view, stop }
+        let own_shelves = Arc::new(StoreShelves::default());
+        let watch = SharedWatch::new(store.clone(), view.clone(), own_shelves, clock.clone());
+        Self { store, shelves, clock, watch, view, stop }
     }
 
     fn put(&self, changes: &[&str], position: u64, whole: bool) {
-        self.shelf.put(&page(changes, position, whole), base::TickClock::now(&*self.clock));
+        self.shelves
+            .servers
+            .put(&page(changes, position, whole), base::TickClock::now(&*self.clock));
     }
 
     async fn ask(&self, after: u64) -> WatchPage<ServerChange> {
-        self.source.watch_servers(Some(WatchPosition(after))).await.unwrap()
+        self.watch.watch_servers(Some(WatchPosition(after))).await.unwrap()
     }
 
     fn store_calls(&self) -> usize {
@@ -203,6 +206,22 @@
     assert_eq!(rig.store_calls(), 0);
 }
 
+#[tokio::test]
+async fn rows_come_from_a_watcher_too() {
+    let rig = ReaderRig::start().await;
+    let now = base::TickClock::now(&*rig.clock);
+    let rows = |keys: &[&str], position: u64, whole: bool| WatchPage {
+        changes: keys.iter().map(|key| RowChange::Deleted((*key).into())).collect(),
+        position: WatchPosition(position),
+        whole,
+    };
+    rig.shelves.rows.put(&rows(&[], 10, true), now);
+    rig.shelves.rows.put(&rows(&["member/n1"], 11, false), now);
+    let page = rig.watch.watch_rows(Some(WatchPosition(10))).await.unwrap();
+    assert_eq!(page, rows(&["member/n1"], 11, false));
+    assert_eq!(rig.store_calls(), 0);
+}
+
 #[tokio::test]
 async fn a_question_waits_for_news() {
     let rig = ReaderRig::start().await;
@@ -229,7 +248,7 @@
     rig.put(&["a"], 10, true);
     rig.ask(5).await;
     assert_eq!(rig.store_calls(), 1, "pages before the first are not kept");
-    rig.shelf.doubt();
+    rig.shelves.servers.doubt();
     rig.ask(10).await;
     assert_eq!(rig.store_calls(), 2);
 }
@@ -261,5 +280,5 @@
 async fn an_outage_of_both_is_told() {
     let rig = ReaderRig::start().await;
     rig.store.fails.store(true, Ordering::SeqCst);
-    assert!(rig.source.watch_servers(Some(WatchPosition(10))).await.is_err());
+    assert!(rig.watch.watch_servers(Some(WatchPosition(10))).await.is_err());
 }
