Read a changed settings file without a restart

Cause: SIGHUP was logged and nothing more; a file changed without a signal was not seen. Change: on SIGHUP, and when the file's time differs at a look every two seconds, it is read and checked again. The bound on repeats and the grace time come into force; what needs a restart is named in the log; a file that can't be used leaves everything. Tests: settings (3), decisions::a_changed_bound_on_repeats_counts_at_once.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod owners;
 pub mod peers;
 pub mod ports;
+pub mod reload;
 pub mod rows;
 pub mod run;
 pub mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,6 +13,7 @@
             ROUND_INTERVAL,
         },
         ports::{AddressCodec, EngineAccess, PlatformWatch},
+        reload::{LOOK_INTERVAL, ReloadOutcome, SettingsFile},
         rows::{MemberRow, RowName, RowOwner},
         settings::NodeSettings,
         share::{SharedWatch, StoreShelves, serve_shelves},
@@ -26,8 +27,8 @@
     infra::{TableStore, Transaction},
     rand::seq::SliceRandom,
     relay::{
-        RelayMetrics, RelayService, RelayShared, RepeatBudget, RepeatTerms, RequestCodec, ServerId,
-        ServerTable, StopPhase, serve_callers,
+        RelayMetrics, RelayService, RelayShared, RepeatBudget, RequestCodec, ServerId, ServerTable,
+        StopPhase, serve_callers,
     },
     snafu::{ResultExt, Snafu},
     std::{
@@ -106,9 +107,10 @@
     round: AtomicU64,
 }
 
-/// Runs a process until it is told to stop and has finished its work.
+/// Runs a process until it is told to stop and has finished its work. The settings file is read
+/// again when it changes or on SIGHUP.
 pub async fn run_node<W, T, E, C, A>(
-    settings: NodeSettings,
+    file: SettingsFile,
     ports: NodePorts<W, T, E, C, A>,
 ) -> Result<(), NodeError>
 where
@@ -118,6 +120,7 @@
     C: RequestCodec,
     A: AddressCodec,
 {
+    let settings = file.settings().clone();
     let clock: SharedClock = Arc::new(BootClock);
     let own = RowOwner {
         node: settings.node.clone(),
@@ -128,14 +131,7 @@
     let shared = Arc::new(RelayShared {
         config: ArcSwapOption::empty(),
         servers: ArcSwap::from_pointee(ServerTable::default()),
-        budget: RepeatBudget::new(
-            RepeatTerms {
-                ratio: settings.repeats.ratio,
-                slack: settings.repeats.slack,
-                window: Duration::from_secs_f64(settings.repeats.window_s),
-            },
-            clock.now(),
-        ),
+        budget: RepeatBudget::new(settings.repeat_terms(), clock.now()),
         processes: AtomicUsize::new(1),
         in_traffic: AtomicBool::new(!settings.first_start),
         leaving: AtomicBool::new(false),
@@ -149,12 +145,13 @@
         PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
     let parts =
         Arc::new(NodeParts { settings, own, shared, view, peers, round: AtomicU64::new(0) });
-    parts.run(ports, stalls_found).await
+    parts.run(file, ports, stalls_found).await
 }
 
 impl NodeParts {
     async fn run<W, T, E, C, A>(
         self: Arc<Self>,
+        mut file: SettingsFile,
         ports: NodePorts<W, T, E, C, A>,
         stalls: mpsc::Receiver<ServerId>,
     ) -> Result<(), NodeError>
@@ -206,16 +203,20 @@
             control_stop.clone(),
         ));
         let joining = tokio::spawn(self.clone().join_members(ports.table.clone(), stop.clone()));
+        let mut looks = tokio::time::interval(LOOK_INTERVAL);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
-                _ = reload.recv() => info!(decision = "reload", "process"),
+                _ = reload.recv() => self.reload(&mut file),
+                _ = looks.tick() => if file.has_changed() {
+                    self.reload(&mut file);
+                },
             }
         }
         info!(decision = "stopping", "process");
         self.shared.leaving.store(true, Ordering::Relaxed);
         let _ = phase.send(StopPhase::Leaving);
-        let deadline = tokio::time::Instant::now() + self.settings.grace() - GRACE_MARGIN;
+        let deadline = tokio::time::Instant::now() + file.settings().grace() - GRACE_MARGIN;
         joining.abort();
         control_stop.cancel();
         self.tell_all(&self.word());
@@ -234,6 +235,20 @@
         Ok(())
     }
 
+    /// Reads the settings file again.
+    fn reload(&self, file: &mut SettingsFile) {
+        match file.reload() {
+            ReloadOutcome::Unchanged => info!(decision = "reload", changed = false, "process"),
+            ReloadOutcome::Taken { kept } => {
+                self.shared.budget.change_terms(file.settings().repeat_terms());
+                info!(decision = "reload", changed = true, needs_restart = ?kept, "process");
+            }
+            ReloadOutcome::Refused { error } => {
+                warn!(decision = "reload-refused", %error, "process");
+            }
+        }
+    }
+
     async fn serve_small(
         &self,
         address: SocketAddr,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     base::{FailureDomainId, HostId, RegionId},
+    relay::RepeatTerms,
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, Snafu, ensure},
     std::{
@@ -125,6 +126,32 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// Fields that differ from those of `other`; `first_start` only matters at the start.
+    pub fn differing_fields(&self, other: &Self) -> Vec<&'static str> {
+        let differences = [
+            ("node", self.node != other.node),
+            ("ip", self.ip != other.ip),
+            ("failure_domain", self.failure_domain != other.failure_domain),
+            ("region", self.region != other.region),
+            ("peer_port", self.peer_port != other.peer_port),
+            ("listen", self.listen != other.listen),
+            ("store", self.store != other.store),
+            ("repeats", self.repeats != other.repeats),
+            ("grace_s", self.grace_s != other.grace_s),
+            ("metrics_port", self.metrics_port != other.metrics_port),
+        ];
+        differences.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+    }
+
+    /// The bound on repeats.
+    pub fn repeat_terms(&self) -> RepeatTerms {
+        RepeatTerms {
+            ratio: self.repeats.ratio,
+            slack: self.repeats.slack,
+            window: Duration::from_secs_f64(self.repeats.window_s),
+        }
+    }
+
     /// Where other processes reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,7 +1,10 @@
 //! The settings file.
 
 use {
-    node::load_settings,
+    node::{
+        load_settings,
+        reload::{ReloadOutcome, SettingsFile},
+    },
     std::{
         fs,
         path::PathBuf,
@@ -65,3 +68,42 @@
     assert!(error.contains(".yaml"), "the file is named: {error}");
     fs::remove_file(path).unwrap();
 }
+
+#[test]
+fn a_changed_bound_is_taken_without_a_restart() {
+    let path = file(GOOD);
+    let mut settings = SettingsFile::open(path.clone()).unwrap();
+    assert!(!settings.has_changed());
+    assert!(matches!(settings.reload(), ReloadOutcome::Unchanged));
+    fs::write(&path, GOOD.replace("slack: 260", "slack: 30").replace("grace_s: 8", "grace_s: 5"))
+        .unwrap();
+    let ReloadOutcome::Taken { kept } = settings.reload() else { panic!("not taken") };
+    assert!(kept.is_empty(), "{kept:?}");
+    assert_eq!(settings.settings().repeat_terms().slack, 30.0);
+    assert_eq!(settings.settings().grace().as_secs(), 5);
+    fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn a_changed_address_waits_for_a_restart() {
+    let path = file(GOOD);
+    let mut settings = SettingsFile::open(path.clone()).unwrap();
+    fs::write(&path, GOOD.replace("peer_port: 7340", "peer_port: 7341")).unwrap();
+    let ReloadOutcome::Taken { kept } = settings.reload() else { panic!("not taken") };
+    assert_eq!(kept, ["peer_port"]);
+    assert_eq!(settings.settings().peer_port, 7340);
+    fs::remove_file(path).unwrap();
+}
+
+/// A file that is half written must not stop the process.
+#[test]
+fn a_bad_file_leaves_the_settings_in_force() {
+    let path = file(GOOD);
+    let mut settings = SettingsFile::open(path.clone()).unwrap();
+    fs::write(&path, "node: n1\n").unwrap();
+    assert!(matches!(settings.reload(), ReloadOutcome::Refused { .. }));
+    fs::remove_file(&path).unwrap();
+    assert!(matches!(settings.reload(), ReloadOutcome::Refused { .. }));
+    assert!(!settings.has_changed());
+    assert_eq!(settings.settings().repeat_terms().slack, 260.0);
+}
--- a/crates/relay/src/retry.rs
+++ b/crates/relay/src/retry.rs
@@ -41,7 +41,7 @@
 /// slack. If each process keeps its part, all together keep the whole.
 #[derive(Debug)]
 pub struct RepeatBudget {
-    terms: RepeatTerms,
+    terms: Mutex<RepeatTerms>,
     /// When this process began. What an earlier life of it used is not known, so the slack is left
     /// alone for one window.
     began: Tick,
@@ -51,30 +51,37 @@
 impl RepeatBudget {
     /// A budget without any request yet.
     pub fn new(terms: RepeatTerms, began: Tick) -> Self {
-        Self { terms, began, logs: Mutex::new(BTreeMap::new()) }
+        Self { terms: Mutex::new(terms), began, logs: Mutex::new(BTreeMap::new()) }
+    }
+
+    /// Keeps another bound from now on.
+    pub fn change_terms(&self, terms: RepeatTerms) {
+        *self.terms.lock() = terms;
     }
 
     /// Counts a caller's request.
     pub fn note_request(&self, service: &ServiceName, now: Tick) {
+        let terms = *self.terms.lock();
         let mut logs = self.logs.lock();
         if !logs.contains_key(service) {
             logs.insert(service.clone(), WindowLog::default());
         }
         let Some(log) = logs.get_mut(service) else { return };
         log.requests.push_back(now);
-        trim(&mut log.requests, now, self.terms.window);
+        trim(&mut log.requests, now, terms.window);
     }
 
     /// Takes one repeat out; false when none is left in this window. `processes` is how many share
     /// the slack.
     pub fn take(&self, service: &ServiceName, processes: usize, now: Tick) -> bool {
+        let terms = *self.terms.lock();
         let mut logs = self.logs.lock();
         let log = logs.entry(service.clone()).or_default();
-        trim(&mut log.requests, now, self.terms.window);
-        trim(&mut log.repeats, now, self.terms.window);
-        let young = now.since(self.began) < self.terms.window;
-        let slack = if young { 0.0 } else { self.terms.slack / processes.max(1) as f64 };
-        let bound = USED_PART * (self.terms.ratio * log.requests.len() as f64 + slack);
+        trim(&mut log.requests, now, terms.window);
+        trim(&mut log.repeats, now, terms.window);
+        let young = now.since(self.began) < terms.window;
+        let slack = if young { 0.0 } else { terms.slack / processes.max(1) as f64 };
+        let bound = USED_PART * (terms.ratio * log.requests.len() as f64 + slack);
         if (log.repeats.len() + 1) as f64 > bound {
             return false;
         }
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -142,6 +142,18 @@
     assert!(budget.take(&service, 1, NOW + Duration::from_secs(12)));
 }
 
+#[test]
+fn a_changed_bound_on_repeats_counts_at_once() {
+    let service = ServiceName::new("s").unwrap();
+    let budget = RepeatBudget::new(terms(), NOW);
+    let later = NOW + Duration::from_secs(1);
+    (0..20).for_each(|_| budget.note_request(&service, later));
+    budget.change_terms(RepeatTerms { ratio: 0.0, ..terms() });
+    assert!(!budget.take(&service, 1, later));
+    budget.change_terms(terms());
+    assert!(budget.take(&service, 1, later));
+}
+
 fn route(name: &str, prefix: &str) -> RouteRule {
     RouteRule {
         name: name.into(),
