Read the list quickly only where a step waits for it

Cause: a broken group counted as waiting although it ends with the answer to an order, so that owners read the list ten times a second for seconds after each loss; quiet questions ended every 10 s. Test: the schedules and times of staged_planner stand.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -274,7 +274,7 @@
         // and epochs a second time.
         let owned = self.view.with(|state| state.domains_of(&self.own));
         self.domains.retain(|domain, _| owned.contains(domain));
-        self.view.set_busy_owner(self.domains.values().any(|owned| owned.planner.is_busy()));
+        self.view.set_busy_owner(self.domains.values().any(|owned| owned.planner.awaits_engines()));
         let broken: BTreeSet<ServerId> = self
             .domains
             .values()
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -159,10 +159,20 @@
         })
     }
 
-    /// Whether a group comes about or ends, so that the next step waits for what engines show.
-    pub fn is_busy(&self) -> bool {
-        self.instances.values().any(|instance| {
-            !matches!(instance.life, InstanceLife::Serving) || !self.head_serves(instance)
+    /// Whether the next step of a group waits for what engines show. A group that lost a member does
+    /// not: it ends with the answer to an order.
+    pub fn awaits_engines(&self) -> bool {
+        self.instances.values().any(|instance| match instance.life {
+            InstanceLife::Forming(_) | InstanceLife::Priming(_) | InstanceLife::Closing(_) => true,
+            InstanceLife::Serving => !self.head_serves(instance),
+            InstanceLife::Retiring => false,
+        })
+    }
+
+    /// Whether every group serves.
+    pub(super) fn is_calm(&self) -> bool {
+        self.instances.values().all(|instance| {
+            matches!(instance.life, InstanceLife::Serving) && self.head_serves(instance)
         })
     }
 
--- a/crates/plan/src/staged/prime.rs
+++ b/crates/plan/src/staged/prime.rs
@@ -17,7 +17,7 @@
     /// Starts to prime spares: all of them before traffic, one at a time under traffic, so that the
     /// others can mend a group meanwhile. Groups come first.
     pub(super) fn prime_spares(&mut self, input: &StagedInput<'_>) {
-        if self.is_busy() || (!input.in_traffic && input.gathering) {
+        if !self.is_calm() || (!input.in_traffic && input.gathering) {
             return;
         }
         let most = if input.in_traffic { 1 } else { usize::MAX };
