Leave callers within the grace time also where it is short

Cause: a stopping process waited four seconds for callers to leave, whatever its grace time; with three seconds of grace it was killed before it drained. Change: at most half of the grace time is spent on leaving.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -51,8 +51,10 @@
 };
 
 /// Time from the signal to stop until the port for callers is closed; longer than callers keep
-/// addresses, short enough for what they send last to end within the grace time.
+/// addresses. At most [`LEAVE_PART`] of the grace time, so that what they send last can end in it.
 const LEAVE_TIME: Duration = Duration::from_millis(4_000);
+/// Largest part of the grace time for callers to leave in.
+const LEAVE_PART: f64 = 0.5;
 /// Time before the end of the grace time at which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two tries to write this process's row.
@@ -216,15 +218,17 @@
         info!(decision = "stopping", "process");
         self.shared.leaving.store(true, Ordering::Relaxed);
         let _ = phase.send(StopPhase::Leaving);
-        let deadline = tokio::time::Instant::now() + file.settings().grace() - GRACE_MARGIN;
+        let grace = file.settings().grace();
+        let leave_time = LEAVE_TIME.min(grace.mul_f64(LEAVE_PART));
+        let deadline = tokio::time::Instant::now() + grace.saturating_sub(GRACE_MARGIN);
         joining.abort();
         control_stop.cancel();
         self.tell_all(&self.word());
         let leave_members = self.leave_members(&*ports.table);
         let given = async {
-            let _ = timeout(LEAVE_TIME, async { tokio::join!(leave_members, control) }).await;
+            let _ = timeout(leave_time, async { tokio::join!(leave_members, control) }).await;
         };
-        tokio::join!(given, sleep(LEAVE_TIME));
+        tokio::join!(given, sleep(leave_time));
         let _ = phase.send(StopPhase::Draining);
         if tokio::time::timeout_at(deadline, serving).await.is_err() {
             warn!(decision = "stopped", unfinished = true, "process");
