--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -119,6 +119,11 @@
         slots > 0 && self.load(now) >= f64::from(slots) * FULL_PART
     }
 
+    /// Requests that it runs at once; none if it has not told.
+    pub fn slots(&self) -> Option<u32> {
+        Some(self.slots.load(Ordering::Relaxed)).filter(|slots| *slots > 0)
+    }
+
     /// Moving mean of the time to a first byte.
     pub fn first_byte(&self) -> Duration {
         Duration::from_micros(self.first_byte_us.load(Ordering::Relaxed))
