--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -17,7 +17,7 @@
 pub const PEERS_A_ROUND: usize = 2;
 /// Loads in one word.
 pub const LOADS_A_WORD: usize = 12;
-/// Numbers in one word, at up to nine bytes each: what fits into [`MAX_WORD_BYTES`] beside the rest.
+/// Numbers in one word, at up to nine bytes each: what fits into a packet beside the rest.
 pub const COUNTS_A_WORD: usize = 140;
 
 base::value_type!(
--- a/crates/relay/tests/spread.rs
+++ b/crates/relay/tests/spread.rs
@@ -82,7 +82,8 @@
     fn tell(&mut self, ms: u64, now: Tick) {
         let groups = self.loads.len() as u64;
         for group in 0..groups {
-            if (ms + group * WORD_INTERVAL_MS / groups) % WORD_INTERVAL_MS == 0 {
+            let turn = ms + group * WORD_INTERVAL_MS / groups;
+            if turn.is_multiple_of(WORD_INTERVAL_MS) {
                 let running = self.past[0][group as usize];
                 for view in &self.views {
                     let word = LoadWord { running, waiting: 0, slots: SLOTS };
