--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -47,6 +47,12 @@
     Rows = 2,
 }
 
+impl SharedTable {
+    fn from_byte(byte: u8) -> Option<Self> {
+        [Self::Servers, Self::Rows].into_iter().find(|table| *table as u8 == byte)
+    }
+}
+
 /// Changes since the position that was asked for.
 #[derive(Serialize, Deserialize)]
 struct SharedPage<T> {
@@ -282,10 +288,10 @@
     loop {
         let table = stream.read_u8().await?;
         let after = WatchPosition(stream.read_u64().await?);
-        let answer = match table {
-            1 => answer_question(&shelves.servers, clock, after).await,
-            2 => answer_question(&shelves.rows, clock, after).await,
-            _ => return Err(io::Error::other(format!("no table has the number {table}"))),
+        let answer = match SharedTable::from_byte(table) {
+            Some(SharedTable::Servers) => answer_question(&shelves.servers, clock, after).await,
+            Some(SharedTable::Rows) => answer_question(&shelves.rows, clock, after).await,
+            None => return Err(io::Error::other(format!("no table has the number {table}"))),
         }?;
         let bytes = u32::try_from(answer.len()).map_err(io::Error::other)?;
         stream.write_u32(bytes).await?;
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -210,11 +210,6 @@
         self.with(|state| state.members.nearest_watcher(now))
     }
 
-    /// Processes that have rows.
-    pub fn process_count(&self) -> usize {
-        self.shared.processes.load(Ordering::Relaxed)
-    }
-
     /// Whether a group comes about or ends in a fabric domain of this process.
     pub fn is_busy_owner(&self) -> bool {
         self.busy_owner.load(Ordering::Relaxed)
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -1,7 +1,9 @@
 //! The control loop against a table and engines in memory.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use {
-    arc_swap::{ArcSwap, ArcSwapOption},
     async_trait::async_trait,
     base::{
         Epoch, FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, ManualClock,
@@ -17,18 +19,9 @@
         view::NodeView,
     },
     plan::staged::{EngineFacts, OrderEnd, StagedCommand, StagedOrder},
-    relay::{
-        LoadWord, RelayConfig, RelayMetrics, RelayShared, RepeatBudget, RepeatTerms, ServerTable,
-    },
-    std::{
-        collections::BTreeMap,
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicUsize},
-        },
-        time::Duration,
-    },
+    relay::{LoadWord, RelayConfig},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    support::relay_shared,
     tokio::{sync::mpsc, time::sleep},
     tokio_util::sync::CancellationToken,
 };
@@ -114,18 +107,7 @@
     async fn start() -> Self {
         let clock = Arc::new(ManualClock::new());
         clock.advance(Duration::from_secs(1_000));
-        let (stalls, _) = mpsc::channel(8);
-        let shared = Arc::new(RelayShared {
-            config: ArcSwapOption::empty(),
-            servers: ArcSwap::from_pointee(ServerTable::default()),
-            budget: RepeatBudget::new(RepeatTerms::default(), base::Tick(0)),
-            processes: AtomicUsize::new(1),
-            in_traffic: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            metrics: RelayMetrics::default(),
-            clock: clock.clone(),
-            stalls,
-        });
+        let shared = Arc::new(relay_shared(clock.clone()));
         let own = RowOwner { node: HostId::new("n0").unwrap(), incarnation: Incarnation(7) };
         let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
         let engines = Arc::new(WillingEngines::default());
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -1,16 +1,15 @@
 //! Following the store.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use {
-    arc_swap::{ArcSwap, ArcSwapOption},
     base::{FailureDomainId, HostId, Incarnation, ManualClock, Tick},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
         follow::follow_all, members::MemberTable, rows::MemberRow, view::NodeView,
     },
-    relay::{
-        CallerLimits, RelayConfig, RelayMetrics, RelayShared, RepeatBudget, RepeatTerms,
-        ServerTable,
-    },
+    relay::{CallerLimits, RelayConfig},
     std::{
         collections::BTreeSet,
         future::pending,
@@ -20,7 +19,8 @@
         },
         time::Duration,
     },
-    tokio::{sync::mpsc, time::sleep},
+    support::relay_shared,
+    tokio::time::sleep,
     tokio_util::sync::CancellationToken,
 };
 
@@ -90,18 +90,7 @@
 }
 
 fn view(clock: Arc<ManualClock>) -> Arc<NodeView> {
-    let (stalls, _) = mpsc::channel(1);
-    let shared = Arc::new(RelayShared {
-        config: ArcSwapOption::empty(),
-        servers: ArcSwap::from_pointee(ServerTable::default()),
-        budget: RepeatBudget::new(RepeatTerms::default(), Tick(0)),
-        processes: AtomicUsize::new(1),
-        in_traffic: AtomicBool::new(false),
-        leaving: AtomicBool::new(false),
-        metrics: RelayMetrics::default(),
-        clock,
-        stalls,
-    });
+    let shared = Arc::new(relay_shared(clock));
     let members = MemberTable::new(HostId::new("n0").unwrap());
     Arc::new(NodeView::new(members, shared))
 }
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -1,7 +1,9 @@
 //! Reading from another process what it read in the store.
 
+#[path = "support/mod.rs"]
+mod support;
+
 use {
-    arc_swap::{ArcSwap, ArcSwapOption},
     base::{FailureDomainId, HostId, Incarnation, ManualClock, Tick},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
@@ -11,7 +13,6 @@
         shelf::{PageShelf, ShelfAnswer},
         view::NodeView,
     },
-    relay::{RelayMetrics, RelayShared, RepeatBudget, RepeatTerms, ServerTable},
     std::{
         net::SocketAddr,
         sync::{
@@ -20,7 +21,8 @@
         },
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::mpsc, time::timeout},
+    support::relay_shared,
+    tokio::{net::TcpListener, time::timeout},
     tokio_util::sync::CancellationToken,
 };
 
@@ -165,18 +167,7 @@
 
 /// A process that knows a hundred, all of which are reached at one address.
 fn view(own: u32, address: SocketAddr, clock: Arc<ManualClock>) -> Arc<NodeView> {
-    let (stalls, _) = mpsc::channel(1);
-    let shared = Arc::new(RelayShared {
-        config: ArcSwapOption::empty(),
-        servers: ArcSwap::from_pointee(ServerTable::default()),
-        budget: RepeatBudget::new(RepeatTerms::default(), Tick(0)),
-        processes: AtomicUsize::new(1),
-        in_traffic: AtomicBool::new(false),
-        leaving: AtomicBool::new(false),
-        metrics: RelayMetrics::default(),
-        clock,
-        stalls,
-    });
+    let shared = Arc::new(relay_shared(clock));
     let name = |node: u32| HostId::new(format!("n{node}")).unwrap();
     let mut members = MemberTable::new(name(own));
     for node in 0..100 {
