--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -19,7 +19,6 @@
         share::{SharedWatch, StoreShelves, serve_shelves},
         view::NodeView,
     },
-    arc_swap::{ArcSwap, ArcSwapOption},
     base::{BootClock, Incarnation, SharedClock},
     bytes::Bytes,
     http::{Response, StatusCode},
@@ -27,8 +26,7 @@
     infra::{TableStore, Transaction},
     rand::seq::SliceRandom,
     relay::{
-        RelayMetrics, RelayService, RelayShared, RepeatBudget, RequestCodec, ServerId, ServerTable,
-        StopPhase, serve_callers,
+        RelayService, RelayShared, RepeatBudget, RequestCodec, ServerId, StopPhase, serve_callers,
     },
     snafu::{ResultExt, Snafu},
     std::{
@@ -36,7 +34,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -130,17 +128,9 @@
     };
     info!(decision = "started", node = %own.node, incarnation = own.incarnation.0, "process");
     let (stalls, stalls_found) = mpsc::channel(STALLS_WAITING);
-    let shared = Arc::new(RelayShared {
-        config: ArcSwapOption::empty(),
-        servers: ArcSwap::from_pointee(ServerTable::default()),
-        budget: RepeatBudget::new(settings.repeat_terms(), clock.now()),
-        processes: AtomicUsize::new(1),
-        in_traffic: AtomicBool::new(!settings.first_start),
-        leaving: AtomicBool::new(false),
-        metrics: RelayMetrics::default(),
-        clock,
-        stalls,
-    });
+    let budget = RepeatBudget::new(settings.repeat_terms(), clock.now());
+    let shared = Arc::new(RelayShared::new(clock, budget, stalls));
+    shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
     let peer_address = settings.peer_address();
     let peers =
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -68,6 +68,21 @@
 }
 
 impl RelayShared {
+    /// What a process shares before it knows a configuration or a server. Stalls go to `stalls`.
+    pub fn new(clock: SharedClock, budget: RepeatBudget, stalls: mpsc::Sender<ServerId>) -> Self {
+        Self {
+            config: ArcSwapOption::empty(),
+            servers: ArcSwap::from_pointee(ServerTable::default()),
+            budget,
+            processes: AtomicUsize::new(1),
+            in_traffic: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            metrics: RelayMetrics::default(),
+            clock,
+            stalls,
+        }
+    }
+
     /// Tells that requests stand still at a server; dropped when too many wait to be read.
     pub(crate) fn report_stall(&self, server: &BackendServer) {
         let _ = self.stalls.try_send(server.id.clone());
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,23 +1,22 @@
 //! A relay between a caller and scripted servers on loopback.
 
 use {
-    arc_swap::{ArcSwap, ArcSwapOption},
     base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, WorkspaceId},
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
     http_body_util::Full,
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
-        RelayConfig, RelayMetrics, RelayService, RelayShared, RepeatBudget, RepeatTerms,
-        RequestCodec, RequestId, RequestKind, RouteRule, ServerTable, ServiceSplit, StopPhase,
-        Verdict, WorkspaceRule, serve_callers,
+        RelayConfig, RelayService, RelayShared, RepeatBudget, RepeatTerms, RequestCodec, RequestId,
+        RequestKind, RouteRule, ServerTable, ServiceSplit, StopPhase, Verdict, WorkspaceRule,
+        serve_callers,
     },
     std::{
         collections::BTreeMap,
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -193,17 +192,10 @@
             counters: Arc::default(),
         });
         let table = ServerTable::new(BTreeMap::from([(service.clone(), servers.collect())]));
-        let shared = Arc::new(RelayShared {
-            config: ArcSwapOption::from_pointee(config(kind, attempts, service)),
-            servers: ArcSwap::from_pointee(table),
-            budget: RepeatBudget::new(terms, began),
-            processes: AtomicUsize::new(1),
-            in_traffic: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            metrics: RelayMetrics::default(),
-            clock,
-            stalls,
-        });
+        let shared = RelayShared::new(clock, RepeatBudget::new(terms, began), stalls);
+        shared.config.store(Some(Arc::new(config(kind, attempts, service))));
+        shared.servers.store(Arc::new(table));
+        let shared = Arc::new(shared);
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (phase, phases) = watch::channel(StopPhase::Running);
