--- /dev/null
+++ b/crates/node/src/accept.rs
@@ -0,0 +1,43 @@
+//! Taking connections until told to stop.
+
+use {
+    std::{future::Future, time::Duration},
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::sync::CancellationToken,
+    tracing::warn,
+};
+
+/// Pause after the system had no room for another connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves each connection in a task of its own. Once cancelled it takes no more, and those that are
+/// open are dropped.
+pub(crate) async fn accept_until<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (serving, stop) = (serve(stream), stop.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serving => {}
+                        () = stop.cancelled() => {}
+                    }
+                });
+            }
+            Err(error) => {
+                warn!(%error, "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! for each process ([`members`]) and one for each fabric domain ([`owners`]). Everything else is
 //! memory that a new process rebuilds from the store, its peers and the engines.
 
+mod accept;
 pub mod addresses;
 mod book;
 pub mod control;
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        accept::accept_until,
         ports::{
             ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
             WatchPosition,
@@ -23,7 +24,7 @@
         time::{Instant, timeout, timeout_at},
     },
     tokio_util::sync::CancellationToken,
-    tracing::{info, warn},
+    tracing::{debug, info},
 };
 
 /// How long a question waits for news at the other process; short, so that one that stands still is
@@ -253,30 +254,15 @@
     clock: SharedClock,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => {
-                let (shelves, clock, stop) = (shelves.clone(), clock.clone(), stop.clone());
-                tokio::spawn(async move {
-                    let served = tokio::select! {
-                        () = stop.cancelled() => return,
-                        served = serve_reader(stream, &shelves, &clock) => served,
-                    };
-                    if let Err(error) = served {
-                        tracing::debug!(%peer, %error, "a reader is gone");
-                    }
-                });
-            }
-            Err(error) => {
-                warn!(%error, "a connection of another process can't be accepted");
-                tokio::time::sleep(ANSWER_LIMIT).await;
+    accept_until(listener, stop, |stream| {
+        let (shelves, clock) = (shelves.clone(), clock.clone());
+        async move {
+            if let Err(error) = serve_reader(stream, &shelves, &clock).await {
+                debug!(%error, "a reader is gone");
             }
         }
-    }
+    })
+    .await;
 }
 
 async fn serve_reader(
