--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -30,8 +30,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct HostRecord {
     pub(super) entry: StagedHost,
-    /// Whether the host list shows it at present.
-    pub(super) listed: bool,
     /// Whether it still answered when the list announced or showed its end. Then it finishes its work
     /// after it has stopped listening.
     leaves_in_order: bool,
@@ -57,7 +55,6 @@
 impl HostRecord {
     pub(super) fn new(entry: StagedHost) -> Self {
         Self {
-            listed: entry.listed,
             leaves_in_order: !entry.listed || entry.leaving,
             entry,
             facts: None,
@@ -75,15 +72,15 @@
     /// Takes in what the host list shows of the host.
     pub(super) fn note_listing(&mut self, entry: Option<&StagedHost>) {
         let stays = entry.is_some_and(|entry| entry.listed && !entry.leaving);
-        let stayed = self.listed && !self.entry.leaving;
+        let stayed = self.entry.listed && !self.entry.leaving;
         if stays {
             self.leaves_in_order = false;
         } else if stayed {
             self.leaves_in_order = self.silences == 0;
         }
-        self.listed = entry.is_some_and(|entry| entry.listed);
-        if let Some(entry) = entry {
-            self.entry = entry.clone();
+        match entry {
+            Some(entry) => self.entry = entry.clone(),
+            None => self.entry.listed = false,
         }
     }
 
@@ -183,12 +180,12 @@
     pub(super) fn is_gone(&self, now: Tick, settings: &StagedSettings) -> bool {
         let after = if self.leaves_in_order { settings.linger_after } else { settings.gone_after };
         let silent = self.silent_since.is_some_and(|since| now.since(since) >= after);
-        !self.listed && silent && self.silences >= LOST_QUESTIONS
+        !self.entry.listed && silent && self.silences >= LOST_QUESTIONS
     }
 
     /// Whether the engine may be given to a new group.
     pub(super) fn is_usable(&self, now: Tick, settings: &StagedSettings) -> bool {
-        self.listed
+        self.entry.listed
             && !self.entry.leaving
             && self.facts.is_some()
             && self.answered.is_some()
--- a/crates/plan/src/staged/mod.rs
+++ b/crates/plan/src/staged/mod.rs
@@ -16,6 +16,7 @@
 mod instance;
 mod planner;
 mod prime;
+mod retire;
 mod types;
 
 pub use self::{
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         host::{HostRecord, RunningLoad, SentOrder},
-        instance::{EndingLife, FormingLife, GroupInstance, InstanceLife},
+        instance::{FormingLife, GroupInstance, InstanceLife},
         types::{
             EngineFacts, LossMark, MemberPhase, Membership, ObservationSource, OrderEnd,
             StagedCommand, StagedHost, StagedModel, StagedOrder, StagedSettings,
@@ -51,7 +51,7 @@
     pub(super) hosts: BTreeMap<HostId, HostRecord>,
     pub(super) instances: BTreeMap<(GroupId, Epoch), GroupInstance>,
     /// When compositions ended whose head was seen to leave; engines may show them a little longer.
-    ended: BTreeMap<(GroupId, Epoch), Tick>,
+    pub(super) ended: BTreeMap<(GroupId, Epoch), Tick>,
     /// Loads that may start now.
     pub(super) load_tokens: f64,
     pub(super) refilled: Tick,
@@ -220,7 +220,7 @@
         let settings = self.settings;
         let instances = &self.instances;
         self.hosts.retain(|host, record| {
-            record.listed
+            record.entry.listed
                 || !record.is_gone(now, &settings)
                 || instances.values().any(|instance| instance.has(host))
         });
@@ -353,7 +353,7 @@
         (same && place.as_ref() == Some(host)).then_some(membership)
     }
 
-    fn has_lost_member(&self, instance: &GroupInstance, now: Tick) -> bool {
+    pub(super) fn has_lost_member(&self, instance: &GroupInstance, now: Tick) -> bool {
         let lost = |place: usize| {
             let Some(host) = &instance.members[place] else { return true };
             let Some(record) = self.hosts.get(host) else { return true };
@@ -378,7 +378,7 @@
 
     fn has_leaving_member(&self, instance: &GroupInstance) -> bool {
         instance.members.iter().flatten().any(|host| {
-            self.hosts.get(host).is_some_and(|record| record.entry.leaving || !record.listed)
+            self.hosts.get(host).is_some_and(|record| record.entry.leaving || !record.entry.listed)
         })
     }
 
@@ -434,85 +434,4 @@
         let command = StagedCommand::Open { group: instance.group.clone(), epoch: instance.epoch };
         self.order(&head, command, now);
     }
-
-    fn review_closing(&mut self, instance: &mut GroupInstance, life: &EndingLife, now: Tick) {
-        if now.since(life.since) >= self.settings.close_limit || self.has_lost_member(instance, now)
-        {
-            instance.retire();
-            return;
-        }
-        let Some(head) = instance.head().cloned() else { return };
-        match self.membership(&head, instance) {
-            Some(membership) if membership.may_run() => {
-                let command =
-                    StagedCommand::Close { group: instance.group.clone(), epoch: instance.epoch };
-                self.order(&head, command, now);
-            }
-            _ => instance.retire(),
-        }
-    }
-
-    /// Orders the head of an ending composition out of it; true once no request can run there.
-    fn is_retired(&mut self, instance: &GroupInstance, input: &StagedInput<'_>) -> bool {
-        let now = input.now;
-        let Some(head) = instance.head().cloned() else {
-            return self.is_headless(instance, input);
-        };
-        let Some(record) = self.hosts.get(&head) else { return true };
-        let born = record.facts.as_ref().and_then(|facts| facts.born);
-        if record.is_gone(now, &self.settings) || born != instance.borns[0] {
-            self.note_ended(instance, now);
-            return true;
-        }
-        // An order to join or open may still be on its way to a head that shows no membership.
-        let leave = StagedCommand::Leave { group: instance.group.clone(), epoch: instance.epoch };
-        let shown = self.membership(&head, instance).is_some();
-        let left = record.last.as_ref().is_some_and(|last| {
-            // A refusal means that the head is not in the group, unless it says so itself.
-            let refused = last.end == Some(OrderEnd::Refused) && !shown;
-            last.command == leave && (refused || last.end == Some(OrderEnd::Accepted))
-        });
-        if left {
-            self.note_ended(instance, now);
-            if let Some(record) = self.hosts.get_mut(&head) {
-                record.forget_membership();
-            }
-            return true;
-        }
-        self.order(&head, leave, now);
-        false
-    }
-
-    fn note_ended(&mut self, instance: &GroupInstance, now: Tick) {
-        self.ended.insert((instance.group.clone(), instance.epoch), now);
-    }
-
-    /// Orders free hosts out of compositions that have ended, so that another owner, which does not
-    /// know of the end, finds them free.
-    pub(super) fn clear_leftovers(&mut self, free: &[HostId], now: Tick) {
-        for host in free {
-            let facts = self.hosts.get(host).and_then(|record| record.facts.as_ref());
-            let Some(membership) = facts.and_then(|facts| facts.membership.clone()) else {
-                continue;
-            };
-            if self.ended.contains_key(&(membership.group.clone(), membership.epoch)) {
-                let Membership { group, epoch, .. } = membership;
-                self.order(host, StagedCommand::Leave { group, epoch }, now);
-            }
-        }
-    }
-
-    /// Whether no host of the domain is the head of a composition of which only others were found.
-    fn is_headless(&self, instance: &GroupInstance, input: &StagedInput<'_>) -> bool {
-        let now = input.now;
-        if now.since(input.reads_since) < self.settings.headless_wait {
-            return false;
-        }
-        let mut listed = self.hosts.values().filter(|record| record.listed);
-        let all_known =
-            listed.all(|record| record.facts.is_some() && !record.is_lost(now, &self.settings));
-        let unlisted = self.hosts.values().filter(|record| !record.listed);
-        let mut hidden = unlisted.filter(|record| !record.is_gone(now, &self.settings));
-        all_known && hidden.next().is_none() && instance.head().is_none()
-    }
 }
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -73,8 +73,7 @@
     assert_eq!(rig.serving(), 1);
     rig.in_traffic = true;
     let member = rig.member_of_serving(1);
-    rig.set_fate(&member, HostFate::Dead);
-    let took = rig.run_until(Duration::from_secs(5), |rig| rig.serving_without(&member) == 1);
+    let took = rig.time_to_mend(&member, Duration::from_secs(5));
     let bound = Duration::from_millis(3_000);
     assert!(took.is_some_and(|took| took <= bound), "took {took:?}, the bound is {bound:?}");
 }
@@ -92,8 +91,7 @@
     rig.in_traffic = true;
     for death in 0..2 {
         let member = rig.member_of_serving(1);
-        rig.set_fate(&member, HostFate::Dead);
-        let took = rig.run_until(Duration::from_secs(5), |rig| rig.serving_without(&member) == 1);
+        let took = rig.time_to_mend(&member, Duration::from_secs(5));
         let bound = Duration::from_millis(1_500);
         assert!(took.is_some_and(|took| took <= bound), "death {death} took {took:?}");
         rig.run(Duration::from_secs(2));
@@ -112,8 +110,7 @@
     rig.add_hosts(1);
     rig.run(Duration::from_secs(10));
     let member = rig.member_of_serving(1);
-    rig.set_fate(&member, HostFate::Dead);
-    let took = rig.run_until(Duration::from_secs(5), |rig| rig.serving_without(&member) == 1);
+    let took = rig.time_to_mend(&member, Duration::from_secs(5));
     let bound = Duration::from_millis(1_500);
     assert!(took.is_some_and(|took| took <= bound), "took {took:?}");
     rig.assert_kept();
@@ -183,8 +180,7 @@
     rig.in_traffic = true;
     rig.list_lag = Duration::from_secs(3_600);
     let member = rig.member_of_serving(1);
-    rig.set_fate(&member, HostFate::Dead);
-    let took = rig.run_until(Duration::from_secs(8), |rig| rig.serving_without(&member) == 1);
+    let took = rig.time_to_mend(&member, Duration::from_secs(8));
     let bound = Duration::from_secs(5);
     assert!(took.is_some_and(|took| took <= bound), "took {took:?}, the bound is {bound:?}");
 }
