Drop a decoded field that nothing reads, and settings built for nothing

Cause: RouteRule.objective was decoded and never used; the settings of a planner were built at each step although only a new planner takes them. Change: the field is gone with its wire name; the settings are built with the planner.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -352,15 +352,15 @@
         let listed = entries.iter().map(|entry| to_host(entry, true));
         let hosts: Vec<StagedHost> =
             listed.chain(ghosts.iter().map(|entry| to_host(entry, false))).collect();
-        let settings = StagedSettings {
-            loads_at_once: (engine.loads_at_once / sizes.len().max(1)).max(1),
-            loads_per_s: LOAD_PART * engine.loads_per_s / sizes.len().max(1) as f64,
-            ..StagedSettings::default()
-        };
         let owned = match self.domains.get_mut(domain) {
             Some(owned) if owned.term == term => owned,
             _ => {
                 info!(decision = "domain-taken", domain = %domain, term = term.0, "groups");
+                let settings = StagedSettings {
+                    loads_at_once: (engine.loads_at_once / sizes.len().max(1)).max(1),
+                    loads_per_s: LOAD_PART * engine.loads_per_s / sizes.len().max(1) as f64,
+                    ..StagedSettings::default()
+                };
                 let planner = StagedPlanner::new(domain, term, settings, now);
                 let owned = OwnedDomain {
                     term,
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -27,8 +27,6 @@
     pub kind: RequestKind,
     /// The longest time that a request is kept waiting.
     pub timeout: Duration,
-    /// The time within which an answer is worth most.
-    pub objective: Duration,
     /// Servers that one request may be sent to.
     pub attempts: u32,
     /// Whether callers need no key.
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -178,7 +178,6 @@
         prefix: prefix.into(),
         kind: RequestKind::Safe,
         timeout: Duration::from_secs(1),
-        objective: Duration::from_millis(100),
         attempts: 2,
         public: false,
         splits: vec![ServiceSplit { service: ServiceName::new("s").unwrap(), weight: 1.0 }],
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -232,7 +232,6 @@
         prefix: "/a/".into(),
         kind,
         timeout: Duration::from_secs(3),
-        objective: Duration::from_millis(100),
         attempts,
         public: false,
         splits: vec![ServiceSplit { service, weight: 1.0 }],
