--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -27,6 +27,7 @@
 }
 
 /// A running program; it is killed when dropped.
+#[derive(Debug)]
 pub struct ChildProcess {
     name: String,
     child: Child,
@@ -38,18 +39,19 @@
     pub fn start(program: &str, name: &str, settings: &str, directory: &Path) -> io::Result<Self> {
         let path = directory.join(format!("{name}.yaml"));
         fs::write(&path, settings)?;
+        let mut command = Command::new(program_path(program));
+        command.arg("--settings").arg(&path);
+        Self::spawn(command, name, directory)
+    }
+
+    /// Starts a command without input; its output goes to files in `directory`.
+    pub fn spawn(mut command: Command, name: &str, directory: &Path) -> io::Result<Self> {
         let log = File::options()
             .create(true)
             .append(true)
             .open(directory.join(format!("{name}.log")))?;
         let output = File::create(directory.join(format!("{name}.out")))?;
-        let child = Command::new(program_path(program))
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(log)
-            .spawn()?;
+        let child = command.stdin(Stdio::null()).stdout(output).stderr(log).spawn()?;
         Ok(Self { name: name.to_owned(), child, directory: directory.to_owned() })
     }
 
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -10,7 +10,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
             TcpListener, TcpSocket, TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
+            tcp::{ReadHalf, WriteHalf},
         },
         sync::watch,
     },
@@ -28,8 +28,14 @@
     /// It passes everything.
     #[default]
     Open,
+    /// It passes everything, each part this much later.
+    Delayed(Duration),
     /// It passes nothing, and keeps connections; what was sent passes once it is open again.
     Silent,
+    /// It passes what callers send and keeps back what the server sends.
+    OneWay,
+    /// It takes connections and resets them.
+    Reset,
     /// Nothing listens, and connections are closed.
     Refused,
 }
@@ -134,8 +140,8 @@
                 listener = kept;
                 let _ = state.changed().await;
             }
-            (LinkState::Open, None) => listener = Some(listen_again(link.address).await),
-            (LinkState::Open, Some(open)) => {
+            (_, None) => listener = Some(listen_again(link.address).await),
+            (_, Some(open)) => {
                 tokio::select! {
                     accepted = open.accept() => {
                         if let Ok((stream, _)) = accepted {
@@ -171,17 +177,23 @@
 /// Passes one connection until it ends at either side or the link closes it.
 async fn pass(
     link: NetworkLink,
-    client: TcpStream,
+    mut client: TcpStream,
     upstream: SocketAddr,
     cancel: CancellationToken,
 ) {
     let mut state = link.control.state.subscribe();
     let mut closed = link.control.closed.subscribe();
     closed.mark_unchanged();
-    let gate = Gate { state: link.control.state.subscribe(), silenced: marked(&link) };
+    let gate =
+        Gate { state: link.control.state.subscribe(), silenced: marked(&link), answers: false };
     tokio::select! {
-        _ = copy_both(client, upstream, gate) => {}
-        _ = state.wait_for(|state| *state == LinkState::Refused) => {}
+        _ = copy_both(&mut client, upstream, gate) => {}
+        ended = state.wait_for(|state| matches!(state, LinkState::Refused | LinkState::Reset)) => {
+            if ended.is_ok_and(|state| *state == LinkState::Reset) {
+                // The close that follows sends a reset; if the caller is gone, none is needed.
+                let _ = client.set_zero_linger();
+            }
+        }
         _ = closed.changed() => {}
         () = cancel.cancelled() => {}
     }
@@ -193,25 +205,25 @@
     silenced
 }
 
-async fn copy_both(client: TcpStream, upstream: SocketAddr, gate: Gate) -> io::Result<()> {
-    let server = TcpStream::connect(upstream).await?;
+async fn copy_both(client: &mut TcpStream, upstream: SocketAddr, gate: Gate) -> io::Result<()> {
+    let mut server = TcpStream::connect(upstream).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let up = async {
         copy(client_read, server_write, gate.clone()).await?;
         // The client sends no more; the server still may.
         std::future::pending::<io::Result<()>>().await
     };
-    let down = copy(server_read, client_write, gate.clone());
+    let down = copy(server_read, client_write, Gate { answers: true, ..gate.clone() });
     tokio::select! {
         ended = up => ended,
         ended = down => ended,
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut gate: Gate) -> io::Result<()> {
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, mut gate: Gate) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await?;
@@ -226,19 +238,30 @@
     }
 }
 
-/// Holds back the bytes of a connection.
+/// Holds back the bytes of one direction of a connection.
 #[derive(Clone)]
 struct Gate {
     state: watch::Receiver<LinkState>,
     silenced: watch::Receiver<u64>,
+    /// Whether the bytes come from the server.
+    answers: bool,
 }
 
 impl Gate {
-    /// Waits while the link is silent; for ever when the connection was silenced.
+    /// Waits while the link keeps this direction back; for ever when the connection was silenced.
     async fn passed(&mut self) {
-        let _ = self.state.wait_for(|state| *state != LinkState::Silent).await;
+        let answers = self.answers;
+        let holds = |state: &LinkState| match state {
+            LinkState::Silent => true,
+            LinkState::OneWay => answers,
+            _ => false,
+        };
+        let state = self.state.wait_for(|state| !holds(state)).await.map(|state| *state);
         if self.silenced.has_changed().unwrap_or(false) {
             std::future::pending::<()>().await;
         }
+        if let Ok(LinkState::Delayed(span)) = state {
+            tokio::time::sleep(span).await;
+        }
     }
 }
