--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -159,3 +159,8 @@
     /// Version of a row of the table service; 0 if the row does not exist.
     RowVersion
 );
+number_id!(
+    /// How often the platform's store has come back from an older copy of its data. What was read in
+    /// an earlier era may be newer than what the store has.
+    StoreEra
+);
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -26,7 +26,7 @@
     id::{
         AdapterName, AttemptId, CallerName, Epoch, FabricDomainId, FailureDomainId, GroupId,
         GroupSetName, HeadNumber, HostId, IdError, IdempotencyKey, Incarnation, ModelName,
-        ModelVersion, OrderSequence, RecordSequence, RegionId, RowVersion, ServiceName,
+        ModelVersion, OrderSequence, RecordSequence, RegionId, RowVersion, ServiceName, StoreEra,
         SubmissionId, Term, TicketNumber, ViewNumber, WorkspaceId,
     },
     member::MemberId,
--- a/crates/controller/tests/state.rs
+++ b/crates/controller/tests/state.rs
@@ -64,7 +64,7 @@
         }
         let transaction = change.transaction(self.head, self.in_force);
         let outcome = self.table.commit(transaction).await.unwrap();
-        let CommitOutcome::Committed { version } = outcome else { panic!("{outcome:?}") };
+        let CommitOutcome::Committed { version, .. } = outcome else { panic!("{outcome:?}") };
         self.head = version;
         for last in self.incarnations.values_mut().filter(|last| last.1 == RowVersion(u64::MAX)) {
             last.1 = version;
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -106,7 +106,7 @@
             }
         }
         self.commits.fetch_add(1, SeqCst);
-        CommitOutcome::Committed { version }
+        CommitOutcome::Committed { version, era: base::StoreEra(0) }
     }
 }
 
--- a/crates/gateway/examples/claims.rs
+++ b/crates/gateway/examples/claims.rs
@@ -45,7 +45,7 @@
 
     async fn commit(&self, _: Transaction) -> Result<CommitOutcome, PlatformError> {
         sleep(COMMIT_TIME).await;
-        Ok(CommitOutcome::Committed { version: RowVersion(1) })
+        Ok(CommitOutcome::Committed { version: RowVersion(1), era: base::StoreEra(0) })
     }
 }
 
--- a/crates/gateway/src/claims/batch.rs
+++ b/crates/gateway/src/claims/batch.rs
@@ -177,7 +177,7 @@
         while !batch.is_empty() {
             self.commits.fetch_add(1, Ordering::Relaxed);
             match self.table.commit(transaction(&batch)).await {
-                Ok(CommitOutcome::Committed { version }) => {
+                Ok(CommitOutcome::Committed { version, .. }) => {
                     return reply_all(batch, &ChangeEnd::Committed(version));
                 }
                 Ok(CommitOutcome::Conflict { rows, absent }) => {
@@ -214,7 +214,7 @@
             self.commits.fetch_add(1, Ordering::Relaxed);
             let change = &pending.change;
             let end = match self.table.commit(transaction(std::slice::from_ref(&pending))).await {
-                Ok(CommitOutcome::Committed { version }) => ChangeEnd::Committed(version),
+                Ok(CommitOutcome::Committed { version, .. }) => ChangeEnd::Committed(version),
                 Ok(CommitOutcome::Conflict { rows, .. }) => conflict_end(change, &rows),
                 // An earlier send of the whole batch may still be committed.
                 Err(_) => ChangeEnd::Unknown,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -216,7 +216,7 @@
                 }
                 self.rows_written += 1;
             }
-            CommitOutcome::Committed { version }
+            CommitOutcome::Committed { version, era: base::StoreEra(0) }
         }
     }
 
--- a/crates/infra/src/table.rs
+++ b/crates/infra/src/table.rs
@@ -1,6 +1,11 @@
 //! The port to the platform's transactional table service.
 
-use {crate::PlatformError, async_trait::async_trait, base::RowVersion, smol_str::SmolStr};
+use {
+    crate::PlatformError,
+    async_trait::async_trait,
+    base::{RowVersion, StoreEra},
+    smol_str::SmolStr,
+};
 
 /// Key of a row: path-like, with `/` as separator; scans select rows by a prefix of it.
 pub type RowKey = SmolStr;
@@ -81,6 +86,10 @@
         Committed {
             /// The new version of every written row.
             version: RowVersion,
+            /// The era of the service in which they took effect; 0 if it never comes back from an
+            /// older copy of its data.
+            #[serde(default)]
+            era: StoreEra,
         },
         /// A condition did not hold; nothing took effect.
         Conflict {
--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -7,9 +7,10 @@
 use {
     crate::{
         peer_link::{LinkError, PeerLink, UnreadableSnafu},
-        ports::ConfigUpdate,
+        ports::{ConfigStamp, ConfigUpdate},
     },
-    bytes::Bytes,
+    base::StoreEra,
+    bytes::{Buf, Bytes},
     parking_lot::Mutex,
     snafu::ResultExt,
     std::{
@@ -32,10 +33,40 @@
 /// Time in which a process that is known to have a newer configuration begins to send it.
 const FETCH_LIMIT: Duration = Duration::from_millis(800);
 
-/// First byte of a query. The known version follows as a big-endian number of eight bytes, then
-/// the time to wait for a newer one in milliseconds, of four bytes.
+/// First byte of a query. A [`ConfigQuery`] follows.
 pub(crate) const CONFIG_QUERY: u8 = 3;
 
+/// The fields of a query after its first byte.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigQuery {
+    /// The configuration that the reader has.
+    pub(crate) known: ConfigStamp,
+    /// How long to wait for a newer one.
+    pub(crate) wait: Duration,
+}
+
+impl ConfigQuery {
+    /// Length of the encoded fields, in bytes.
+    pub(crate) const BYTES: usize = 20;
+
+    /// Version, era and milliseconds to wait, as big-endian numbers of eight, eight and four bytes.
+    fn encode(self) -> [u8; Self::BYTES] {
+        let wait_ms = u32::try_from(self.wait.as_millis()).unwrap_or(u32::MAX);
+        let mut bytes = [0; Self::BYTES];
+        bytes[..8].copy_from_slice(&self.known.version.to_be_bytes());
+        bytes[8..16].copy_from_slice(&self.known.era.0.to_be_bytes());
+        bytes[16..].copy_from_slice(&wait_ms.to_be_bytes());
+        bytes
+    }
+
+    pub(crate) fn decode(bytes: &[u8; Self::BYTES]) -> Self {
+        let mut rest = &bytes[..];
+        let (version, era) = (rest.get_u64(), rest.get_u64());
+        let wait = Duration::from_millis(rest.get_u32().into());
+        Self { known: ConfigStamp { version, era: StoreEra(era) }, wait }
+    }
+}
+
 /// The newest configuration of this process, encoded at most once for all queries.
 #[derive(Debug)]
 struct OfferedConfig {
@@ -57,13 +88,13 @@
         self.changed.notify_waiters();
     }
 
-    /// The encoded configuration if it is newer than `known`, after waiting up to `wait` for one.
-    pub(crate) async fn newer_than(&self, known: u64, wait: Duration) -> io::Result<Option<Bytes>> {
-        let until = Instant::now() + wait;
+    /// The encoded configuration if it is newer than the reader's, after waiting for one.
+    pub(crate) async fn answer(&self, query: ConfigQuery) -> io::Result<Option<Bytes>> {
+        let until = Instant::now() + query.wait;
         loop {
             let changed = self.changed.notified();
             let newest = self.newest.lock().clone();
-            if let Some(offered) = newest.filter(|offered| offered.update.relay.version > known) {
+            if let Some(offered) = newest.filter(|offered| offered.update.stamp() > query.known) {
                 return offered.encode().map(Some);
             }
             if timeout_at(until, changed).await.is_err() {
@@ -86,34 +117,31 @@
 /// Waits at another process for a configuration newer than `known`; `None` if it got none.
 pub(crate) async fn poll_config(
     link: &mut PeerLink,
-    known: u64,
+    known: ConfigStamp,
 ) -> Result<Option<ConfigUpdate>, LinkError> {
-    query_config(link, known, MAX_QUERY_WAIT, MAX_QUERY_WAIT + RESPONSE_MARGIN).await
+    let query = ConfigQuery { known, wait: MAX_QUERY_WAIT };
+    send_query(link, query, MAX_QUERY_WAIT + RESPONSE_MARGIN).await
 }
 
 /// Fetches the configuration of a process that has a newer one than `known`.
 pub(crate) async fn fetch_config(
     address: SocketAddr,
-    known: u64,
+    known: ConfigStamp,
 ) -> Result<Option<ConfigUpdate>, LinkError> {
     let mut link = PeerLink::connect(address, None).await?;
-    query_config(&mut link, known, Duration::ZERO, FETCH_LIMIT).await
+    send_query(&mut link, ConfigQuery { known, wait: Duration::ZERO }, FETCH_LIMIT).await
 }
 
-async fn query_config(
+async fn send_query(
     link: &mut PeerLink,
-    known: u64,
-    wait: Duration,
+    query: ConfigQuery,
     limit: Duration,
 ) -> Result<Option<ConfigUpdate>, LinkError> {
-    let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-    let mut request = [CONFIG_QUERY; 13];
-    request[1..9].copy_from_slice(&known.to_be_bytes());
-    request[9..].copy_from_slice(&wait_ms.to_be_bytes());
+    let request = [&[CONFIG_QUERY], &query.encode()[..]].concat();
     let response = link.exchange(&request, limit).await?;
     if response.is_empty() {
         return Ok(None);
     }
     let update: ConfigUpdate = postcard::from_bytes(&response).context(UnreadableSnafu)?;
-    Ok(Some(update).filter(|update| update.relay.version > known))
+    Ok(Some(update).filter(|update| update.stamp() > query.known))
 }
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -7,12 +7,16 @@
         ports::EngineAccess,
         rows::{OwnerRow, RowName},
     },
-    base::{FabricDomainId, Term, Tick},
+    base::{FabricDomainId, StoreEra, Term, Tick},
     infra::{CommitOutcome, TableStore, Transaction},
+    smol_str::{SmolStr, format_smolstr},
     std::time::Duration,
     tracing::{info, warn},
 };
 
+/// Number of eras before the present one whose late claims are made to conflict. A store that comes
+/// back more often than that within the few seconds that a claim may be late is not expected.
+const MARKED_ERAS: u64 = 4;
 /// Minimum time between two attempts to claim the same domain.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -28,6 +32,7 @@
         domain: &FabricDomainId,
         expected: base::RowVersion,
         term: Term,
+        era: StoreEra,
         now: Tick,
     ) {
         let last_attempt = self.claim_attempts.get(domain);
@@ -36,13 +41,14 @@
         }
         self.claim_attempts.insert(domain.clone(), now);
         let row = OwnerRow { term, owner: Some(self.own.clone()) };
+        let claimed = OwnedRow { row, version: expected, era };
         let table = self.table.clone();
         let events = self.events.clone();
         let domain = domain.clone();
         info!(decision = "domain-claim", domain = %domain, term = term.0,
             expected = expected.0, "groups");
         tokio::spawn(async move {
-            let row = write_owner(&*table, &domain, expected, row).await;
+            let row = write_owner(&*table, &domain, claimed).await;
             // Sending fails only after the control loop has ended.
             let _ = events.send(ControlEvent::Claimed { domain, row });
         });
@@ -57,31 +63,54 @@
             let known = self.view.with(|state| state.domains.get(&domain).cloned());
             let Some(known) = known else { continue };
             let row = OwnerRow { term: known.row.term, owner: None };
-            write_owner(&*self.table, &domain, known.version, row).await;
+            write_owner(&*self.table, &domain, OwnedRow { row, ..known }).await;
             info!(decision = "domain-given-away", domain = %domain, "groups");
         }
     }
 }
 
-/// Writes a domain's owner row if the stored row has the version `expected`. Returns the row as
-/// written, or `None` if the write failed or its outcome is unknown.
+/// Makes the claims of earlier eras conflict with this one. Versions are given out again in a new
+/// era, so a claim that takes effect late could otherwise replace one of a later era whose row
+/// happens to have the expected version. Each claim writes a row for its own era and for the
+/// [`MARKED_ERAS`] before it, and expects that the next era has no such row.
+fn mark_era(transaction: Transaction, era: StoreEra) -> Transaction {
+    let transaction = transaction.expect_absent(era_key(era.next()));
+    let first = era.0.saturating_sub(MARKED_ERAS).max(1);
+    (first..=era.0)
+        .fold(transaction, |transaction, marked| transaction.put(era_key(StoreEra(marked)), "{}"))
+}
+
+fn era_key(era: StoreEra) -> SmolStr {
+    format_smolstr!("era/{era}")
+}
+
+/// Writes a domain's owner row if the stored row still has the version in `claimed`. Returns the row
+/// as written, or `None` if the write failed or its outcome is unknown.
 async fn write_owner<T: TableStore>(
     table: &T,
     domain: &FabricDomainId,
-    expected: base::RowVersion,
-    row: OwnerRow,
+    claimed: OwnedRow,
 ) -> Option<OwnedRow> {
     let key = RowName::Domain(domain.clone()).key();
-    let value = match serde_json::to_string(&row) {
+    let value = match serde_json::to_string(&claimed.row) {
         Ok(value) => value,
         Err(error) => {
             warn!(domain = %domain, %error, "failed to encode the owner row of a domain");
             return None;
         }
     };
-    let transaction = Transaction::default().expect(key.clone(), expected).put(key, value);
+    let transaction = Transaction::default().expect(key.clone(), claimed.version).put(key, value);
+    let transaction = mark_era(transaction, claimed.era);
     match table.commit(transaction).await {
-        Ok(CommitOutcome::Committed { version }) => Some(OwnedRow { row, version }),
+        Ok(CommitOutcome::Committed { version, era }) if era == claimed.era => {
+            Some(OwnedRow { version, ..claimed })
+        }
+        // The store came back from an older copy in between, so another process may have claimed
+        // the domain under the same term.
+        Ok(CommitOutcome::Committed { era, .. }) => {
+            info!(decision = "claim-outdated", domain = %domain, era = era.0, "groups");
+            None
+        }
         // Another process was first, or an earlier write of this process took effect; the row watch
         // delivers the current row.
         Ok(CommitOutcome::Conflict { .. }) => None,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -342,13 +342,16 @@
         now: Tick,
     ) {
         let failure_domain = entries.first().map(|entry| entry.failure_domain.clone());
-        let step = self.view.with(|state| {
-            let known = state.domains.get(domain);
-            owner_step(domain, failure_domain.as_ref(), known, &self.own, &state.members, now)
+        let (step, era) = self.view.with(|state| {
+            let (known, era) = (state.domains.get(domain), state.row_era());
+            let failure_domain = failure_domain.as_ref();
+            let step =
+                owner_step(domain, failure_domain, known, &self.own, &state.members, era, now);
+            (step, era)
         });
         match step {
             OwnerStep::Own(term) => self.plan_domain(domain, term, entries, sizes, now),
-            OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, now),
+            OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, era, now),
             OwnerStep::NotOwner => {
                 if self.domains.remove(domain).is_some() {
                     info!(decision = "domain-left", domain = %domain, "groups");
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -69,7 +69,7 @@
         view.outdated.notified().await;
         watch.abandon_waiting();
         let Some(address) = view.peer_ahead() else { continue };
-        match fetch_config(address, view.config_version()).await {
+        match fetch_config(address, view.config_stamp()).await {
             Ok(Some(update)) => view.apply_config(update),
             Ok(None) => {}
             Err(error) => info!(decision = "not-caught-up", peer = %address, why = %error, "state"),
@@ -100,6 +100,8 @@
     let WatchSettings { what, pause, rereads_after_failure } = settings;
     let mut after = None;
     let mut failures: u32 = 0;
+    // Whether no change was read since the history was last gone.
+    let mut history_gone = false;
     loop {
         match read(after).await {
             Ok(page) => {
@@ -108,13 +110,24 @@
                     failures = 0;
                 }
                 after = Some(page.position);
+                history_gone &= page.is_snapshot;
                 if page.is_snapshot || !page.changes.is_empty() {
                     apply(page);
                     sleep(pause()).await;
                 }
             }
             Err(WatchError::HistoryGone { position }) => {
-                warn!(decision = "history-gone", what, after = position.0, "state");
+                warn!(
+                    decision = "history-gone",
+                    what,
+                    era = position.era.0,
+                    after = position.version,
+                    "state"
+                );
+                // A store whose responses have no valid era has no history that can be used.
+                if std::mem::replace(&mut history_gone, true) {
+                    sleep(MAX_PAUSE).await;
+                }
                 after = None;
             }
             Err(error) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,8 +36,8 @@
 pub use crate::{
     addresses::{AddressAnswer, AddressQuery},
     ports::{
-        AddressCodec, ConfigUpdate, EngineAccess, EngineReport, EngineService, ModelRule,
-        PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry, ServerStanding,
+        AddressCodec, ConfigStamp, ConfigUpdate, EngineAccess, EngineReport, EngineService,
+        ModelRule, PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry, ServerStanding,
         WatchError, WatchPage, WatchPosition,
     },
     run::{NodeError, NodePorts, run_node},
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -13,6 +13,7 @@
     base::{HostId, Incarnation, Tick, placement_weight},
     rand::seq::SliceRandom,
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
+    tracing::info,
 };
 
 /// A process whose counter has not advanced for this long is considered down; several gossip
@@ -28,6 +29,9 @@
 /// domain. A version of a hundred kilobytes then leaves a link of 20 Mbit/s in a fifth of a second.
 const CONFIG_FANOUT: usize = 4;
 
+/// How long the row of a process is kept that a restored store has lost; processes write their rows
+/// again within a fraction of it.
+const RESTORE_GRACE: Duration = Duration::from_secs(4);
 /// Number of processes up to which [`DOWN_AFTER`] needs no extension.
 const BASE_CLUSTER_SIZE: f64 = 16.0;
 
@@ -41,6 +45,9 @@
     advanced_at: Tick,
     /// Whether the process has announced that it is about to stop.
     leaving: bool,
+    /// Set while a restored store lacks the row: when the process is removed unless it writes the
+    /// row again.
+    kept_until: Option<Tick>,
 }
 
 /// The processes of the system, in the local view of this one.
@@ -69,16 +76,65 @@
     /// state.
     pub fn insert_row(&mut self, node: HostId, row: MemberRow, now: Tick) {
         match self.members.get_mut(&node) {
-            Some(state) if state.row.incarnation == row.incarnation => state.row = row,
+            Some(state) if state.row.incarnation == row.incarnation => {
+                state.row = row;
+                state.kept_until = None;
+            }
             _ => {
                 self.remove_row(&node);
                 self.by_incarnation.insert(row.incarnation, node.clone());
-                let state = MemberState { row, counter: 0, advanced_at: now, leaving: false };
+                let state = MemberState {
+                    row,
+                    counter: 0,
+                    advanced_at: now,
+                    leaving: false,
+                    kept_until: None,
+                };
                 self.members.insert(node, state);
             }
         }
     }
 
+    /// Applies the member rows of a store that came back from an older copy. Rows that it lost are
+    /// kept for [`RESTORE_GRACE`], in which their processes write them again; rows of processes
+    /// that are not known belong to stopped ones, unless a heartbeat arrives.
+    pub fn restore_rows(&mut self, rows: BTreeMap<HostId, MemberRow>, now: Tick) {
+        for (node, state) in &mut self.members {
+            let is_current =
+                rows.get(node).is_some_and(|row| row.incarnation == state.row.incarnation);
+            if !is_current {
+                state.kept_until = Some(now + RESTORE_GRACE);
+            }
+        }
+        for (node, row) in rows {
+            if !self.members.contains_key(&node) {
+                self.insert_row(node.clone(), row, Tick(0));
+            }
+        }
+    }
+
+    /// Removes the processes that did not write their lost rows again in time.
+    pub fn expire(&mut self, now: Tick) {
+        let is_expired = |state: &MemberState| state.kept_until.is_some_and(|until| until <= now);
+        let expired: Vec<HostId> = self
+            .members
+            .iter()
+            .filter(|(_, state)| is_expired(state))
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in expired {
+            info!(decision = "row-not-rewritten", node = %node, "state");
+            self.remove_row(&node);
+        }
+    }
+
+    /// Whether the store has the row of this process's incarnation, as far as is known.
+    pub fn has_own_row(&self, incarnation: Incarnation) -> bool {
+        self.members
+            .get(&self.own)
+            .is_some_and(|state| state.row.incarnation == incarnation && state.kept_until.is_none())
+    }
+
     /// Removes a process whose row was deleted.
     pub fn remove_row(&mut self, node: &HostId) {
         if let Some(state) = self.members.remove(node) {
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -5,7 +5,9 @@
         members::MemberTable,
         rows::{OwnerRow, RowOwner},
     },
-    base::{FabricDomainId, FailureDomainId, HostId, RowVersion, Term, Tick, placement_weight},
+    base::{
+        FabricDomainId, FailureDomainId, HostId, RowVersion, StoreEra, Term, Tick, placement_weight,
+    },
 };
 
 /// The owner row of a fabric domain with its version. The domain has no owner after a planned stop
@@ -16,6 +18,36 @@
     pub row: OwnerRow,
     /// The version of the row in the store, which a claim expects.
     pub version: RowVersion,
+    /// The store's era in which the row had that version.
+    pub era: StoreEra,
+}
+
+/// Low bits of a term that count the claims of a domain within one era of the store; the era is
+/// above them. A store that comes back from an older copy may have lost the newest claims, and every
+/// claim after that has a higher term than any of them.
+const CLAIM_BITS: u32 = 16;
+
+/// The term of the next claim of a domain in an era.
+fn next_term(known: Term, era: StoreEra) -> Term {
+    known.next().max(Term(era.0 << CLAIM_BITS))
+}
+
+/// Whether a claim was made before the store last came back from an older copy, so that it may not
+/// be the newest one.
+fn is_outdated(term: Term, era: StoreEra) -> bool {
+    term.0 >> CLAIM_BITS < era.0
+}
+
+impl OwnedRow {
+    /// This row after the store came back with an older `restored` one, or without one: it keeps the
+    /// newer claim, which has to be written again under the restored row's version.
+    pub(crate) fn over_restored(self, restored: Option<Self>, era: StoreEra) -> Self {
+        match restored {
+            Some(restored) if restored.row.term >= self.row.term => restored,
+            Some(restored) => Self { version: restored.version, era, ..self },
+            None => Self { version: RowVersion(0), era, ..self },
+        }
+    }
 }
 
 /// What this process should do about a fabric domain.
@@ -37,19 +69,26 @@
 /// Decides for one fabric domain. An owner that is alive keeps it. A domain without one goes to the
 /// process with the highest placement weight among the live processes of the domain's own failure
 /// domain, or among all live processes if that failure domain has none, so that probes of its
-/// engines do not cross failure domains.
+/// engines do not cross failure domains. A claim of an earlier era than the row's has to be made
+/// again, by its owner while that one is alive.
 pub fn owner_step(
     domain: &FabricDomainId,
     failure_domain: Option<&FailureDomainId>,
     known: Option<&OwnedRow>,
     own: &RowOwner,
     members: &MemberTable,
+    era: StoreEra,
     now: Tick,
 ) -> OwnerStep {
+    let claim = || OwnerStep::Claim {
+        expected: known.map_or(RowVersion(0), |known| known.version),
+        term: next_term(known.map_or(Term(0), |known| known.row.term), era),
+    };
     let owner = known.and_then(|known| known.row.owner.as_ref());
     if let (Some(known), Some(owner)) = (known, owner) {
         if owner == own {
-            return OwnerStep::Own(known.row.term);
+            let outdated = is_outdated(known.row.term, era);
+            return if outdated { claim() } else { OwnerStep::Own(known.row.term) };
         }
         if members.is_alive(&owner.node, Some(owner.incarnation), now) {
             return OwnerStep::NotOwner;
@@ -58,9 +97,7 @@
     if preferred_owner(domain, failure_domain, members, now).as_ref() != Some(&own.node) {
         return OwnerStep::NotOwner;
     }
-    let term = known.map_or(Term(0), |known| known.row.term).next();
-    let expected = known.map_or(RowVersion(0), |known| known.version);
-    OwnerStep::Claim { expected, term }
+    claim()
 }
 
 /// The process that should claim a domain without a live owner; `None` if no process is alive.
--- a/crates/node/src/page_cache.rs
+++ b/crates/node/src/page_cache.rs
@@ -96,7 +96,8 @@
     pub fn lookup(&self, after: WatchPosition, now: Tick) -> CacheLookup<T> {
         let state = self.state.lock();
         let fresh = state.last_answer_at.is_some_and(|at| now.since(at) < MAX_STALENESS);
-        let covered = state.start.is_some_and(|start| after >= start);
+        // A reader of another era may know rows that this era does not have.
+        let covered = state.start.is_some_and(|start| start.era == after.era && after >= start);
         if !fresh || !covered {
             return CacheLookup::Miss;
         }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,7 +1,7 @@
 //! The interfaces that the platform implements for a node.
 
 use {
-    base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, Term},
+    base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
     plan::staged::{EngineState, OrderEnd, StagedOrder},
     relay::{RelayConfig, ServerId, ServerLoad},
@@ -12,9 +12,15 @@
 };
 
 base::value_type!(
-    /// A revision in the store's history.
-    #[derive(Copy, PartialOrd, Ord)]
-    pub struct WatchPosition(pub u64);
+    /// A revision in the store's history. Revisions of a later era are higher, also those with a
+    /// lower version.
+    #[derive(Copy, Default, PartialOrd, Ord)]
+    pub struct WatchPosition {
+        /// The era in which the revision was read.
+        pub era: StoreEra,
+        /// The number of the revision in its era's history.
+        pub version: u64,
+    }
 );
 
 /// The response of a watch: the changes since a position, or a full snapshot.
@@ -33,7 +39,7 @@
 #[snafu(visibility(pub))]
 pub enum WatchError {
     /// The store no longer has the history after the position; everything must be read again.
-    #[snafu(display("the store has dropped the history after {}", position.0))]
+    #[snafu(display("the store has dropped the history after {} of era {}", position.version, position.era))]
     HistoryGone {
         /// The position passed to the watch.
         position: WatchPosition,
@@ -79,12 +85,33 @@
 /// One version of the configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigUpdate {
+    /// The store's era in which it was read.
+    pub era: StoreEra,
     /// The settings of the request path: version, routes, workspaces and limits.
     pub relay: RelayConfig,
     /// The services with model engines.
     pub engines: Vec<EngineService>,
 }
 
+base::value_type!(
+    /// Identifies a configuration. The operator's version decides first, so that a store that came
+    /// back with an older configuration does not take a newer one out of force.
+    #[derive(Copy, Default, PartialOrd, Ord)]
+    pub struct ConfigStamp {
+        /// The operator's version.
+        pub version: u64,
+        /// The store's era in which it was read.
+        pub era: StoreEra,
+    }
+);
+
+impl ConfigUpdate {
+    /// The configuration's place in the order of all of them.
+    pub fn stamp(&self) -> ConfigStamp {
+        ConfigStamp { version: self.relay.version, era: self.era }
+    }
+}
+
 base::value_type!(
     /// Whether a server accepts requests.
     #[derive(Copy)]
@@ -109,6 +136,9 @@
         pub failure_domain: FailureDomainId,
         /// Whether the server accepts requests.
         pub standing: ServerStanding,
+        /// When the server process started, in Unix milliseconds; distinguishes a restarted server
+        /// from the process before it. `None` if the entry does not say.
+        pub boot_id: Option<u64>,
         /// The fabric domain; `None` unless the server is a model engine.
         pub fabric_domain: Option<FabricDomainId>,
         /// The state of a model engine: its group and the models staged on its host.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -19,7 +19,7 @@
         share::{SharedWatch, StoreCaches, serve_caches},
         view::NodeView,
     },
-    base::{BootClock, Incarnation, SharedClock},
+    base::{BootClock, Incarnation, SharedClock, Tick},
     bytes::Bytes,
     http::{Response, StatusCode},
     http_body_util::Full,
@@ -59,6 +59,9 @@
 /// Pause before this process checks again whether it is ready to register, or repeats a failed
 /// write of its member row.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time after a write of the member row until the row watch must have shown it; then the store has
+/// lost the row.
+const REWRITE_DELAY: Duration = Duration::from_millis(2_500);
 /// How often expired entries are removed from the local view.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
 /// Queue length for the control loop's updates about group heads. Updates are dropped while the
@@ -297,7 +300,8 @@
         Arc::new(move |_| Response::new(Full::new(Bytes::from(metrics.render()))))
     }
 
-    /// Writes this process's member row once it can serve requests.
+    /// Writes this process's member row once it can serve requests, and again whenever the store has
+    /// lost it.
     async fn register_member<T: TableStore>(
         self: Arc<Self>,
         table: Arc<T>,
@@ -311,11 +315,19 @@
         };
         let value = serde_json::to_string(&row).expect("a row of plain values always serializes");
         let key = RowName::Member(self.own.node.clone()).key();
+        let mut written_at: Option<Tick> = None;
         while !stop.is_cancelled() {
-            if self.view.with(|state| state.is_ready()) {
+            let now = self.shared.clock.now();
+            let is_due = self
+                .view
+                .with(|state| state.is_ready() && !state.members.has_own_row(self.own.incarnation));
+            if is_due && written_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY) {
                 let transaction = Transaction::default().put(key.clone(), value.clone());
                 match table.commit(transaction).await {
-                    Ok(_) => return,
+                    Ok(_) => {
+                        info!(decision = "row-written", again = written_at.is_some(), "state");
+                        written_at = Some(now);
+                    }
                     Err(error) => warn!(why = %error, "failed to write the member row"),
                 }
             }
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::ports::{ServerChange, ServerEntry, ServerStanding, WatchPage},
-    base::Tick,
+    base::{StoreEra, Tick},
     relay::ServerId,
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
+    tracing::info,
 };
 
 /// Time that a live server's entry is kept after the store dropped it in an outage. Servers that
@@ -18,6 +19,10 @@
 /// which a live server may be unable to reach the store.
 const DELISTED_RETENTION: Duration = Duration::from_secs(60);
 
+/// How long the leaving of a server is remembered; above the time that a leaving server may serve
+/// on, and above the age of the copy from which the store may come back.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 /// A server in the list.
 #[derive(Clone, Debug)]
 struct ListedServer {
@@ -27,14 +32,28 @@
     kept_until: Option<Tick>,
 }
 
+/// A server that is known to be leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingServer {
+    boot_id: Option<u64>,
+    since: Tick,
+}
+
 /// The servers that count as listed, and those that were removed recently.
 #[derive(Debug, Default)]
 pub struct ServerList {
     listed: BTreeMap<ServerId, ListedServer>,
     /// Entries of servers that were removed from the list, with the time of the removal.
     delisted: BTreeMap<ServerId, (ServerEntry, Tick)>,
+    /// Servers that are leaving or left. An entry that says otherwise is out of date, unless the
+    /// server was started again.
+    leaving: BTreeMap<ServerId, LeavingServer>,
     /// When the store last failed to answer.
     failed_at: Option<Tick>,
+    /// The era of the last page.
+    era: StoreEra,
+    /// Whether a page was applied.
+    loaded: bool,
 }
 
 impl ServerList {
@@ -44,15 +63,35 @@
         self.failed_at = Some(now);
     }
 
+    /// Records that a server said itself that it is leaving. Returns whether that was not known.
+    pub fn note_leaving(&mut self, id: &ServerId, now: Tick) -> bool {
+        let Some(server) = self.listed.get_mut(id) else { return false };
+        let is_new = server.entry.standing != ServerStanding::Leaving;
+        server.entry.standing = ServerStanding::Leaving;
+        let boot_id = server.entry.boot_id;
+        self.leaving.entry(id.clone()).or_insert(LeavingServer { boot_id, since: now });
+        is_new
+    }
+
     /// Applies a page of changes and returns the added and removed servers.
     pub fn apply(&mut self, page: WatchPage<ServerChange>, now: Tick) -> ServerListChanges {
+        let restored = self.loaded && page.is_snapshot && page.position.era > self.era;
+        self.loaded = true;
+        self.era = self.era.max(page.position.era);
+        if restored {
+            // Entries that are missing from the older copy are kept until they are written again.
+            info!(decision = "servers-restored", era = self.era.0, "state");
+            self.note_outage(now);
+        }
         let mut delta = ServerListChanges::default();
         let mut seen = BTreeSet::new();
         for change in page.changes {
             match change {
                 ServerChange::Listed(entry) => {
                     seen.insert(entry.id.clone());
-                    self.insert_entry(*entry, &mut delta);
+                    if !restored || self.is_unknown(&entry) {
+                        self.insert_entry(*entry, now, &mut delta);
+                    }
                 }
                 ServerChange::Dropped(id) => self.remove_entry(&id, now, &mut delta),
             }
@@ -67,6 +106,14 @@
         delta
     }
 
+    /// Whether this start of a server was never listed here. The entry of any other one that comes
+    /// from an older copy of the store is older than what is known.
+    fn is_unknown(&self, entry: &ServerEntry) -> bool {
+        let listed = self.listed.get(&entry.id).map(|server| &server.entry);
+        let known = listed.or_else(|| self.delisted.get(&entry.id).map(|(entry, _)| entry));
+        known.is_none_or(|known| known.boot_id < entry.boot_id)
+    }
+
     /// Removes servers that did not register again in time after an outage, and forgets old
     /// delisted entries.
     pub fn expire(&mut self, now: Tick) -> ServerListChanges {
@@ -81,6 +128,7 @@
             self.delist(id, now);
         }
         self.delisted.retain(|_, (_, since)| now.since(*since) < DELISTED_RETENTION);
+        self.leaving.retain(|_, server| now.since(server.since) < LEAVING_RETENTION);
         ServerListChanges { added: Vec::new(), removed }
     }
 
@@ -101,8 +149,15 @@
         }
     }
 
-    fn insert_entry(&mut self, entry: ServerEntry, delta: &mut ServerListChanges) {
+    fn insert_entry(&mut self, mut entry: ServerEntry, now: Tick, delta: &mut ServerListChanges) {
         let id = entry.id.clone();
+        let known = self.leaving.get(&id).filter(|known| known.boot_id == entry.boot_id);
+        if known.is_some() {
+            entry.standing = ServerStanding::Leaving;
+        } else if entry.standing == ServerStanding::Leaving {
+            let server = LeavingServer { boot_id: entry.boot_id, since: now };
+            self.leaving.insert(id.clone(), server);
+        }
         self.delisted.remove(&id);
         let added =
             self.listed.insert(id.clone(), ListedServer { entry, kept_until: None }).is_none();
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         accept::accept_until,
-        config_share::{CONFIG_QUERY, ConfigOffer, poll_config},
+        config_share::{CONFIG_QUERY, ConfigOffer, ConfigQuery, poll_config},
         page_cache::{CacheLookup, PageCache},
         peer_link::{LinkError, MissSnafu, PeerLink, UnreadableSnafu},
         ports::{
@@ -16,7 +16,7 @@
         },
         view::NodeView,
     },
-    base::{HostId, SharedClock},
+    base::{HostId, SharedClock, StoreEra},
     parking_lot::Mutex,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     snafu::ResultExt,
@@ -46,13 +46,14 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 /// How long a watcher is not queried after it failed to answer.
 const AVOID_PERIOD: Duration = Duration::from_secs(5);
-/// The table whose changes a reader requests, encoded as the first byte of the request. The
-/// position up to which the reader knows the table follows, as a big-endian number of eight bytes.
+/// The table whose changes a reader requests, encoded as the first byte of the request. The era and
+/// the version of the position up to which the reader knows the table follow, as big-endian numbers
+/// of eight bytes. 1 and 2 were the tables of requests without an era.
 #[derive(Clone, Copy)]
 #[repr(u8)]
 enum SharedTable {
-    Servers = 1,
-    Rows = 2,
+    Servers = 4,
+    Rows = 5,
 }
 
 impl SharedTable {
@@ -157,7 +158,7 @@
         if self.is_avoided(&node) {
             return None;
         }
-        let known = self.view.config_version();
+        let known = self.view.config_stamp();
         let update = self
             .query_over(&self.config_link, &node, address, async |link| {
                 poll_config(link, known).await
@@ -218,8 +219,9 @@
     table: SharedTable,
     after: WatchPosition,
 ) -> Result<SharedPage<T>, LinkError> {
-    let mut request = [table as u8; 9];
-    request[1..].copy_from_slice(&after.0.to_be_bytes());
+    let mut request = [table as u8; 17];
+    request[1..9].copy_from_slice(&after.era.0.to_be_bytes());
+    request[9..].copy_from_slice(&after.version.to_be_bytes());
     let response = link.exchange(&request, MAX_QUERY_WAIT + RESPONSE_MARGIN).await?;
     if response.is_empty() {
         return MissSnafu.fail();
@@ -309,18 +311,21 @@
     stream.set_nodelay(true)?;
     loop {
         let table = stream.read_u8().await?;
-        let after = stream.read_u64().await?;
         if table == CONFIG_QUERY {
-            let wait = Duration::from_millis(stream.read_u32().await?.into());
-            let response = offer.newer_than(after, wait).await?.unwrap_or_default();
+            let mut query = [0; ConfigQuery::BYTES];
+            stream.read_exact(&mut query).await?;
+            let response = offer.answer(ConfigQuery::decode(&query)).await?.unwrap_or_default();
             write_response(&mut stream, &response).await?;
             continue;
         }
-        let after = WatchPosition(after);
-        let response = match SharedTable::from_byte(table) {
-            Some(SharedTable::Servers) => respond(&caches.servers, clock, after).await,
-            Some(SharedTable::Rows) => respond(&caches.rows, clock, after).await,
-            None => return Err(io::Error::other(format!("unknown table number {table}"))),
+        let Some(table) = SharedTable::from_byte(table) else {
+            return Err(io::Error::other(format!("unknown table number {table}")));
+        };
+        let era = StoreEra(stream.read_u64().await?);
+        let after = WatchPosition { era, version: stream.read_u64().await? };
+        let response = match table {
+            SharedTable::Servers => respond(&caches.servers, clock, after).await,
+            SharedTable::Rows => respond(&caches.rows, clock, after).await,
         }?;
         write_response(&mut stream, &response).await?;
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,8 @@
 //! The local view of this process (configuration, servers, members, owners) and the table of
 //! servers for requests that is derived from it.
 
+mod rows;
+
 use {
     crate::{
         config_share::ConfigOffer,
@@ -8,13 +10,13 @@
         owners::OwnedRow,
         peers::HeadLoad,
         ports::{
-            ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry, ServerStanding,
-            WatchPage,
+            ConfigStamp, ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry,
+            ServerStanding, WatchPage,
         },
-        rows::{MemberRow, OwnerRow, RowName, RowOwner, read_value},
+        rows::RowOwner,
         server_list::{ServerList, ServerListChanges},
     },
-    base::{FabricDomainId, HostId, ModelName, Tick},
+    base::{FabricDomainId, HostId, ModelName, StoreEra, Tick},
     parking_lot::Mutex,
     plan::staged::{EngineState, MemberPhase, Membership},
     relay::{BackendServer, RelayShared, ServerCounters, ServerId, ServerLoad, ServerTable},
@@ -81,6 +83,8 @@
     pub domains: BTreeMap<FabricDomainId, OwnedRow>,
     /// Whether the member and owner rows were read at least once.
     pub rows_loaded: bool,
+    /// The store's era of the last page of rows.
+    row_era: StoreEra,
     /// Whether the server list was read at least once.
     pub servers_loaded: bool,
     /// Load and failures of each listed server; they outlive a rebuild of the server table.
@@ -103,6 +107,7 @@
             members,
             domains: BTreeMap::new(),
             rows_loaded: false,
+            row_era: StoreEra::default(),
             servers_loaded: false,
             counters: BTreeMap::new(),
             broken: BTreeMap::new(),
@@ -128,18 +133,19 @@
         self.shared.clock.now()
     }
 
-    /// Applies a configuration and rebuilds the server table, unless the version is at or below the
-    /// known one.
+    /// Applies a configuration and rebuilds the server table, unless it is at or below the known
+    /// one in the order of [`ConfigStamp`].
     pub fn apply_config(&self, update: ConfigUpdate) {
         let mut state = self.state.lock();
-        let known = state.config.as_ref().map(|config| config.relay.version);
-        if known.is_some_and(|known| known >= update.relay.version) {
+        let known = state.config.as_ref().map(|config| config.stamp());
+        if known.is_some_and(|known| known >= update.stamp()) {
             return;
         }
         info!(
             decision = "config-taken",
             version = update.relay.version,
-            before = known,
+            era = update.era.0,
+            before = known.map(|known| known.version),
             routes = update.relay.route_count(),
             "state"
         );
@@ -167,6 +173,7 @@
         let mut state = self.state.lock();
         let now = self.now();
         let delta = state.servers.expire(now);
+        state.members.expire(now);
         let known = state.broken.len() + state.reported.len();
         state.broken.retain(|_, until| *until > now);
         state.reported.retain(|_, (_, until)| *until > now);
@@ -183,17 +190,11 @@
     }
 
     /// Applies a page of the member and owner rows. A snapshot also removes the rows that it does
-    /// not contain.
+    /// not contain, unless the store has come back from an older copy.
     pub fn apply_rows(&self, page: WatchPage<RowChange>) {
         let mut state = self.state.lock();
         let now = self.now();
-        if page.is_snapshot {
-            state.remove_missing_rows(&page.changes);
-        }
-        for change in page.changes {
-            state.apply_row(change, now);
-        }
-        state.rows_loaded = true;
+        state.apply_row_page(page, now);
         let members = state.members.listed().count();
         self.shared.processes.store(members.max(1), Ordering::Relaxed);
         self.changed.notify_one();
@@ -204,6 +205,11 @@
         self.shared.config.load().as_ref().map_or(0, |config| config.version)
     }
 
+    /// The newest configuration's place in the order; zero before one is known.
+    pub fn config_stamp(&self) -> ConfigStamp {
+        self.with(|state| state.config.as_ref().map(|config| config.stamp())).unwrap_or_default()
+    }
+
     /// Records the configuration version of the peer at `address`. If peers have had a newer one than
     /// this process for `OUTDATED_TOLERANCE`, [`Self::outdated`] is notified.
     pub fn note_peer_version(&self, version: u64, address: SocketAddr) {
@@ -384,57 +390,6 @@
         rules.find(|rule| rule.name == *model).map(|rule| rule.size)
     }
 
-    /// Removes the members and owners whose rows are missing from a snapshot.
-    fn remove_missing_rows(&mut self, changes: &[RowChange]) {
-        let key = |change: &RowChange| match change {
-            RowChange::Written(row) => RowName::parse(&row.key),
-            RowChange::Deleted(_) => None,
-        };
-        let names: Vec<RowName> = changes.iter().filter_map(key).collect();
-        let members: Vec<_> = self.members.listed().cloned().collect();
-        for node in members {
-            if !names.contains(&RowName::Member(node.clone())) {
-                self.members.remove_row(&node);
-            }
-        }
-        self.domains.retain(|domain, _| names.contains(&RowName::Domain(domain.clone())));
-    }
-
-    fn apply_row(&mut self, change: RowChange, now: Tick) {
-        match change {
-            RowChange::Written(row) => match RowName::parse(&row.key) {
-                Some(RowName::Member(node)) => {
-                    if let Some(value) = read_value::<MemberRow>(&row.key, &row.value) {
-                        self.members.insert_row(node, value, now);
-                    }
-                }
-                Some(RowName::Domain(domain)) => {
-                    if let Some(value) = read_value::<OwnerRow>(&row.key, &row.value) {
-                        self.set_owner(domain, OwnedRow { row: value, version: row.version });
-                    }
-                }
-                None => {}
-            },
-            RowChange::Deleted(key) => match RowName::parse(&key) {
-                Some(RowName::Member(node)) => self.members.remove_row(&node),
-                Some(RowName::Domain(domain)) => {
-                    self.domains.remove(&domain);
-                }
-                None => {}
-            },
-        }
-    }
-
-    /// Records the owner of a fabric domain unless a newer row is known.
-    pub fn set_owner(&mut self, domain: FabricDomainId, row: OwnedRow) {
-        let newer = self.domains.get(&domain).is_none_or(|known| known.version < row.version);
-        if newer {
-            info!(decision = "owner-known", domain = %domain, term = row.row.term.0,
-                owner = row.row.owner.as_ref().map(|owner| owner.node.as_str()), "state");
-            self.domains.insert(domain, row);
-        }
-    }
-
     /// The servers that accept requests. Of the model engines, these are the heads of serving
     /// groups.
     fn build_server_table(&mut self) -> ServerTable {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -7,7 +7,7 @@
     async_trait::async_trait,
     base::{
         Epoch, FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, ManualClock,
-        ModelName, RowVersion, ServiceName, Term, Tick,
+        ModelName, RowVersion, ServiceName, StoreEra, Term, Tick,
     },
     infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     node::{
@@ -26,6 +26,11 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// A position in the store's first era.
+fn at(version: u64) -> WatchPosition {
+    WatchPosition { era: StoreEra(0), version }
+}
+
 /// In-memory rows with store versions.
 #[derive(Default)]
 struct MemoryTable {
@@ -59,7 +64,7 @@
             let value = write.value.unwrap_or_default();
             rows.1.insert(write.key.clone(), StoredRow { key: write.key, version, value });
         }
-        Ok(CommitOutcome::Committed { version })
+        Ok(CommitOutcome::Committed { version, era: base::StoreEra(0) })
     }
 }
 
@@ -144,11 +149,7 @@
     fn list(&self, names: &[&str]) {
         let changes = names.iter().map(|name| ServerChange::Listed(Box::new(engine(name))));
         let changes = changes.collect();
-        self.view.apply_servers(WatchPage {
-            changes,
-            position: WatchPosition(1),
-            is_snapshot: true,
-        });
+        self.view.apply_servers(WatchPage { changes, position: at(1), is_snapshot: true });
     }
 }
 
@@ -169,6 +170,7 @@
     };
     let limits = relay::CallerLimits::default();
     ConfigUpdate {
+        era: StoreEra(0),
         relay: RelayConfig::new(1, Vec::new(), Vec::new(), limits),
         engines: vec![engine],
     }
@@ -191,11 +193,12 @@
         value: serde_json::to_string(&row).unwrap(),
     };
     let changes = vec![RowChange::Written(stored)];
-    WatchPage { changes, position: WatchPosition(1), is_snapshot: true }
+    WatchPage { changes, position: at(1), is_snapshot: true }
 }
 
 fn engine(name: &str) -> ServerEntry {
     ServerEntry {
+        boot_id: None,
         id: HostId::new(name).unwrap(),
         address: ([127, 0, 0, 1], 9).into(),
         service: ServiceName::new("pool").unwrap(),
@@ -225,11 +228,7 @@
             state.members.insert_row(HostId::new(format!("n{node}")).unwrap(), row, Tick(0));
         }
     });
-    rig.view.apply_rows(WatchPage {
-        changes: Vec::new(),
-        position: WatchPosition(2),
-        is_snapshot: false,
-    });
+    rig.view.apply_rows(WatchPage { changes: Vec::new(), position: at(2), is_snapshot: false });
     let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
     for listed in [2, 4, 6] {
         rig.list(&names[..listed]);
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    base::{FailureDomainId, HostId, Incarnation, ManualClock, Tick},
+    base::{FailureDomainId, HostId, Incarnation, ManualClock, StoreEra, Tick},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
         follow::follow_all, members::MemberTable, rows::MemberRow, view::NodeView,
@@ -25,6 +25,11 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// A position in the store's first era.
+fn at(version: u64) -> WatchPosition {
+    WatchPosition { era: StoreEra(0), version }
+}
+
 /// Port 1 of the loopback address, on which nothing listens.
 const UNREACHABLE_PEER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 
@@ -74,8 +79,8 @@
         sleep(Duration::from_millis(transfer)).await;
         let version = self.version.load(Ordering::SeqCst);
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-        let changes = vec![ConfigUpdate { relay, engines: Vec::new() }];
-        Ok(WatchPage { changes, position: WatchPosition(1), is_snapshot: after.is_none() })
+        let changes = vec![ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }];
+        Ok(WatchPage { changes, position: at(1), is_snapshot: after.is_none() })
     }
 
     async fn watch_servers(
@@ -86,7 +91,7 @@
         match after {
             None => {
                 self.full_reads.fetch_add(1, Ordering::SeqCst);
-                Ok(WatchPage { changes: Vec::new(), position: WatchPosition(1), is_snapshot: true })
+                Ok(WatchPage { changes: Vec::new(), position: at(1), is_snapshot: true })
             }
             Some(position) if self.history_gone_once.swap(false, Ordering::SeqCst) => {
                 Err(WatchError::HistoryGone { position })
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -2,7 +2,8 @@
 
 use {
     base::{
-        FabricDomainId, FailureDomainId, HostId, Incarnation, RowVersion, ServiceName, Term, Tick,
+        FabricDomainId, FailureDomainId, HostId, Incarnation, RowVersion, ServiceName, StoreEra,
+        Term, Tick,
     },
     node::{
         ServerChange, ServerEntry, ServerList, ServerStanding, WatchPage, WatchPosition,
@@ -18,6 +19,11 @@
     yare::parameterized,
 };
 
+/// A position in the store's first era.
+fn at(version: u64) -> WatchPosition {
+    WatchPosition { era: StoreEra(0), version }
+}
+
 const START: Tick = Tick(1_000_000_000_000);
 
 fn after(ms: u64) -> Tick {
@@ -26,6 +32,7 @@
 
 fn entry(id: &str) -> ServerEntry {
     ServerEntry {
+        boot_id: None,
         id: HostId::new(id).unwrap(),
         address: ([127, 0, 0, 1], 9).into(),
         service: ServiceName::new("s").unwrap(),
@@ -37,7 +44,7 @@
 }
 
 fn page(changes: Vec<ServerChange>, is_snapshot: bool) -> WatchPage<ServerChange> {
-    WatchPage { changes, position: WatchPosition(1), is_snapshot }
+    WatchPage { changes, position: at(1), is_snapshot }
 }
 
 fn listed(id: &str) -> ServerChange {
@@ -243,12 +250,12 @@
 }
 
 fn known(owner: Option<RowOwner>) -> OwnedRow {
-    OwnedRow { row: OwnerRow { term: Term(7), owner }, version: RowVersion(40) }
+    OwnedRow { row: OwnerRow { term: Term(7), owner }, version: RowVersion(40), era: StoreEra(0) }
 }
 
 fn step(own: u16, known: Option<&OwnedRow>, table: &MemberTable, now: Tick) -> OwnerStep {
     let domain = FabricDomainId::new("d").unwrap();
-    owner_step(&domain, None, known, &owner(own), table, now)
+    owner_step(&domain, None, known, &owner(own), table, StoreEra(0), now)
 }
 
 #[test]
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    base::{FailureDomainId, HostId, Incarnation, ManualClock, ServiceName, Tick},
+    base::{FailureDomainId, HostId, Incarnation, ManualClock, ServiceName, StoreEra, Tick},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
         follow::follow_all,
@@ -28,6 +28,11 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// A position in the store's first era.
+fn at(version: u64) -> WatchPosition {
+    WatchPosition { era: StoreEra(0), version }
+}
+
 const START: Tick = Tick(1_000_000_000_000);
 
 fn dropped(id: &str) -> ServerChange {
@@ -36,30 +41,23 @@
 
 fn page(changes: &[&str], position: u64, is_snapshot: bool) -> WatchPage<ServerChange> {
     let changes = changes.iter().map(|id| dropped(id)).collect();
-    WatchPage { changes, position: WatchPosition(position), is_snapshot }
+    WatchPage { changes, position: at(position), is_snapshot }
 }
 
 #[test]
 fn a_cache_returns_the_changes_since_a_position() {
     let cache = PageCache::default();
-    assert_eq!(cache.lookup(WatchPosition(5), START), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(5), START), CacheLookup::Miss);
     cache.insert(&page(&["a"], 10, true), START);
     cache.insert(&page(&["b"], 12, false), START);
     cache.insert(&page(&[], 15, false), START);
     cache.insert(&page(&["c"], 17, false), START);
-    assert_eq!(cache.lookup(WatchPosition(9), START), CacheLookup::Miss, "before the first page");
+    assert_eq!(cache.lookup(at(9), START), CacheLookup::Miss, "before the first page");
     let both = CacheLookup::Changes(page(&["b", "c"], 17, false));
-    assert_eq!(cache.lookup(WatchPosition(10), START), both);
-    assert_eq!(
-        cache.lookup(WatchPosition(11), START),
-        both,
-        "a page may start before the position"
-    );
-    assert_eq!(
-        cache.lookup(WatchPosition(15), START),
-        CacheLookup::Changes(page(&["c"], 17, false))
-    );
-    assert_eq!(cache.lookup(WatchPosition(20), START), CacheLookup::UpToDate(WatchPosition(20)));
+    assert_eq!(cache.lookup(at(10), START), both);
+    assert_eq!(cache.lookup(at(11), START), both, "a page may start before the position");
+    assert_eq!(cache.lookup(at(15), START), CacheLookup::Changes(page(&["c"], 17, false)));
+    assert_eq!(cache.lookup(at(20), START), CacheLookup::UpToDate(at(20)));
 }
 
 /// A snapshot follows a loss of the store's history, so changes before it may have been missed:
@@ -70,8 +68,8 @@
     cache.insert(&page(&["a"], 10, true), START);
     cache.insert(&page(&["b"], 12, false), START);
     cache.insert(&page(&["a"], 30, true), START);
-    assert_eq!(cache.lookup(WatchPosition(12), START), CacheLookup::Miss);
-    assert_eq!(cache.lookup(WatchPosition(30), START), CacheLookup::UpToDate(WatchPosition(30)));
+    assert_eq!(cache.lookup(at(12), START), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(30), START), CacheLookup::UpToDate(at(30)));
 }
 
 #[test]
@@ -79,11 +77,11 @@
     let cache = PageCache::default();
     cache.insert(&page(&["a"], 10, true), START);
     let later = START + Duration::from_secs(3);
-    assert_eq!(cache.lookup(WatchPosition(10), later), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(10), later), CacheLookup::Miss);
     cache.mark_reachable(later);
-    assert_eq!(cache.lookup(WatchPosition(10), later), CacheLookup::UpToDate(WatchPosition(10)));
+    assert_eq!(cache.lookup(at(10), later), CacheLookup::UpToDate(at(10)));
     cache.mark_unreachable();
-    assert_eq!(cache.lookup(WatchPosition(10), later), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(10), later), CacheLookup::Miss);
 }
 
 #[test]
@@ -93,8 +91,8 @@
     for position in 2..1_000 {
         cache.insert(&page(&["a"], position, false), START);
     }
-    assert_eq!(cache.lookup(WatchPosition(1), START), CacheLookup::Miss);
-    assert!(matches!(cache.lookup(WatchPosition(990), START), CacheLookup::Changes(_)));
+    assert_eq!(cache.lookup(at(1), START), CacheLookup::Miss);
+    assert!(matches!(cache.lookup(at(990), START), CacheLookup::Changes(_)));
 }
 
 /// A store that counts calls and never has changes.
@@ -122,7 +120,7 @@
         if self.fails.load(Ordering::SeqCst) {
             return Err(WatchError::Unavailable { detail: "store is down".to_owned() });
         }
-        Ok(page(&[], after.map_or(1, |after| after.0), after.is_none()))
+        Ok(page(&[], after.map_or(1, |after| after.version), after.is_none()))
     }
 
     async fn watch_rows(
@@ -179,7 +177,7 @@
     }
 
     async fn query(&self, after: u64) -> WatchPage<ServerChange> {
-        self.watch.watch_servers(Some(WatchPosition(after))).await.unwrap()
+        self.watch.watch_servers(Some(at(after))).await.unwrap()
     }
 
     fn store_calls(&self) -> usize {
@@ -215,7 +213,7 @@
         rig.insert(&["b"], position, false);
         let page = rig.query(position - 1).await;
         assert_eq!(page.changes, [dropped("b")]);
-        assert_eq!(page.position, WatchPosition(position));
+        assert_eq!(page.position, at(position));
     }
     assert_eq!(rig.store_calls(), 0);
 }
@@ -226,12 +224,12 @@
     let now = base::TickClock::now(&*rig.clock);
     let rows = |keys: &[&str], position: u64, is_snapshot: bool| WatchPage {
         changes: keys.iter().map(|key| RowChange::Deleted((*key).into())).collect(),
-        position: WatchPosition(position),
+        position: at(position),
         is_snapshot,
     };
     rig.caches.rows.insert(&rows(&[], 10, true), now);
     rig.caches.rows.insert(&rows(&["member/n1"], 11, false), now);
-    let page = rig.watch.watch_rows(Some(WatchPosition(10))).await.unwrap();
+    let page = rig.watch.watch_rows(Some(at(10))).await.unwrap();
     assert_eq!(page, rows(&["member/n1"], 11, false));
     assert_eq!(rig.store_calls(), 0);
 }
@@ -301,7 +299,7 @@
 async fn an_outage_of_watcher_and_store_is_an_error() {
     let rig = ReaderRig::start().await;
     rig.store.fails.store(true, Ordering::SeqCst);
-    assert!(rig.watch.watch_servers(Some(WatchPosition(10))).await.is_err());
+    assert!(rig.watch.watch_servers(Some(at(10))).await.is_err());
 }
 
 fn config(version: u64, routes: usize) -> ConfigUpdate {
@@ -316,7 +314,7 @@
     };
     let routes = (0..routes).map(|index| ("h".into(), rule(index))).collect();
     let relay = RelayConfig::new(version, routes, Vec::new(), CallerLimits::default());
-    ConfigUpdate { relay, engines: Vec::new() }
+    ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }
 }
 
 /// Guards against one read of each version by each process: on a deployment of 295 processes these
@@ -326,14 +324,14 @@
     let rig = ReaderRig::start().await;
     rig.view.apply_config(config(3, 1));
     rig.served.apply_config(config(4, 2_000));
-    let page = rig.watch.watch_config(Some(WatchPosition(10)), false).await.unwrap();
+    let page = rig.watch.watch_config(Some(at(10)), false).await.unwrap();
     assert_eq!(page.changes, [config(4, 2_000)]);
     rig.view.apply_config(config(4, 2_000));
     let later = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
         rig.served.apply_config(config(6, 1));
     };
-    let (page, ()) = tokio::join!(rig.watch.watch_config(Some(WatchPosition(10)), false), later);
+    let (page, ()) = tokio::join!(rig.watch.watch_config(Some(at(10)), false), later);
     assert_eq!(page.unwrap().changes, [config(6, 1)], "a query waits for the next version");
     assert_eq!(rig.store_calls(), 0);
 }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -152,7 +152,7 @@
         }
         core.counters.committed += 1;
         core.counters.rows_written += transaction.writes.len() as u64;
-        CommitOutcome::Committed { version }
+        CommitOutcome::Committed { version, era: base::StoreEra(0) }
     }
 
     /// Decides what becomes of the next commit, and counts it.
--- a/crates/standin/tests/platform_adapters.rs
+++ b/crates/standin/tests/platform_adapters.rs
@@ -113,7 +113,7 @@
     let (world, _guard) = start(settings());
     let table = table_of(&world);
     let first = table.commit(Transaction::default().expect_absent("a").put("a", "1")).await;
-    let Ok(CommitOutcome::Committed { version }) = first else { panic!("{first:?}") };
+    let Ok(CommitOutcome::Committed { version, .. }) = first else { panic!("{first:?}") };
     let stale = Transaction::default()
         .expect_absent("a")
         .expect("b", RowVersion(7))
@@ -126,7 +126,7 @@
     assert_eq!(absent, ["b"]);
     let fresh = Transaction::default().expect("a", version).delete("a");
     let outcome = table.commit(fresh).await.unwrap();
-    assert!(matches!(outcome, CommitOutcome::Committed { version: next } if next > version));
+    assert!(matches!(outcome, CommitOutcome::Committed { version: next, .. } if next > version));
     assert_eq!(table.read(&["a".into()]).await.unwrap(), vec![None]);
 }
 
