Leave slow once-only streams alone, and move stalled ones on although bytes arrive

Cause: a stream that may run only once was ended after 0.6 s without an event whenever another server was free, although it can't be resumed there. And any byte counted as progress, so a stalled server that sent a comment, an empty line or a part of an event now and then kept a resumable stream until its deadline.

Change: only resumable streams move on; only whole events with content are progress. A span in which this process itself was stopped counts as one step, as before.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Whether complete events carry data or an id. Comments and empty lines do not: a stalled server may
+/// send them to keep its connection open.
+pub(crate) fn have_content(events: &[u8]) -> bool {
+    let is_content = |line: &[u8]| !matches!(line.first(), None | Some(b':' | b'\r'));
+    events.split(|byte| *byte == b'\n').any(is_content)
+}
+
 /// An incomplete event exceeds the buffer limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLong;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         codec::RequestCodec,
-        events::EventSplitter,
+        events::{EventSplitter, have_content},
         request::RequestKind,
         send::LiveAnswer,
         service::{CallContext, CallProgress, FIRST_EVENT_TIMEOUT, RelayService},
     },
+    base::Tick,
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
@@ -41,8 +42,7 @@
 const EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 /// A stream without an event for this long is reported as stalled to the owner of its fabric domain,
 /// which can query all members of the group. Longer than the time between two events of a fully
-/// loaded model engine. Also the step in which [`StreamPump::forward`] measures the time without an
-/// event.
+/// loaded model engine. Also the most by which [`IdleTime`] grows at once.
 const STALL_THRESHOLD: Duration = Duration::from_millis(250);
 /// After this many timeouts in a row without an event, a stream is resumed elsewhere even if its
 /// server makes progress on other requests.
@@ -108,6 +108,27 @@
     OutOfTime,
 }
 
+/// How long a stream has had no event. A span in which this process itself was stopped counts as at
+/// most [`STALL_THRESHOLD`], because events may be waiting unread.
+struct IdleTime {
+    total: Duration,
+    checked_at: Tick,
+}
+
+impl IdleTime {
+    /// Starts at an event.
+    fn new(now: Tick) -> Self {
+        Self { total: Duration::ZERO, checked_at: now }
+    }
+
+    /// Adds the time since the last check and returns the sum.
+    fn extend(&mut self, now: Tick) -> Duration {
+        self.total += now.since(self.checked_at).min(STALL_THRESHOLD);
+        self.checked_at = now;
+        self.total
+    }
+}
+
 /// Forwards one stream to a caller, over all servers that serve parts of it.
 pub(crate) struct StreamPump<C> {
     service: Arc<RelayService<C>>,
@@ -213,7 +234,7 @@
     /// Forwards events from one server until its answer ends or fails.
     async fn forward(&mut self, answer: &mut LiveAnswer) -> ForwardEnd {
         let clock = self.service.shared.clock.clone();
-        let mut idle = Duration::ZERO;
+        let mut idle = IdleTime::new(clock.now());
         loop {
             let remaining = self.ctx.expires_at.since(clock.now());
             if remaining.is_zero() {
@@ -233,21 +254,27 @@
                 }
                 Ok(None) => return ForwardEnd::Whole,
                 Err(_) => {
-                    idle += STALL_THRESHOLD;
+                    let idle = idle.extend(clock.now());
                     if self.should_resume_elsewhere(answer, idle, event_timeout) {
                         return ForwardEnd::Broken("silent");
                     }
                     continue;
                 }
             };
-            idle = Duration::ZERO;
-            let now = clock.now();
-            answer.server.counters.note_progress(now);
             let Ok(bytes) = frame.into_data() else { continue };
             let Ok(events) = self.splitter.push(bytes) else {
                 return ForwardEnd::Broken("event too long");
             };
-            let Some(events) = events else { continue };
+            let now = clock.now();
+            let Some(events) = events.filter(|events| have_content(events)) else {
+                // Bytes that complete no event with content are no progress.
+                if self.should_resume_elsewhere(answer, idle.extend(now), event_timeout) {
+                    return ForwardEnd::Broken("bytes without an event");
+                }
+                continue;
+            };
+            idle = IdleTime::new(now);
+            answer.server.counters.note_progress(now);
             if !self.first_event_sent {
                 self.first_event_sent = true;
                 let wait = now.since(self.ctx.began);
@@ -277,6 +304,6 @@
         if idle < limit || (server_progresses && idle < MAX_EVENT_TIMEOUTS * limit) {
             return false;
         }
-        self.service.has_retry_target(&self.ctx, &self.progress)
+        self.ctx.kind().is_retryable() && self.service.has_retry_target(&self.ctx, &self.progress)
     }
 }
--- a/crates/relay/tests/outcomes.rs
+++ b/crates/relay/tests/outcomes.rs
@@ -1,5 +1,6 @@
 //! Tests what callers and servers receive when servers misbehave.
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
 mod support;
 
 use {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -37,6 +37,11 @@
     SendAndClose(&'static str),
     /// Sends nothing and keeps the connection.
     Hang,
+    /// Sends the pieces with a pause before each, then keeps the connection.
+    Paced(&'static [&'static str], Duration),
+    /// Sends the first text, then the second one again and again until the connection closes, with
+    /// a pause after each.
+    Endless(&'static str, &'static str, Duration),
 }
 
 /// A server that handles every request in the same way.
@@ -86,6 +91,19 @@
             return;
         }
         Behavior::Hang => {}
+        Behavior::Paced(pieces, pause) => {
+            for piece in pieces {
+                sleep(pause).await;
+                let _ = stream.write_all(piece.as_bytes()).await;
+            }
+        }
+        Behavior::Endless(first, filler, pause) => {
+            let mut next = first;
+            while stream.write_all(next.as_bytes()).await.is_ok() {
+                next = filler;
+                sleep(pause).await;
+            }
+        }
     }
     let mut rest = [0; 64];
     while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
