Send nothing to servers that say they leave or want quiet, and bound what is buffered

Change: an answer that says its server leaves takes the server out of this process's choice at once, also for retries and resumed streams; the others and the owner of its fabric domain are told by gossip (behind the fields that the previous version reads). It is kept by id and start time over stale entries, a changed era and a new listing. A server that wants quiet gets nothing for that time, and where all of a service do, callers are told to return spread over a span after the first is free. What the head of a 421 says of its server no longer counts for the server that was asked.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -69,9 +69,40 @@
         pub broken: Vec<ServerId>,
         /// Loads of heads that the sender probed.
         pub loads: Vec<HeadLoad>,
+        /// Servers that have said to the sender that they are leaving. Encoded after the other
+        /// fields, where an earlier version of this program ignores it.
+        #[serde(skip)]
+        pub leaving_servers: Vec<LeavingNotice>,
     }
 );
 
+base::value_type!(
+    /// A server that has said that it is leaving.
+    pub struct LeavingNotice {
+        /// Its id.
+        pub server: ServerId,
+        /// Its start, as in its entry of the server list.
+        pub boot_id: Option<u64>,
+    }
+);
+
+fn encode(message: &GossipMessage) -> Result<Vec<u8>, postcard::Error> {
+    let bytes = postcard::to_extend(message, vec![MESSAGE_VERSION])?;
+    if message.leaving_servers.is_empty() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(&message.leaving_servers, bytes)
+}
+
+/// Decodes a message without its first byte.
+fn decode(bytes: &[u8]) -> Result<GossipMessage, postcard::Error> {
+    let (message, rest): (GossipMessage, &[u8]) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        return Ok(message);
+    }
+    Ok(GossipMessage { leaving_servers: postcard::from_bytes(rest)?, ..message })
+}
+
 /// The socket for gossip messages.
 #[derive(Debug)]
 pub struct PeerSocket {
@@ -84,10 +115,15 @@
         Ok(Self { socket: UdpSocket::bind(address).await? })
     }
 
+    /// The address that the socket is bound to.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Sends a message without waiting. One that can't be sent is dropped; receivers tolerate lost
     /// datagrams.
     pub fn send(&self, message: &GossipMessage, to: SocketAddr) {
-        let encoded = postcard::to_extend(message, vec![MESSAGE_VERSION]);
+        let encoded = encode(message);
         match encoded {
             Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => {
                 if let Err(error) = self.socket.try_send_to(&bytes, to) {
@@ -108,7 +144,7 @@
             let received = self.socket.recv_from(&mut buffer).await;
             let Ok((length, from)) = received else { continue };
             match buffer[..length].split_first() {
-                Some((&MESSAGE_VERSION, rest)) => match postcard::from_bytes(rest) {
+                Some((&MESSAGE_VERSION, rest)) => match decode(rest) {
                     Ok(message) => return (message, from),
                     Err(error) => {
                         tracing::debug!(%from, %error, "failed to decode a gossip message")
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,7 +26,8 @@
     infra::{TableStore, Transaction},
     rand::seq::SliceRandom,
     relay::{
-        RelayService, RelayShared, RequestCodec, RetryBudget, ServerId, StopPhase, serve_callers,
+        RelayService, RelayShared, RequestCodec, RetryBudget, ServerId, ServerSign, StopPhase,
+        serve_callers,
     },
     snafu::{ResultExt, Snafu},
     std::{
@@ -69,6 +70,8 @@
 const HEAD_UPDATE_QUEUE: usize = 16;
 /// Queue length for stalled servers; one entry per server is enough.
 const STALL_QUEUE: usize = 64;
+/// Queue length for what requests show about servers.
+const SIGN_QUEUE: usize = 64;
 
 /// Why a process can't run.
 #[derive(Debug, Snafu)]
@@ -134,9 +137,9 @@
         incarnation: Incarnation(rand::random::<u32>().into()),
     };
     info!(decision = "started", node = %own.node, incarnation = own.incarnation.0, "process");
-    let (stalls, stall_reports) = mpsc::channel(STALL_QUEUE);
+    let (signs, received_signs) = mpsc::channel(SIGN_QUEUE);
     let budget = RetryBudget::new(settings.retry_limits(), clock.now());
-    let shared = Arc::new(RelayShared::new(clock, budget, stalls));
+    let shared = Arc::new(RelayShared::new(clock, budget, signs));
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
     let peer_address = settings.peer_address();
@@ -144,7 +147,7 @@
         PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
     let runtime =
         Arc::new(NodeRuntime { settings, own, shared, view, peers, round: AtomicU64::new(0) });
-    runtime.run(file, ports, stall_reports).await
+    runtime.run(file, ports, received_signs).await
 }
 
 impl NodeRuntime {
@@ -152,7 +155,7 @@
         self: Arc<Self>,
         mut file: SettingsFile,
         ports: NodePorts<W, T, E, C, A>,
-        stalls: mpsc::Receiver<ServerId>,
+        signs: mpsc::Receiver<ServerSign>,
     ) -> Result<(), NodeError>
     where
         W: PlatformWatch,
@@ -194,7 +197,7 @@
         tokio::spawn(self.clone().send_gossip(stop.clone()));
         let (local_sender, local_stalls) = mpsc::channel(STALL_QUEUE);
         tokio::spawn(self.clone().receive_gossip(local_sender.clone()));
-        tokio::spawn(self.clone().forward_stalls(stalls, local_sender));
+        tokio::spawn(self.clone().forward_signs(signs, local_sender));
         let (head_updates, update_receiver) = mpsc::channel(HEAD_UPDATE_QUEUE);
         tokio::spawn(self.clone().broadcast_head_updates(update_receiver));
         let control_stop = stop.child_token();
@@ -361,6 +364,9 @@
             if !message.broken.is_empty() {
                 self.view.note_broken(&message.broken);
             }
+            for server in &message.leaving_servers {
+                self.view.note_leaving(server);
+            }
             for server in message.stalled {
                 // A full queue already holds enough servers to probe.
                 let _ = local_sender.try_send(server);
@@ -414,6 +420,7 @@
             stalled: Vec::new(),
             broken: Vec::new(),
             loads: Vec::new(),
+            leaving_servers: Vec::new(),
         }
     }
 
@@ -442,34 +449,53 @@
         }
     }
 
-    /// Asks the owner of a server's fabric domain to probe the server after requests have stalled
-    /// there: by a gossip message, or through `local_sender` if this process is the owner. Drops
-    /// the report if the domain has no known owner.
-    async fn forward_stalls(
+    /// Passes on what requests show about servers.
+    async fn forward_signs(
         self: Arc<Self>,
-        mut stalls: mpsc::Receiver<ServerId>,
+        mut signs: mpsc::Receiver<ServerSign>,
         local_sender: mpsc::Sender<ServerId>,
     ) {
-        while let Some(server) = stalls.recv().await {
-            let owner = self.view.with(|state| {
-                let entry = state.servers.entries().find(|entry| entry.id == server)?;
-                let row = state.domains.get(entry.fabric_domain.as_ref()?)?;
-                let owner = row.row.owner.as_ref()?;
-                Some((owner.node.clone(), state.members.peer_address(&owner.node)?))
-            });
-            match owner {
-                Some((node, _)) if node == self.own.node => {
-                    // A full queue already holds enough servers to probe.
-                    let _ = local_sender.try_send(server);
-                }
-                Some((_, address)) => {
-                    let message = GossipMessage { stalled: vec![server], ..self.message() };
-                    self.peers.send(&message, address);
-                }
-                None => {}
+        while let Some(sign) = signs.recv().await {
+            match sign {
+                ServerSign::Stalled(server) => self.forward_stall(server, &local_sender),
+                ServerSign::Leaving(server) => self.broadcast_leaving(server),
             }
         }
     }
+
+    /// Asks the owner of a server's fabric domain to probe the server after requests have stalled
+    /// there: by a gossip message, or through `local_sender` if this process is the owner. Drops
+    /// the report if the domain has no known owner.
+    fn forward_stall(&self, server: ServerId, local_sender: &mpsc::Sender<ServerId>) {
+        let owner = self.view.with(|state| {
+            let entry = state.servers.entries().find(|entry| entry.id == server)?;
+            let row = state.domains.get(entry.fabric_domain.as_ref()?)?;
+            let owner = row.row.owner.as_ref()?;
+            Some((owner.node.clone(), state.members.peer_address(&owner.node)?))
+        });
+        match owner {
+            Some((node, _)) if node == self.own.node => {
+                // A full queue already holds enough servers to probe.
+                let _ = local_sender.try_send(server);
+            }
+            Some((_, address)) => {
+                let message = GossipMessage { stalled: vec![server], ..self.message() };
+                self.peers.send(&message, address);
+            }
+            None => {}
+        }
+    }
+
+    /// Tells all processes that a server has said that it is leaving, unless that is known.
+    fn broadcast_leaving(&self, server: ServerId) {
+        if let Some(leaving) = self.view.note_own_leaving(&server) {
+            self.send_to_all(&GossipMessage {
+                leaving_servers: vec![leaving],
+                forwarded: Vec::new(),
+                ..self.message()
+            });
+        }
+    }
 }
 
 type HttpResponder =
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -1,7 +1,10 @@
 //! The known state of the server list, which tolerates outages of the store.
 
 use {
-    crate::ports::{ServerChange, ServerEntry, ServerStanding, WatchPage},
+    crate::{
+        peers::LeavingNotice,
+        ports::{ServerChange, ServerEntry, ServerStanding, WatchPage},
+    },
     base::{StoreEra, Tick},
     relay::ServerId,
     std::{
@@ -63,14 +66,24 @@
         self.failed_at = Some(now);
     }
 
-    /// Records that a server said itself that it is leaving. Returns whether that was not known.
-    pub fn note_leaving(&mut self, id: &ServerId, now: Tick) -> bool {
-        let Some(server) = self.listed.get_mut(id) else { return false };
-        let is_new = server.entry.standing != ServerStanding::Leaving;
-        server.entry.standing = ServerStanding::Leaving;
-        let boot_id = server.entry.boot_id;
-        self.leaving.entry(id.clone()).or_insert(LeavingServer { boot_id, since: now });
-        is_new
+    /// Records that a server is leaving, also one that is not listed yet. Returns whether that was
+    /// not known.
+    pub fn note_leaving(&mut self, notice: &LeavingNotice, now: Tick) -> bool {
+        let LeavingNotice { server, boot_id } = notice;
+        if self.leaving.get(server).is_some_and(|known| known.boot_id >= *boot_id) {
+            return false;
+        }
+        self.leaving.insert(server.clone(), LeavingServer { boot_id: *boot_id, since: now });
+        let listed = self.listed.get_mut(server).map(|listed| &mut listed.entry);
+        if let Some(entry) = listed.filter(|entry| entry.boot_id == *boot_id) {
+            entry.standing = ServerStanding::Leaving;
+        }
+        true
+    }
+
+    /// The entry of a listed server.
+    pub fn entry(&self, id: &ServerId) -> Option<&ServerEntry> {
+        self.listed.get(id).map(|server| &server.entry)
     }
 
     /// Applies a page of changes and returns the added and removed servers.
@@ -159,9 +172,14 @@
             self.leaving.insert(id.clone(), server);
         }
         self.delisted.remove(&id);
-        let added =
-            self.listed.insert(id.clone(), ListedServer { entry, kept_until: None }).is_none();
-        if added {
+        let boot_id = entry.boot_id;
+        let before = self.listed.insert(id.clone(), ListedServer { entry, kept_until: None });
+        let restarted = before.as_ref().is_some_and(|before| before.entry.boot_id != boot_id);
+        if restarted {
+            // What is known of the earlier start does not hold for this one.
+            delta.removed.push(id.clone());
+        }
+        if restarted || before.is_none() {
             delta.added.push(id);
         }
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -8,7 +8,7 @@
         config_share::ConfigOffer,
         members::MemberTable,
         owners::OwnedRow,
-        peers::HeadLoad,
+        peers::{HeadLoad, LeavingNotice},
         ports::{
             ConfigStamp, ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry,
             ServerStanding, WatchPage,
@@ -293,6 +293,27 @@
         }
     }
 
+    /// Records that a server has said to this process that it is leaving. Returns a notice for the
+    /// other processes unless that was known, or the server is not listed.
+    pub fn note_own_leaving(&self, server: &ServerId) -> Option<LeavingNotice> {
+        let boot_id = self.with(|state| state.servers.entry(server).map(|entry| entry.boot_id))?;
+        let notice = LeavingNotice { server: server.clone(), boot_id };
+        self.note_leaving(&notice).then_some(notice)
+    }
+
+    /// Records that a server is leaving, so that it gets no requests and its groups are replaced.
+    /// Returns whether that was not known.
+    pub fn note_leaving(&self, notice: &LeavingNotice) -> bool {
+        let mut state = self.state.lock();
+        let is_new = state.servers.note_leaving(notice, self.now());
+        if is_new {
+            info!(decision = "server-leaving", server = %notice.server, "state");
+            self.rebuild(&mut state);
+            self.changed.notify_one();
+        }
+        is_new
+    }
+
     /// Records the request loads of heads. Each of these heads counts as serving for
     /// `REPORTED_HEAD_TTL`, even if the server list does not show it as open yet.
     pub fn note_loads(&self, loads: &[HeadLoad]) {
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -246,10 +246,8 @@
                 (step, era)
             });
             match step {
-                OwnerStep::Own(term) => {
-                    if *owners.entry(term).or_insert(process) != process {
-                        return true;
-                    }
+                OwnerStep::Own(term) if *owners.entry(term).or_insert(process) != process => {
+                    return true;
                 }
                 OwnerStep::Claim { expected, term } if claims.len() < 6 => {
                     let row = OwnerRow { term, owner: Some(owner(process)) };
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,6 +8,6 @@
 
 /// The shared state of the request path, without configuration or servers.
 pub(crate) fn relay_shared(clock: SharedClock) -> RelayShared {
-    let (stalls, _) = mpsc::channel(8);
-    RelayShared::new(clock, RetryBudget::new(RetryLimits::default(), Tick(0)), stalls)
+    let (signs, _) = mpsc::channel(8);
+    RelayShared::new(clock, RetryBudget::new(RetryLimits::default(), Tick(0)), signs)
 }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -38,10 +38,14 @@
     Server(&'a BackendServer),
     /// Every candidate has as much work as it can run at once.
     Full,
-    /// Every server has been tried already, or there is none.
+    /// Every server has been tried already or accepts no requests, or there is none.
     NoCandidate,
 }
 
+fn is_allowed(server: &BackendServer, facts: &ChoiceFacts<'_>) -> bool {
+    server.counters.accepts(facts.now) && !facts.tried.contains(&server.id)
+}
+
 /// Compares two random servers that are healthy and not full, and prefers the cheaper one. Servers
 /// in back-off are considered only if no other is left. Does not take the least loaded server of
 /// all: load reports are equal on all processes, so it would get all requests until the next report.
@@ -49,8 +53,7 @@
     servers: impl Iterator<Item = &'a BackendServer>,
     facts: &ChoiceFacts<'_>,
 ) -> ServerChoice<'a> {
-    let untried: Vec<&BackendServer> =
-        servers.filter(|server| !facts.tried.contains(&server.id)).collect();
+    let untried: Vec<&BackendServer> = servers.filter(|server| is_allowed(server, facts)).collect();
     if untried.is_empty() {
         return ServerChoice::NoCandidate;
     }
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -64,6 +64,10 @@
     pub verdict: Verdict,
     /// The server's load, if the answer reports it.
     pub load: Option<ServerLoad>,
+    /// Whether the server says that it is leaving.
+    pub leaving: bool,
+    /// For how long the server wants no requests from this process, if it says so.
+    pub quiet: Option<Duration>,
 }
 
 /// Decodes the heads of callers' requests and of servers' answers, and writes heads for both.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod serve;
 pub mod server;
 pub mod service;
+mod shared;
 
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_server},
@@ -36,5 +37,6 @@
     retry::{RetryBudget, RetryLimits},
     serve::{StopPhase, serve_callers},
     server::{BackendServer, ServerCounters, ServerId, ServerLoad, ServerTable},
-    service::{RelayService, RelayShared},
+    service::RelayService,
+    shared::{RelayShared, ServerSign},
 };
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -7,7 +7,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -47,6 +47,10 @@
     backoff_until: AtomicU64,
     /// Failures in a row.
     failures: AtomicU32,
+    /// Whether the server has said that it is leaving.
+    leaving: AtomicBool,
+    /// Tick until which the server wants no requests from this process, in nanoseconds.
+    quiet_until: AtomicU64,
     /// Moving mean of the time from a request to the first event of its stream or to its complete
     /// answer, in microseconds; 0 before the first sample.
     response_time_us: AtomicU64,
@@ -107,6 +111,27 @@
         self.backoff_until.load(Ordering::Relaxed) > now.0
     }
 
+    /// Records that the server said that it is leaving; it gets no further requests.
+    pub fn note_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the server wants no requests from this process for `span`.
+    pub fn note_quiet(&self, now: Tick, span: Duration) {
+        self.quiet_until.fetch_max((now + span).0, Ordering::Relaxed);
+    }
+
+    /// How long the server still wants no requests; zero if it accepts them.
+    pub fn quiet_left(&self, now: Tick) -> Duration {
+        Tick(self.quiet_until.load(Ordering::Relaxed)).since(now)
+    }
+
+    /// Whether the server accepts requests: it neither leaves nor wants none for a while. Unlike
+    /// one in back-off, a server that does not is never tried.
+    pub fn accepts(&self, now: Tick) -> bool {
+        !self.leaving.load(Ordering::Relaxed) && self.quiet_left(now).is_zero()
+    }
+
     /// Whether data of any answer was received from the server within the last `span`.
     pub fn progressed_within(&self, now: Tick, span: Duration) -> bool {
         now.since(Tick(self.progressed_at.load(Ordering::Relaxed))) <= span
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -6,27 +6,22 @@
         choose::{ChoiceFacts, ServerChoice, choose_server},
         codec::{BackendCall, RequestCodec, Verdict},
         config::{RelayConfig, RouteRule},
-        metrics::RelayMetrics,
         pump::{RelayBody, StreamPump, full_body},
         request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
-        retry::RetryBudget,
         send::{LiveAnswer, SendOutcome, send_call},
-        server::{BackendServer, ServerId, ServerTable},
+        server::{BackendServer, ServerId},
+        shared::RelayShared,
     },
-    arc_swap::{ArcSwap, ArcSwapOption},
-    base::{ServiceName, SharedClock, Tick, WorkspaceId},
+    base::{ServiceName, Tick, WorkspaceId},
     bytes::Bytes,
     http::{HeaderMap, Method, Request, Response, Uri},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
-        },
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{sync::mpsc, time::timeout},
+    tokio::time::timeout,
     tracing::info,
 };
 
@@ -44,57 +39,12 @@
 /// `retry_after` in all other cases: without a configuration, when a route has no service to pick,
 /// and when no server can take a request that is not a stream.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Shortest span over which callers return after all servers have asked for quiet.
+const MIN_RETURN_SPREAD: Duration = Duration::from_millis(300);
 /// With less time remaining than this, a request is not sent: it would occupy a slot for an answer
 /// that comes too late.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
 
-/// State shared by all requests of a process.
-pub struct RelayShared {
-    /// The configuration in force; empty until the first one is received.
-    pub config: ArcSwapOption<RelayConfig>,
-    /// The servers that accept requests now, by service.
-    pub servers: ArcSwap<ServerTable>,
-    /// This process's share of the retry limit.
-    pub budget: RetryBudget,
-    /// Number of processes that share the retry limit.
-    pub processes: AtomicUsize,
-    /// Whether callers already use the system. Set by the first request that has a route and, where
-    /// the route requires one, a known key. The node also sets it when a peer says so, and at a
-    /// start that is not the first. Never reset.
-    pub in_traffic: AtomicBool,
-    /// Whether answers ask callers to close their connections, because this process is about to stop.
-    pub leaving: AtomicBool,
-    /// Metrics of requests and sends.
-    pub metrics: RelayMetrics,
-    /// Clock for deadlines, back-off and latencies.
-    pub clock: SharedClock,
-    /// Passes servers at which requests stall or fail to a task of the node, which has the owner of
-    /// their fabric domain probe them.
-    pub stalls: mpsc::Sender<ServerId>,
-}
-
-impl RelayShared {
-    /// Creates the state without a configuration and without servers.
-    pub fn new(clock: SharedClock, budget: RetryBudget, stalls: mpsc::Sender<ServerId>) -> Self {
-        Self {
-            config: ArcSwapOption::empty(),
-            servers: ArcSwap::from_pointee(ServerTable::default()),
-            budget,
-            processes: AtomicUsize::new(1),
-            in_traffic: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            metrics: RelayMetrics::default(),
-            clock,
-            stalls,
-        }
-    }
-
-    /// Reports that requests stall at a server; the report is dropped when the channel is full.
-    pub(crate) fn report_stall(&self, server: &BackendServer) {
-        let _ = self.stalls.try_send(server.id.clone());
-    }
-}
-
 /// Serves callers' requests over the protocol that `C` implements.
 pub struct RelayService<C> {
     codec: C,
@@ -220,7 +170,7 @@
             }
             let remaining = ctx.expires_at.since(self.shared.clock.now());
             let server = answer.server.clone();
-            match collect_answer(&self.codec, answer, remaining).await {
+            match collect_answer(&self.codec, &self.shared.buffers, answer, remaining).await {
                 Ok(response) => {
                     let now = self.shared.clock.now();
                     server.counters.note_success(now.since(began));
@@ -270,9 +220,7 @@
                     progress.may_have_run = true;
                     let now = self.shared.clock.now();
                     server.counters.note_progress(now);
-                    if let Some(report) = facts.load {
-                        server.counters.note_load(report, now);
-                    }
+                    self.shared.note_facts(&server, &facts, now);
                     return Ok(answer);
                 }
                 SendOutcome::NotSent(error) => {
@@ -285,13 +233,12 @@
                 SendOutcome::NotRun(facts) => {
                     progress.note_send(&server);
                     let now = self.shared.clock.now();
-                    if let Some(report) = facts.load {
-                        server.counters.note_load(report, now);
-                    }
                     server.counters.note_failure(now, ANSWERED_BACKOFF);
-                    let why = match facts.verdict {
-                        Verdict::OtherServer => "another server has the address",
-                        _ => "server did not run the request",
+                    let why = if facts.verdict == Verdict::OtherServer {
+                        "another server has the address"
+                    } else {
+                        self.shared.note_facts(&server, &facts, now);
+                        "server did not run the request"
                     };
                     info!(id = %ctx.id, decision = "not-run", server = %server.id, why,
                         "request");
@@ -341,6 +288,7 @@
         table.candidates(&ctx.service, ctx.model.as_ref()).any(|other| {
             other.id != server.id
                 && !progress.tried.contains(&other.id)
+                && other.counters.accepts(now)
                 && !other.counters.in_backoff(now)
         })
     }
@@ -382,7 +330,9 @@
         progress.sends < ctx.attempts
             && ctx.expires_at.since(now) >= MIN_REMAINING
             && servers.any(|server| {
-                !progress.tried.contains(&server.id) && !server.counters.in_backoff(now)
+                let counters = &server.counters;
+                let tried = progress.tried.contains(&server.id);
+                !tried && counters.accepts(now) && !counters.in_backoff(now)
             })
     }
 
@@ -410,11 +360,13 @@
     /// The refusal of a request that is not sent again. It tells the caller whether a server may
     /// have run the request.
     fn final_refusal(&self, ctx: &CallContext, progress: &CallProgress) -> Refusal {
-        let out_of_time = ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING;
-        let retry_after = match ctx.kind {
+        let now = self.shared.clock.now();
+        let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
+        let usual = match ctx.kind {
             RequestKind::Stream { .. } => STREAM_RETRY_AFTER,
             _ => DEFAULT_RETRY_AFTER,
         };
+        let retry_after = self.quiet_retry_after(ctx, now).unwrap_or(usual);
         match (progress.may_have_run, out_of_time) {
             (true, true) => Refusal::new(RefusalKind::TimedOut),
             (true, false) => Refusal::new(RefusalKind::Failed),
@@ -423,6 +375,17 @@
         }
     }
 
+    /// When the caller should return if every server that could take the request wants none for a
+    /// while: a random time after the first of them accepts requests again, so that callers do not
+    /// return together. `None` if some server accepts requests or there is none.
+    fn quiet_retry_after(&self, ctx: &CallContext, now: Tick) -> Option<Duration> {
+        let table = self.shared.servers.load();
+        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
+        let first = servers.map(|server| server.counters.quiet_left(now)).min()?;
+        let spread = MIN_RETURN_SPREAD.max(first / 2).mul_f64(rand::random());
+        (!first.is_zero()).then(|| first + spread)
+    }
+
     fn refuse(&self, id: Option<&RequestId>, refusal: Refusal, began: Tick) -> Response<RelayBody> {
         let took_ms = self.shared.clock.now().since(began).as_millis() as u64;
         self.shared.metrics.note_refusal(refusal.kind.code());
--- /dev/null
+++ b/crates/relay/src/shared.rs
@@ -0,0 +1,93 @@
+//! State that all requests of a process share.
+
+use {
+    crate::{
+        buffered::BufferBudget,
+        codec::AnswerFacts,
+        config::RelayConfig,
+        metrics::RelayMetrics,
+        retry::RetryBudget,
+        server::{BackendServer, ServerId, ServerTable},
+    },
+    arc_swap::{ArcSwap, ArcSwapOption},
+    base::{SharedClock, Tick},
+    std::sync::atomic::{AtomicBool, AtomicUsize},
+    tokio::sync::mpsc,
+    tracing::info,
+};
+
+/// What requests show about a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServerSign {
+    /// Requests stall or fail there; the owner of its fabric domain should probe it.
+    Stalled(ServerId),
+    /// It said in an answer that it is leaving.
+    Leaving(ServerId),
+}
+
+/// State shared by all requests of a process.
+pub struct RelayShared {
+    /// The configuration in force; empty until the first one is received.
+    pub config: ArcSwapOption<RelayConfig>,
+    /// The servers that accept requests now, by service.
+    pub servers: ArcSwap<ServerTable>,
+    /// This process's share of the retry limit.
+    pub budget: RetryBudget,
+    /// Number of processes that share the retry limit.
+    pub processes: AtomicUsize,
+    /// Whether callers already use the system. Set by the first request that has a route and, where
+    /// the route requires one, a known key. The node also sets it when a peer says so, and at a
+    /// start that is not the first. Never reset.
+    pub in_traffic: AtomicBool,
+    /// Whether answers ask callers to close their connections, because this process is about to stop.
+    pub leaving: AtomicBool,
+    /// Metrics of requests and sends.
+    pub metrics: RelayMetrics,
+    /// Clock for deadlines, back-off and latencies.
+    pub clock: SharedClock,
+    /// Memory for answers that are being buffered.
+    pub(crate) buffers: BufferBudget,
+    /// Passes what requests show about servers to a task of the node.
+    pub signs: mpsc::Sender<ServerSign>,
+}
+
+impl RelayShared {
+    /// Creates the state without a configuration and without servers.
+    pub fn new(clock: SharedClock, budget: RetryBudget, signs: mpsc::Sender<ServerSign>) -> Self {
+        Self {
+            config: ArcSwapOption::empty(),
+            servers: ArcSwap::from_pointee(ServerTable::default()),
+            budget,
+            processes: AtomicUsize::new(1),
+            in_traffic: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            metrics: RelayMetrics::default(),
+            clock,
+            buffers: BufferBudget::default(),
+            signs,
+        }
+    }
+
+    /// Reports that requests stall at a server; the report is dropped when the channel is full.
+    pub(crate) fn report_stall(&self, server: &BackendServer) {
+        let _ = self.signs.try_send(ServerSign::Stalled(server.id.clone()));
+    }
+
+    /// Applies what the head of an answer says about its server.
+    pub(crate) fn note_facts(&self, server: &BackendServer, facts: &AnswerFacts, now: Tick) {
+        if let Some(report) = facts.load {
+            server.counters.note_load(report, now);
+        }
+        if let Some(span) = facts.quiet {
+            server.counters.note_quiet(now, span);
+            info!(decision = "server-quiet", server = %server.id,
+                span_ms = span.as_millis() as u64, "request");
+        }
+        if facts.leaving {
+            server.counters.note_leaving();
+            if self.signs.try_send(ServerSign::Leaving(server.id.clone())).is_err() {
+                info!(decision = "leaving-not-passed-on", server = %server.id, "request");
+            }
+        }
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -8,8 +8,8 @@
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
         RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
-        RetryLimits, RouteRule, ServerTable, ServiceSplit, StopPhase, Verdict, WorkspaceRule,
-        serve_callers,
+        RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit, StopPhase,
+        Verdict, WorkspaceRule, serve_callers,
     },
     std::{
         collections::BTreeMap,
@@ -162,7 +162,10 @@
             (true, false) => Verdict::Answered,
             (false, false) => Verdict::Foreign,
         };
-        AnswerFacts { verdict, load: None }
+        let number = |name: &str| head.headers.get(name)?.to_str().ok()?.parse().ok();
+        let leaving = head.headers.contains_key("x-leaving");
+        let quiet = number("x-quiet-ms").map(Duration::from_millis);
+        AnswerFacts { verdict, load: None, leaving, quiet }
     }
 
     fn strip_answer(&self, headers: &mut HeaderMap) {
@@ -172,6 +175,10 @@
 
     fn refuse(&self, _id: Option<&RequestId>, refusal: &Refusal) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::from(refusal.kind.code()));
+        if let Some(span) = refusal.retry_after {
+            let millis = u64::try_from(span.as_millis()).unwrap();
+            response.headers_mut().insert("x-retry-ms", HeaderValue::from(millis));
+        }
         *response.status_mut() = match refusal.kind.promises_not_run() {
             true => StatusCode::SERVICE_UNAVAILABLE,
             false => StatusCode::BAD_GATEWAY,
@@ -185,6 +192,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) shared: Arc<RelayShared>,
+    signs: tokio::sync::Mutex<mpsc::Receiver<ServerSign>>,
 }
 
 impl TestRelay {
@@ -202,7 +210,7 @@
         let began = clock.now().back(Duration::from_secs(60));
         let retry_limits =
             RetryLimits { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
-        let (stalls, _) = mpsc::channel(8);
+        let (signs, received_signs) = mpsc::channel(8);
         let servers = servers.into_iter().enumerate().map(|(index, address)| BackendServer {
             id: HostId::new(format!("s{index}")).unwrap(),
             address,
@@ -211,7 +219,7 @@
             counters: Arc::default(),
         });
         let table = ServerTable::new(BTreeMap::from([(service.clone(), servers.collect())]));
-        let shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), stalls);
+        let shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), signs);
         shared.config.store(Some(Arc::new(config(kind, attempts, service))));
         shared.servers.store(Arc::new(table));
         let shared = Arc::new(shared);
@@ -220,7 +228,7 @@
         let (phase, phases) = watch::channel(StopPhase::Running);
         let service = Arc::new(RelayService::new(TestCodec, shared.clone()));
         tokio::spawn(serve_callers(listener, service, phases));
-        Self { address, phase, shared }
+        Self { address, phase, shared, signs: tokio::sync::Mutex::new(received_signs) }
     }
 
     /// Sends one request and reads until the connection is closed, or for 5 s at most.
@@ -234,6 +242,17 @@
         String::from_utf8_lossy(&answer).into_owned()
     }
 
+    /// The next server that was reported as leaving.
+    pub(crate) async fn reported_leaving(&self) -> ServerId {
+        let mut signs = self.signs.lock().await;
+        loop {
+            match signs.recv().await.unwrap() {
+                ServerSign::Leaving(server) => return server,
+                ServerSign::Stalled(_) => {}
+            }
+        }
+    }
+
     /// Sends one request and closes the connection after `after`.
     pub(crate) async fn ask_and_leave(&self, after: Duration) {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
--- a/crates/relay/tests/trouble.rs
+++ b/crates/relay/tests/trouble.rs
@@ -62,6 +62,60 @@
     panic!("no request reached the stalled server");
 }
 
+/// Once an answer said that its server leaves, nothing more is sent there.
+#[parameterized(
+    answered = { "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-leaving: 1\r\ncontent-length: 2\r\n\r\nok" },
+    not_run = {
+        "HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n"
+    },
+)]
+#[test_macro(tokio::test)]
+async fn a_server_that_says_it_leaves_gets_nothing_more(answer: &'static str) {
+    let leaving = ScriptedServer::start(Behavior::Send(answer)).await;
+    let staying = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&leaving, &staying]).await;
+    for _ in 0..20 {
+        assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(leaving.count(), 1);
+    assert_eq!(relay.reported_leaving().await.as_str(), "s0");
+    let alone = TestRelay::start(RequestKind::Safe, &[&leaving]).await;
+    alone.ask(KEY).await;
+    let refused = alone.ask(KEY).await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "no other server is left: {refused}");
+    assert_eq!(leaving.count(), 2);
+}
+
+/// A server that asks for quiet gets nothing for that time, also when it is the only one; callers
+/// are told to return after it.
+#[tokio::test]
+async fn a_server_that_asks_for_quiet_gets_nothing_for_that_time() {
+    let quiet = Behavior::Send(
+        "HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\nx-quiet-ms: 900\r\n\
+         content-length: 0\r\n\r\n",
+    );
+    let server = ScriptedServer::start(quiet).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    let began = Instant::now();
+    for _ in 0..20 {
+        let answer = relay.ask(KEY).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        let retry_ms: u64 = header(&answer, "x-retry-ms").parse().unwrap();
+        let left = 900_u64.saturating_sub(began.elapsed().as_millis() as u64);
+        assert!((left.saturating_sub(50)..=2_000).contains(&retry_ms), "{retry_ms}, left {left}");
+    }
+    assert!(began.elapsed() < Duration::from_millis(800), "refusals come at once");
+    assert_eq!(server.count(), 1);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    relay.ask(KEY).await;
+    assert_eq!(server.count(), 2, "the time is over");
+}
+
+fn header<'a>(answer: &'a str, name: &str) -> &'a str {
+    let line = answer.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+    line.unwrap_or_else(|| panic!("no {name} in {answer}"))
+}
+
 const FILLER: &str =
     "x-filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
 
