--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -39,6 +39,9 @@
     state_changed_at: Tick,
     /// When the last answered probe was sent.
     pub(super) last_answered: Option<Tick>,
+    /// Whether an answer of the engine's present boot gave the state or agreed with it. The host list
+    /// of a new owner may be behind.
+    confirmed: bool,
     /// When the first of the probes was sent that have failed since the last answer.
     unanswered_since: Option<Tick>,
     failed_probes: u32,
@@ -63,6 +66,7 @@
             state: None,
             state_changed_at: Tick(0),
             last_answered: None,
+            confirmed: false,
             unanswered_since: None,
             failed_probes: 0,
             refused: false,
@@ -108,6 +112,7 @@
             return;
         }
         if restarted {
+            self.confirmed = false;
             self.last_order = None;
             self.last_group_model = None;
             self.staging = None;
@@ -118,8 +123,10 @@
             && self.state.is_some()
             && !self.is_settled(as_of, settings.answer_lag);
         if may_be_stale {
+            self.confirmed |= self.state.as_ref() == Some(&state);
             return;
         }
+        self.confirmed |= source == ObservationSource::Engine;
         if self.staging.as_ref().is_some_and(|load| state.staged.contains(&load.model)) {
             self.staging = None;
         }
@@ -193,12 +200,13 @@
         !self.entry.listed && unanswered && self.failed_probes >= DOWN_PROBES
     }
 
-    /// Whether the host may join a new group: it is listed, stays, and answered its last probe.
+    /// Whether the host may join a new group: it is listed, stays, answered its last probe, and its
+    /// state is the engine's own word.
     pub(super) fn is_usable(&self, now: Tick, settings: &StagedSettings) -> bool {
         self.entry.listed
             && !self.entry.leaving
             && self.state.is_some()
-            && self.last_answered.is_some()
+            && self.confirmed
             && self.failed_probes == 0
             && !self.is_down(now, settings)
     }
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -4,9 +4,12 @@
 mod domain;
 
 use {
-    base::{FabricDomainId, HostId, ModelName, Tick},
+    base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     domain::{DomainRig, HostCondition},
-    plan::staged::{DemandWeight, StagedCommand, StagedModel, divide_groups},
+    plan::staged::{
+        DemandWeight, EngineState, MemberPhase, Membership, ObservationSource, StagedCommand,
+        StagedHost, StagedInput, StagedModel, StagedPlanner, StagedSettings, divide_groups,
+    },
     std::{collections::BTreeMap, time::Duration},
     yare::parameterized,
 };
@@ -205,6 +208,50 @@
     assert!(rig.joins_of_present_owner().all(|members| !members.contains(&dead)));
 }
 
+/// The server list of a new owner is behind: it shows hosts as free that have joined a group since.
+/// Their answers, which differ, do not count yet, and the hosts must not be used on the list's word.
+#[test]
+fn a_new_owner_uses_no_host_whose_answer_differs_from_the_list() {
+    let now = Tick(1_000_000_000_000);
+    let domain = FabricDomainId::new("d1").unwrap();
+    let mut planner = StagedPlanner::new(&domain, Term(3), StagedSettings::default(), now);
+    let hosts: Vec<StagedHost> = (0..3)
+        .map(|index| StagedHost {
+            host: HostId::new(format!("h{index}")).unwrap(),
+            address: ([127, 0, 0, 1], 1).into(),
+            leaving: false,
+            listed: true,
+        })
+        .collect();
+    let model = model("small", 3, 1.0);
+    let state = |membership: Option<Membership>| EngineState {
+        boot_id: Some(1),
+        model: membership.as_ref().map(|_| model.name.clone()),
+        staged: vec![model.name.clone()],
+        membership,
+    };
+    planner.apply_host_list(&hosts, now);
+    for (rank, host) in hosts.iter().enumerate() {
+        let phase = if rank == 0 { MemberPhase::Open } else { MemberPhase::Ready };
+        let group = GroupId::new("d1.2-3").unwrap();
+        let membership = Membership { group, epoch: Epoch(2 << 20), rank: rank as u32, phase };
+        planner.observe(&host.host, ObservationSource::HostList, now, state(None));
+        planner.observe(&host.host, ObservationSource::Engine, now, state(Some(membership)));
+    }
+    let models = [model.clone()];
+    let input = StagedInput {
+        models: &models,
+        hosts: &hosts,
+        first_groups: &[],
+        list_read_since: now,
+        list_incomplete: false,
+        in_traffic: true,
+        now: now + Duration::from_millis(5),
+    };
+    let orders = planner.step(&input);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
 /// An engine restarts at the same address under a new host id, and the planner puts both ids into
 /// one group. The new engine answers the probes of the old id too; if its answers counted for both,
 /// the group would be opened with a member missing.
