Keep reading from watchers after a miss, pass over failed ones, and read from others at the start

When the store dropped its history, the rows of 101 processes missed at their watcher, and a miss kept a process from its only watcher for 5 s, for both tables. Besides, a process without a row watched the store itself, so at a common start all of them did until their rows came back.

Change: a miss sends just that read to the store; a watcher that fails to answer is passed over for the next one; a process without a row reads from the listed ones; pages of rows are 150 ms apart.

Tests: `a_miss_of_one_table_does_not_keep_readers_from_the_watcher` (fails with the old avoidance put back), `a_process_without_a_row_reads_from_the_listed_ones`.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -25,8 +25,8 @@
 const SERVER_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a new configuration, so that versions in quick succession are read together.
 const CONFIG_PAUSE: Duration = Duration::from_millis(100);
-/// Pause after a page of member and owner rows.
-const ROW_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a page of member and owner rows; at a common start hundreds are written one by one.
+const ROW_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the three watches until cancelled.
 pub async fn follow_all<W: PlatformWatch>(
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -158,49 +158,56 @@
         watchers
     }
 
-    /// Whether this process should watch the store itself. True as long as it has no row.
+    /// Whether this process should watch the store itself. True as long as no process has a row.
     pub fn is_watcher(&self, now: Tick) -> bool {
         self.remote_watchers(now).is_none()
     }
 
     /// The watchers, or `None` if this process is a watcher itself.
     fn remote_watchers(&self, now: Tick) -> Option<Vec<(&HostId, &MemberRow)>> {
-        if !self.members.contains_key(&self.own) {
-            return None;
-        }
         let watchers = self.watchers(now);
-        watchers.iter().all(|(node, _)| **node != self.own).then_some(watchers)
+        let is_own = |(node, _): &(&HostId, &MemberRow)| **node == self.own;
+        (!watchers.is_empty() && !watchers.iter().any(is_own)).then_some(watchers)
     }
 
-    /// The watcher that this process should query, preferably of its own failure domain; `None` if
-    /// this process is a watcher itself.
-    pub fn nearest_watcher(&self, now: Tick) -> Option<(HostId, SocketAddr)> {
+    /// The watcher that this process should query, preferably of its own failure domain, except
+    /// those to avoid; `None` if there is none or this process is a watcher itself.
+    pub fn nearest_watcher(
+        &self,
+        now: Tick,
+        is_avoided: &dyn Fn(&HostId) -> bool,
+    ) -> Option<(HostId, SocketAddr)> {
         let watchers = self.remote_watchers(now)?;
-        let own = &self.members.get(&self.own)?.row.failure_domain;
+        let own = self.members.get(&self.own).map(|own| &own.row.failure_domain);
         let distance = |node: &HostId, row: &MemberRow| {
-            (row.failure_domain != *own, placement_weight(self.own.as_str(), node))
+            (Some(&row.failure_domain) != own, placement_weight(self.own.as_str(), node))
         };
-        let nearest = watchers.into_iter().min_by_key(|(node, row)| distance(node, row));
+        let usable = watchers.into_iter().filter(|(node, _)| !is_avoided(node));
+        let nearest = usable.min_by_key(|(node, row)| distance(node, row));
         nearest.map(|(node, row)| (node.clone(), row.peers))
     }
 
     /// The process that this process should query for the configuration; `None` if this process is a
-    /// watcher. The processes of a failure domain form a tree below the watchers, in an order that
+    /// watcher or all sources are to be avoided. The processes of a failure domain form a tree below the watchers, in an order that
     /// all of them compute alike, so that none is queried by more than [`CONFIG_FANOUT`] others.
-    pub fn config_source(&self, now: Tick) -> Option<(HostId, SocketAddr)> {
+    pub fn config_source(
+        &self,
+        now: Tick,
+        is_avoided: &dyn Fn(&HostId) -> bool,
+    ) -> Option<(HostId, SocketAddr)> {
         let watchers = self.remote_watchers(now)?;
-        let own = &self.members.get(&self.own)?.row.failure_domain;
+        let own = self.members.get(&self.own).map(|own| &own.row.failure_domain);
         let is_watcher = |node: &HostId| watchers.iter().any(|(watcher, _)| *watcher == node);
         let mut readers: Vec<(&HostId, &MemberRow)> = self
             .live_members(now)
-            .filter(|(node, row)| row.failure_domain == *own && !is_watcher(node))
+            .filter(|(node, row)| Some(&row.failure_domain) == own && !is_watcher(node))
             .collect();
         readers.sort_by_key(|(node, _)| placement_weight("config", node));
         let rank = readers.iter().position(|(node, _)| **node == self.own);
         let parent = rank.and_then(|rank| (rank / CONFIG_FANOUT).checked_sub(1));
         match parent.and_then(|parent| readers.get(parent)) {
-            Some((node, row)) => Some(((*node).clone(), row.peers)),
-            None => self.nearest_watcher(now),
+            Some((node, row)) if !is_avoided(node) => Some(((*node).clone(), row.peers)),
+            _ => self.nearest_watcher(now, is_avoided),
         }
     }
 
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -139,10 +139,7 @@
         after: Option<WatchPosition>,
     ) -> Option<WatchPage<T>> {
         let after = after?;
-        let (node, address) = self.view.source_watcher()?;
-        if self.is_avoided(&node) {
-            return None;
-        }
+        let (node, address) = self.view.source_watcher(&|node| self.is_avoided(node))?;
         let queried = self
             .query_over(link, &node, address, async |link| query_page(link, table, after).await)
             .await;
@@ -154,10 +151,7 @@
     /// store has to be read.
     async fn query_config(&self, after: Option<WatchPosition>) -> Option<WatchPage<ConfigUpdate>> {
         let after = after?;
-        let (node, address) = self.view.config_source()?;
-        if self.is_avoided(&node) {
-            return None;
-        }
+        let (node, address) = self.view.config_source(&|node| self.is_avoided(node))?;
         let known = self.view.config_stamp();
         let update = self
             .query_over(&self.config_link, &node, address, async |link| {
@@ -168,8 +162,8 @@
         Some(WatchPage { changes: Vec::from_iter(update), position: after, is_snapshot: false })
     }
 
-    /// Runs a query over the kept connection to a process, or over a new one. After a failure the
-    /// process is avoided for a while and the result is `None`.
+    /// Runs a query over the kept connection to a process, or over a new one. The result is `None` if
+    /// the store has to be read; a process that failed to answer is avoided for a while.
     async fn query_over<R>(
         &self,
         link: &tokio::sync::Mutex<Option<PeerLink>>,
@@ -197,8 +191,10 @@
                 info!(decision = "read-from-store", peer = %node, why = %error, "state");
                 if matches!(error, LinkError::Miss) {
                     // The watcher may be unable to reach the store. In an outage the store may drop
-                    // the entries of live servers; noting it keeps them for a while.
+                    // the entries of live servers; noting it keeps them for a while. Or it does not
+                    // have the position, and does have the one that this read gets from the store.
                     self.view.note_outage();
+                    return;
                 }
                 self.avoided.lock().insert(node.clone(), Instant::now() + AVOID_PERIOD);
             })
@@ -275,7 +271,7 @@
     }
 
     fn abandon_waiting(&self) {
-        if let Some((node, _)) = self.view.config_source() {
+        if let Some((node, _)) = self.view.config_source(&|node| self.is_avoided(node)) {
             self.avoided.lock().insert(node, Instant::now() + AVOID_PERIOD);
         }
         self.watch.abandon_waiting();
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -243,11 +243,14 @@
             .map(|ahead| ahead.address)
     }
 
-    /// The process from which to read the configuration; `None` if this process should read it from
-    /// the store.
-    pub fn config_source(&self) -> Option<(HostId, SocketAddr)> {
+    /// The process from which to read the configuration, except those to avoid; `None` if this
+    /// process should read it from the store.
+    pub fn config_source(
+        &self,
+        is_avoided: &dyn Fn(&HostId) -> bool,
+    ) -> Option<(HostId, SocketAddr)> {
         let now = self.now();
-        self.with(|state| state.members.config_source(now))
+        self.with(|state| state.members.config_source(now, is_avoided))
     }
 
     /// Whether this process should detect an unresponsive store itself, by a watch that is answered
@@ -258,16 +261,19 @@
         self.with(|state| state.members.is_watcher(now))
     }
 
-    /// The process from which to read the server list and the rows; `None` if this process should
-    /// read them from the store.
-    pub fn source_watcher(&self) -> Option<(HostId, SocketAddr)> {
+    /// The process from which to read the server list and the rows, except those to avoid; `None` if
+    /// this process should read them from the store.
+    pub fn source_watcher(
+        &self,
+        is_avoided: &dyn Fn(&HostId) -> bool,
+    ) -> Option<(HostId, SocketAddr)> {
         if self.is_busy_owner() {
             // The next step of a group waits for changes in the server list, which arrive sooner
             // from the store than through another process.
             return None;
         }
         let now = self.now();
-        self.with(|state| state.members.nearest_watcher(now))
+        self.with(|state| state.members.nearest_watcher(now, is_avoided))
     }
 
     /// Whether a group of a domain that this process owns is being formed or released.
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -292,7 +292,7 @@
         .collect();
     assert_eq!(watchers.len(), 6);
     let queried: BTreeSet<HostId> = (0..100)
-        .filter_map(|own| table(own, 100).nearest_watcher(Tick(0)))
+        .filter_map(|own| table(own, 100).nearest_watcher(Tick(0), &|_| false))
         .map(|(node, _)| node)
         .collect();
     assert_eq!(
@@ -303,6 +303,29 @@
     assert!((0..16).all(|own| table(own, 16).is_watcher(Tick(0))));
 }
 
+/// Load pattern: three hundred processes start at once. One that has no row yet reads from those that
+/// have one.
+#[test]
+fn a_process_without_a_row_reads_from_the_listed_ones() {
+    let name = |node: u32| HostId::new(format!("n{node:03}")).unwrap();
+    let mut table = MemberTable::new(name(0));
+    let failure_domain = FailureDomainId::new("z").unwrap();
+    for node in 1..4 {
+        let row = MemberRow {
+            incarnation: Incarnation(node.into()),
+            peers: ([127, 0, 0, 1], 1).into(),
+            callers: ([127, 0, 0, 1], 2).into(),
+            failure_domain: failure_domain.clone(),
+        };
+        table.insert_row(name(node), row, Tick(0));
+    }
+    assert!(!table.is_watcher(Tick(0)));
+    let (first, _) = table.nearest_watcher(Tick(0), &|_| false).unwrap();
+    let (second, _) = table.nearest_watcher(Tick(0), &|node| *node == first).unwrap();
+    assert_ne!(first, second, "a watcher that failed is passed over");
+    assert!(table.nearest_watcher(Tick(0), &|_| true).is_none());
+}
+
 /// The other processes read the configuration through a tree: each one reaches a watcher in a few
 /// steps, and none is read by many.
 #[test]
@@ -323,7 +346,7 @@
         table
     };
     let sources: BTreeMap<HostId, HostId> = (0..NODES)
-        .filter_map(|own| Some((name(own), table(own).config_source(Tick(0))?.0)))
+        .filter_map(|own| Some((name(own), table(own).config_source(Tick(0), &|_| false)?.0)))
         .collect();
     assert_eq!(sources.len(), NODES as usize - 6, "all but the watchers read from a process");
     let mut readers: BTreeMap<&HostId, usize> = BTreeMap::new();
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -153,7 +153,7 @@
         let clock = Arc::new(ManualClock::new());
         clock.advance(Duration::from_secs(1_000));
         let view = (0..100).map(|own| view(own, address, clock.clone()));
-        let view = view.into_iter().find(|view| view.source_watcher().is_some()).unwrap();
+        let view = view.into_iter().find(|view| view.source_watcher(&|_| false).is_some()).unwrap();
         let served = self::view(0, address, clock.clone());
         let caches = Arc::new(StoreCaches::default());
         let stop = CancellationToken::new();
@@ -267,6 +267,24 @@
     assert_eq!(rig.store_calls(), 2);
 }
 
+/// Load pattern: the store drops its history, and every process reads the rarely changing rows again.
+/// The server list, which changes all the time, must still come from the watcher.
+#[tokio::test]
+async fn a_miss_of_one_table_does_not_keep_readers_from_the_watcher() {
+    let rig = ReaderRig::start().await;
+    // More often than there are watchers, each of which would be passed over after a failure.
+    for _ in 0..10 {
+        assert!(rig.watch.watch_rows(Some(at(10))).await.is_err());
+    }
+    assert_eq!(rig.store_calls(), 10);
+    rig.insert(&["a"], 10, true);
+    for position in 11..20 {
+        rig.insert(&["b"], position, false);
+        assert_eq!(rig.query(position - 1).await.changes, [dropped("b")]);
+    }
+    assert_eq!(rig.store_calls(), 10);
+}
+
 /// A watcher that has stopped, or is stalled with its port open, delays its readers only once.
 #[tokio::test]
 async fn the_store_is_queried_when_a_watcher_does_not_answer() {
