Take no late copy of an answer for the next call's on the gateway's path

Cause: calls of plain services went over kept connections, and their answers were not matched with the attempt; a refusal was believed before the attempt was looked at. A server that sends a second copy of an answer when the next request is on the connection gave the next caller another one's answer, or made a call that runs count as not run. (`relay` opens a connection for each request.)

Change: an answer that names another attempt is unknown; a connection is kept only if each of its answers named its own attempt.

--- a/crates/engine/src/request_http.rs
+++ b/crates/engine/src/request_http.rs
@@ -69,6 +69,7 @@
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
+        reuse: ConnectionReuse,
     ) -> Result<WholeAnswer, DispatchError> {
         let status = response.status();
         let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
@@ -77,7 +78,9 @@
             .await
             .map_err(|error| DispatchError::Unknown { address, detail: error.to_string() })?
             .to_bytes();
-        self.pool.check_in(address, connection);
+        if reuse == ConnectionReuse::Kept {
+            self.pool.check_in(address, connection);
+        }
         Ok(WholeAnswer { status, content_type, body })
     }
 }
@@ -92,13 +95,19 @@
         let request = model_request(dispatch)?;
         let (connection, response) =
             self.send(address, request, new_connection, move || permit.is_valid()).await?;
+        let reuse = check_echo(address, &attempt, &response)?;
         if let Some(refusal) = parse_refusal(address, &response) {
-            drop(self.collect(address, connection, response).await);
+            drop(self.collect(address, connection, response, reuse).await);
             return Err(refusal);
         }
-        check_echo(address, &attempt, &response)?;
+        if reuse == ConnectionReuse::Closed {
+            return Err(foreign_answer(address));
+        }
         if response.status() != StatusCode::OK {
-            return self.collect(address, connection, response).await.map(ModelAnswer::Whole);
+            return self
+                .collect(address, connection, response, reuse)
+                .await
+                .map(ModelAnswer::Whole);
         }
         Ok(ModelAnswer::Stream(stream_frames(self.pool.clone(), address, connection, response)))
     }
@@ -113,7 +122,7 @@
             .body(PermittedBody::new(body.into(), Arc::new(AlwaysPermitted)));
         let Ok(request) = request else { return };
         if let Ok((connection, response)) = self.send(address, request, false, || true).await {
-            drop(self.collect(address, connection, response).await);
+            drop(self.collect(address, connection, response, ConnectionReuse::Closed).await);
         }
     }
 }
@@ -147,15 +156,17 @@
     async fn call(&self, dispatch: ServiceDispatch) -> Result<WholeAnswer, DispatchError> {
         let address = dispatch.address;
         let permit = dispatch.permit.clone();
+        let attempt = dispatch.attempt.clone();
         let new_connection = dispatch.new_connection;
         let request = service_request(dispatch)?;
         let (connection, response) =
             self.send(address, request, new_connection, move || permit.is_valid()).await?;
+        let reuse = check_echo(address, &attempt, &response)?;
         if let Some(refusal) = parse_refusal(address, &response) {
-            drop(self.collect(address, connection, response).await);
+            drop(self.collect(address, connection, response, reuse).await);
             return Err(refusal);
         }
-        self.collect(address, connection, response).await
+        self.collect(address, connection, response, reuse).await
     }
 }
 
@@ -260,17 +271,34 @@
     value.to_str().ok()?.parse().ok().map(Duration::from_secs)
 }
 
+/// Whether a connection is used again after its answer.
+///
+/// A server may send a second copy of an answer late, when the connection carries the next request.
+/// Only a copy that names its attempt can be told from that request's answer, so only connections
+/// whose answers all did so are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionReuse {
+    Kept,
+    Closed,
+}
+
+/// Fails if a response names another attempt. One that names none is taken, and its connection is
+/// closed.
 fn check_echo(
     address: SocketAddr,
     attempt: &AttemptId,
     response: &Response<Incoming>,
-) -> Result<(), DispatchError> {
-    let echo = response.headers().get(wire::ATTEMPT_HEADER);
-    if echo.is_some_and(|echo| echo.as_bytes() == attempt.as_str().as_bytes()) {
-        return Ok(());
+) -> Result<ConnectionReuse, DispatchError> {
+    match response.headers().get(wire::ATTEMPT_HEADER) {
+        None => Ok(ConnectionReuse::Closed),
+        Some(echo) if echo.as_bytes() == attempt.as_str().as_bytes() => Ok(ConnectionReuse::Kept),
+        Some(_) => Err(foreign_answer(address)),
     }
+}
+
+fn foreign_answer(address: SocketAddr) -> DispatchError {
     let detail = "response belongs to another attempt".to_owned();
-    Err(DispatchError::Unknown { address, detail })
+    DispatchError::Unknown { address, detail }
 }
 
 struct FrameSource {
