Count the reads of the store by table and reason

`gypsumfork_store_reads_total{table,reason}`; tested with the reads that fall back and those of a busy owner.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod server_list;
 pub mod settings;
 pub mod share;
+pub mod store_reads;
 pub mod view;
 
 pub use crate::{
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -10,7 +10,7 @@
         peers::{GOSSIP_INTERVAL, HEARTBEATS_PER_MESSAGE, PeerHeartbeat},
         rows::MemberRow,
     },
-    base::{HostId, Incarnation, Tick, placement_weight},
+    base::{FailureDomainId, HostId, Incarnation, Tick, placement_weight},
     rand::seq::SliceRandom,
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
     tracing::info,
@@ -170,6 +170,10 @@
         (!watchers.is_empty() && !watchers.iter().any(is_own)).then_some(watchers)
     }
 
+    fn own_failure_domain(&self) -> Option<&FailureDomainId> {
+        self.members.get(&self.own).map(|own| &own.row.failure_domain)
+    }
+
     /// The watcher that this process should query, preferably of its own failure domain, except
     /// those to avoid; `None` if there is none or this process is a watcher itself.
     pub fn nearest_watcher(
@@ -178,7 +182,7 @@
         is_avoided: &dyn Fn(&HostId) -> bool,
     ) -> Option<(HostId, SocketAddr)> {
         let watchers = self.remote_watchers(now)?;
-        let own = self.members.get(&self.own).map(|own| &own.row.failure_domain);
+        let own = self.own_failure_domain();
         let distance = |node: &HostId, row: &MemberRow| {
             (Some(&row.failure_domain) != own, placement_weight(self.own.as_str(), node))
         };
@@ -196,7 +200,7 @@
         is_avoided: &dyn Fn(&HostId) -> bool,
     ) -> Option<(HostId, SocketAddr)> {
         let watchers = self.remote_watchers(now)?;
-        let own = self.members.get(&self.own).map(|own| &own.row.failure_domain);
+        let own = self.own_failure_domain();
         let is_watcher = |node: &HostId| watchers.iter().any(|(watcher, _)| *watcher == node);
         let mut readers: Vec<(&HostId, &MemberRow)> = self
             .live_members(now)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,7 @@
         registry.register("processes", "Processes with a row", processes.clone());
         let dropped = Gauge::default();
         registry.register("log_lines_dropped", "Lines over the budget", dropped.clone());
+        view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         Self { registry, dropped, config_version, servers, processes, view, shared }
     }
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -14,6 +14,7 @@
             ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
             WatchPosition,
         },
+        store_reads::ReadReason,
         view::NodeView,
     },
     base::{HostId, SharedClock, StoreEra},
@@ -201,6 +202,12 @@
             .ok()
     }
 
+    fn note_store_read(&self, table: &'static str, after: Option<WatchPosition>) {
+        let has_source = self.view.source_watcher(&|_| false).is_some();
+        let reason = read_reason(after, has_source, self.view.is_busy_owner());
+        self.view.store_reads.note(table, reason);
+    }
+
     fn is_avoided(&self, node: &HostId) -> bool {
         let mut avoided = self.avoided.lock();
         let now = Instant::now();
@@ -209,6 +216,15 @@
     }
 }
 
+fn read_reason(after: Option<WatchPosition>, has_source: bool, is_busy_owner: bool) -> ReadReason {
+    match (after, has_source) {
+        (None, _) => ReadReason::FullRead,
+        (Some(_), true) => ReadReason::Fallback,
+        (Some(_), false) if is_busy_owner => ReadReason::BusyOwner,
+        (Some(_), false) => ReadReason::Watcher,
+    }
+}
+
 /// Queries a watcher for the changes since a position.
 async fn query_page<T: DeserializeOwned>(
     link: &mut PeerLink,
@@ -236,6 +252,8 @@
         }
         let outdated = self.config_position_outdated.swap(false, Ordering::Relaxed);
         let after = after.filter(|_| !outdated);
+        let has_source = self.view.config_source(&|_| false).is_some();
+        self.view.store_reads.note("config", read_reason(after, has_source, false));
         let page = self.watch.watch_config(after, short_poll).await;
         let StoreCaches { servers, rows } = &*self.caches;
         if page.is_ok() {
@@ -257,6 +275,7 @@
         {
             return Ok(page);
         }
+        self.note_store_read("servers", after);
         self.cache_page(&self.caches.servers, self.watch.watch_servers(after).await)
     }
 
@@ -267,6 +286,7 @@
         if let Some(page) = self.query_watcher(SharedTable::Rows, &self.row_link, after).await {
             return Ok(page);
         }
+        self.note_store_read("rows", after);
         self.cache_page(&self.caches.rows, self.watch.watch_rows(after).await)
     }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -15,6 +15,7 @@
         },
         rows::RowOwner,
         server_list::{ServerList, ServerListChanges},
+        store_reads::StoreReads,
     },
     base::{FabricDomainId, HostId, ModelName, StoreEra, Tick},
     parking_lot::Mutex,
@@ -58,6 +59,8 @@
     pub offer: ConfigOffer,
     /// Notified when a change may require a planning step of an owner.
     pub changed: Notify,
+    /// How often this process read the store itself.
+    pub store_reads: StoreReads,
 }
 
 /// A peer that has a newer configuration than this process.
@@ -121,6 +124,7 @@
             outdated: Notify::new(),
             offer: ConfigOffer::default(),
             changed: Notify::new(),
+            store_reads: StoreReads::default(),
         }
     }
 
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -12,6 +12,7 @@
         page_cache::{CacheLookup, PageCache},
         rows::MemberRow,
         share::{SharedWatch, StoreCaches, serve_caches},
+        store_reads::ReadReason,
         view::NodeView,
     },
     relay::{CallerLimits, RelayConfig, RequestKind, RouteRule, ServiceSplit},
@@ -262,6 +263,7 @@
     rig.insert(&["a"], 10, true);
     rig.query(5).await;
     assert_eq!(rig.store_calls(), 1, "pages before the first one are not cached");
+    assert_eq!(rig.view.store_reads.count("servers", ReadReason::Fallback), 1);
     rig.caches.servers.mark_unreachable();
     rig.query(10).await;
     assert_eq!(rig.store_calls(), 2);
@@ -311,6 +313,7 @@
     rig.view.set_busy_owner(true);
     rig.query(10).await;
     assert_eq!(rig.store_calls(), 1);
+    assert_eq!(rig.view.store_reads.count("servers", ReadReason::BusyOwner), 1);
 }
 
 #[tokio::test]
