Do not call a process outdated that keeps up with a storm of versions

Change: the time starts anew once this process has the noted version. Test: `a_process_that_keeps_up_with_a_storm_is_not_outdated` failed before.

--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -217,26 +217,22 @@
     /// Records the configuration version of the peer at `address`. If peers have had a newer one than
     /// this process for `OUTDATED_TOLERANCE`, [`Self::outdated`] is notified.
     pub fn note_peer_version(&self, version: u64, address: SocketAddr) {
-        let is_newer = version > self.config_version();
+        let own = self.config_version();
         let now = self.now();
         self.with(|state| {
-            if !is_newer {
-                // The peer is behind or even; another one may still be ahead.
-                state.ahead = state.ahead.filter(|ahead| ahead.version > self.config_version());
-                return;
-            }
-            let known = state.ahead.unwrap_or(PeerAhead { version, address, since: now });
-            let newest = if version >= known.version {
-                (version, address)
-            } else {
-                (known.version, known.address)
-            };
-            let mut ahead = PeerAhead { version: newest.0, address: newest.1, since: known.since };
-            if now.since(ahead.since) >= OUTDATED_TOLERANCE {
-                ahead.since = now;
-                self.outdated.notify_one();
+            // Once this process has what a peer was ahead with, it has kept up so far.
+            let mut ahead = state.ahead.filter(|ahead| ahead.version > own);
+            if version > own {
+                let known = ahead.get_or_insert(PeerAhead { version, address, since: now });
+                if version > known.version {
+                    (known.version, known.address) = (version, address);
+                }
+                if now.since(known.since) >= OUTDATED_TOLERANCE {
+                    known.since = now;
+                    self.outdated.notify_one();
+                }
             }
-            state.ahead = Some(ahead);
+            state.ahead = ahead;
         });
     }
 
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -252,6 +252,22 @@
     assert_eq!(version(&view), Some(6));
 }
 
+/// Load pattern: versions in quick succession. A process that takes each of them a little after its
+/// peers is not outdated, so it does not turn away from its source.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_keeps_up_with_a_storm_is_not_outdated() {
+    let clock = Arc::new(ManualClock::new());
+    let view = view(clock.clone());
+    for version in 1..20 {
+        view.note_peer_version(version, UNREACHABLE_PEER);
+        clock.advance(Duration::from_millis(300));
+        let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
+        view.apply_config(ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() });
+    }
+    let outdated = tokio::time::timeout(Duration::from_secs(1), view.outdated.notified());
+    assert!(outdated.await.is_err());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_lower_or_equal_version_of_a_peer_is_ignored() {
     let store = Arc::new(FakeStore::default());
