--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -96,7 +96,7 @@
     }
 
     /// Applies the member rows of a store that came back from an older copy. Rows that it lost are
-    /// kept for [`RESTORE_GRACE`], in which their processes write them again; rows of processes
+    /// kept for `RESTORE_GRACE`, in which their processes write them again; rows of processes
     /// that are not known belong to stopped ones, unless a heartbeat arrives.
     pub fn restore_rows(&mut self, rows: BTreeMap<HostId, MemberRow>, now: Tick) {
         for (node, state) in &mut self.members {
@@ -193,7 +193,7 @@
 
     /// The process that this process should query for the configuration; `None` if this process is a
     /// watcher or all sources are to be avoided. The processes of a failure domain form a tree below the watchers, in an order that
-    /// all of them compute alike, so that none is queried by more than [`CONFIG_FANOUT`] others.
+    /// all of them compute alike, so that none is queried by more than `CONFIG_FANOUT` others.
     pub fn config_source(
         &self,
         now: Tick,
