Wait for a head that may have left while the store was out

At 26.3 s it stopped listening and finished its requests. The owner saw refused connections while the entry still said ready, and at 28.7 s its expiry, took it for a crash and gave its members away while the head was still open.

Elsewhere a refusal still means a crash.

Ruled out: waiting after every refusal, which would delay the repair after each crash.

Test: `members_stay_while_their_head_leaves_unseen` failed before.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -390,10 +390,11 @@
                 elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
             })
             .collect();
-        let delisted = self.view.with(|state| state.delisted_in(domain));
-        let listed = entries.iter().map(|entry| to_host(entry, true));
-        let hosts: Vec<StagedHost> =
-            listed.chain(delisted.iter().map(|entry| to_host(entry, false))).collect();
+        let (delisted, out_of_date) =
+            self.view.with(|state| (state.delisted_in(domain), state.servers.was_out_of_date(now)));
+        let listed = entries.iter().map(|entry| to_host(entry, true, out_of_date));
+        let gone = delisted.iter().map(|entry| to_host(entry, false, out_of_date));
+        let hosts: Vec<StagedHost> = listed.chain(gone).collect();
         let owned = match self.domains.get_mut(domain) {
             Some(owned) if owned.term == term => owned,
             _ => {
@@ -520,11 +521,12 @@
     facts.model.as_ref().filter(|_| serves)
 }
 
-fn to_host(entry: &ServerEntry, listed: bool) -> StagedHost {
+fn to_host(entry: &ServerEntry, listed: bool, may_leave_unseen: bool) -> StagedHost {
     StagedHost {
         host: entry.id.clone(),
         address: entry.address,
         leaving: entry.standing == ServerStanding::Leaving,
         listed,
+        may_leave_unseen,
     }
 }
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -18,6 +18,10 @@
 /// are alive register again within this time.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Time after an outage in which a server may still leave the list whose leave the outage hid: its
+/// entry expires after three missing heartbeats.
+const UNSEEN_LEAVE_SPAN: Duration = Duration::from_secs(6);
+
 /// How long an entry is remembered after the server was removed from the list; above the time for
 /// which a live server may be unable to reach the store.
 const DELISTED_RETENTION: Duration = Duration::from_secs(60);
@@ -66,6 +70,12 @@
         self.failed_at = Some(now);
     }
 
+    /// Whether the list was out of date until a short time ago, so that servers may have announced
+    /// their leave, and stopped listening, without it.
+    pub fn was_out_of_date(&self, now: Tick) -> bool {
+        self.failed_at.is_some_and(|at| now.since(at) <= UNSEEN_LEAVE_SPAN)
+    }
+
     /// Records that a server is leaving, also one that is not listed yet. Returns whether that was
     /// not known.
     pub fn note_leaving(&mut self, notice: &LeavingNotice, now: Tick) -> bool {
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -31,7 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct HostRecord {
     pub(super) entry: StagedHost,
-    /// Whether the host still answered probes when it was listed as leaving or was delisted. Such a
+    /// Whether the host still answered probes when it was listed as leaving or was delisted, or may
+    /// have left while the list was out of date. Such a
     /// host finishes its requests after it has stopped listening.
     leaves_gracefully: bool,
     pub(super) state: Option<EngineState>,
@@ -83,7 +84,10 @@
         if stays {
             self.leaves_gracefully = false;
         } else if stayed {
-            self.leaves_gracefully = self.failed_probes == 0;
+            // A refused connection usually means that the engine has crashed. One that leaves also
+            // stops listening, and goes on with its requests for some time.
+            let unseen = entry.is_some_and(|entry| entry.may_leave_unseen) && self.refused;
+            self.leaves_gracefully = self.failed_probes == 0 || unseen;
         }
         match entry {
             Some(entry) => self.entry = entry.clone(),
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -17,6 +17,9 @@
         pub leaving: bool,
         /// Whether the host list holds the host now. False for a host that was delisted recently.
         pub listed: bool,
+        /// Whether the host may have announced its leave without the list showing it, because the
+        /// list was out of date until a short time ago.
+        pub may_leave_unseen: bool,
     }
 );
 
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -41,6 +41,9 @@
     CutFromOwner,
     /// The engine finishes its requests before it ends; it is neither listed nor reachable.
     Leaving,
+    /// The same, but the host list, which was out of date, shows the host as staying until its entry
+    /// expires. Connections are refused.
+    LeavingUnseen,
 }
 
 struct RigHost {
@@ -357,6 +360,7 @@
                 address: address(),
                 leaving: false,
                 listed: is_listed(host, self.now),
+                may_leave_unseen: host.condition == HostCondition::LeavingUnseen,
             })
             .collect()
     }
@@ -397,6 +401,10 @@
                     let state = states[host.answered_by.as_ref().unwrap_or(id)].clone();
                     self.planner.observe(id, ObservationSource::Engine, self.now, state);
                 }
+                HostCondition::LeavingUnseen => {
+                    host.last_probe = self.now.back(PROBE_INTERVAL - STEP);
+                    self.planner.record_probe_failure(id, self.now, ProbeFailure::Refused);
+                }
                 HostCondition::Dead | HostCondition::CutFromOwner | HostCondition::Leaving => {
                     // The next probe follows as soon as this one has timed out, after three steps.
                     host.last_probe = self.now.back(PROBE_INTERVAL - 3 * STEP);
@@ -496,7 +504,7 @@
     match host.condition {
         HostCondition::Healthy | HostCondition::CutFromOwner => true,
         HostCondition::Leaving => false,
-        HostCondition::Dead | HostCondition::CutFromList => {
+        HostCondition::Dead | HostCondition::CutFromList | HostCondition::LeavingUnseen => {
             now.since(host.condition_since) < LIST_EXPIRY
         }
     }
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -148,6 +148,20 @@
     assert_eq!(rig.serving_without(&head), 1);
 }
 
+/// The same after an outage of the store: the list shows the head as staying, its connections are
+/// refused, and its entry expires as that of a crashed engine would.
+#[test]
+fn members_stay_while_their_head_leaves_unseen() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::LeavingUnseen);
+    rig.run(Duration::from_secs(9));
+    rig.assert_no_violations();
+    rig.set_condition(&head, HostCondition::Dead);
+    rig.run(Duration::from_secs(8));
+    assert_eq!(rig.serving_without(&head), 1);
+}
+
 /// The head is delisted before a new owner first reads the host list, and is still alive and
 /// serving. The owner does not know the head and must not reuse its members.
 #[test]
@@ -221,6 +235,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             leaving: false,
             listed: true,
+            may_leave_unseen: false,
         })
         .collect();
     let model = model("small", 3, 1.0);
