--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -192,8 +192,9 @@
     }
 
     /// The process that this process should query for the configuration; `None` if this process is a
-    /// watcher or all sources are to be avoided. The processes of a failure domain form a tree below the watchers, in an order that
-    /// all of them compute alike, so that none is queried by more than `CONFIG_FANOUT` others.
+    /// watcher or all sources are to be avoided. The processes of a failure domain form a tree below
+    /// the watchers, in an order that all of them compute alike, so that none is queried by more than
+    /// `CONFIG_FANOUT` others.
     pub fn config_source(
         &self,
         now: Tick,
