Await a newer configuration before a final refusal, and do not refuse for good in doubt

Callers got 401 or 404, after which they do not repeat a request, from a process that could have seen that it was behind: a peer had told a newer version, or nothing had confirmed its own for seconds.

Cause: a request was decided on whatever configuration was in force, without its age.

Now the request path knows the configuration's standing. While a peer has a newer one, a request that the configuration does not admit waits up to 0.4 s (half its deadline at most) and is decided again on each arrival; if none helps it is refused as not run, with Retry-After. A configuration that is merely unconfirmed for 2.5 s gives no reason to wait, since there may be no newer one: such a request is refused as not run at once. A confirmed configuration refuses at once and for good, as before. Weighed: to refuse as not run at once also while behind costs the caller a second connection and 0.3 s, where a fetch takes some 0.1 s. A storm of versions does not extend the wait.

A refusal that rests on the configuration logs its version, age and source and the newest version told.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod server;
 pub mod service;
 mod shared;
+pub mod standing;
 
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_server},
@@ -39,4 +40,5 @@
     server::{BackendServer, ServerCounters, ServerId, ServerLoad, ServerTable},
     service::RelayService,
     shared::{RelayShared, ServerSign},
+    standing::{CONFIG_TRUST, ConfigDoubt, ConfigStanding},
 };
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -76,6 +76,9 @@
     NoRoute,
     /// This process has received no configuration yet; the request was not run.
     NoConfig,
+    /// The configuration has no route or key for the request, but may be out of date; the request was
+    /// not run.
+    ConfigInDoubt,
     /// No server can accept the request now; it was not run.
     NoServer,
     /// The process is about to stop; the request was not run.
@@ -92,7 +95,19 @@
 impl RefusalKind {
     /// Whether the answer promises that the request has not run and never will.
     pub fn promises_not_run(self) -> bool {
-        matches!(self, Self::NoConfig | Self::NoServer | Self::Stopping | Self::TimedOutUnsent)
+        matches!(
+            self,
+            Self::NoConfig
+                | Self::ConfigInDoubt
+                | Self::NoServer
+                | Self::Stopping
+                | Self::TimedOutUnsent
+        )
+    }
+
+    /// Whether a newer configuration could have admitted the request.
+    pub fn rests_on_config(self) -> bool {
+        matches!(self, Self::UnknownKey | Self::NoRoute | Self::ConfigInDoubt)
     }
 
     /// The code of this kind in logs, metric labels and error bodies.
@@ -103,6 +118,7 @@
             Self::UnknownKey => "unknown-key",
             Self::NoRoute => "no-route",
             Self::NoConfig => "no-config",
+            Self::ConfigInDoubt => "config-in-doubt",
             Self::NoServer => "no-server",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -11,6 +11,7 @@
         send::{LiveAnswer, SendOutcome, send_call},
         server::{BackendServer, ServerId},
         shared::RelayShared,
+        standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
     },
     base::{ServiceName, Tick, WorkspaceId},
     bytes::Bytes,
@@ -21,7 +22,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout, timeout_at},
     tracing::info,
 };
 
@@ -117,11 +118,8 @@
         body: Incoming,
         began: Tick,
     ) -> Result<CallContext, Refusal> {
-        let config = self.shared.config.load_full();
-        let config = config.ok_or(Refusal::until(RefusalKind::NoConfig, DEFAULT_RETRY_AFTER))?;
-        let route = config.route(&caller.host, head.uri.path());
-        let route = route.ok_or(Refusal::new(RefusalKind::NoRoute))?;
-        let workspace = find_workspace(&config, route, &caller)?;
+        let config = self.admitting_config(&caller, head.uri.path()).await?;
+        let (route, workspace) = find_route(&config, &caller, head.uri.path())?;
         self.shared.in_traffic.store(true, Ordering::Relaxed);
         let limit = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
         let body = read_body(body, config.limits.body_bytes, limit).await?;
@@ -145,6 +143,36 @@
         })
     }
 
+    /// The configuration that admits a request. One that has no route or key for it decides only if
+    /// it is known to be recent: a newer one may have them.
+    async fn admitting_config(
+        &self,
+        caller: &CallerHead,
+        path: &str,
+    ) -> Result<Arc<RelayConfig>, Refusal> {
+        let mut standing = self.shared.standing.subscribe();
+        let half_deadline = caller.deadline.map_or(NEWER_CONFIG_WAIT, |deadline| deadline / 2);
+        let until = Instant::now() + NEWER_CONFIG_WAIT.min(half_deadline);
+        loop {
+            // Read before the configuration, so that a replacement in between is not missed.
+            let doubt = standing.borrow_and_update().doubt(self.shared.clock.now());
+            let config = self.shared.config.load_full();
+            let config =
+                config.ok_or(Refusal::until(RefusalKind::NoConfig, DEFAULT_RETRY_AFTER))?;
+            let Err(refusal) = find_route(&config, caller, path) else { return Ok(config) };
+            let is_settled = match doubt {
+                None => return Err(refusal),
+                Some(ConfigDoubt::Behind) => timeout_at(until, standing.changed()).await.is_ok(),
+                // There may be no newer one to wait for.
+                Some(ConfigDoubt::Unconfirmed) => false,
+            };
+            if !is_settled {
+                let kind = RefusalKind::ConfigInDoubt;
+                return Err(Refusal::until(kind, DEFAULT_RETRY_AFTER));
+            }
+        }
+    }
+
     /// Sends an admitted request and returns its answer: a stream as it arrives, any other answer
     /// once it is complete.
     async fn serve(self: Arc<Self>, ctx: CallContext) -> Response<RelayBody> {
@@ -389,12 +417,28 @@
     fn refuse(&self, id: Option<&RequestId>, refusal: Refusal, began: Tick) -> Response<RelayBody> {
         let took_ms = self.shared.clock.now().since(began).as_millis() as u64;
         self.shared.metrics.note_refusal(refusal.kind.code());
-        if let Some(id) = id {
-            info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms, "request");
+        match id {
+            Some(id) if refusal.kind.rests_on_config() => {
+                self.log_config_refusal(id, refusal.kind, took_ms);
+            }
+            Some(id) => {
+                info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms, "request");
+            }
+            None => {}
         }
         self.close_if_leaving(self.codec.refuse(id, &refusal).map(full_body))
     }
 
+    /// Logs what a refusal rests on, so that one on an outdated configuration can be told from others.
+    fn log_config_refusal(&self, id: &RequestId, kind: RefusalKind, took_ms: u64) {
+        let version = self.shared.config.load().as_ref().map_or(0, |config| config.version);
+        let standing = self.shared.standing.borrow().clone();
+        let now = self.shared.clock.now();
+        let age_ms = standing.confirmed_at.map(|at| now.since(at).as_millis() as u64);
+        info!(id = %id, decision = "refused", why = kind.code(), took_ms, version, age_ms,
+            source = %standing.source, newest_told = standing.newest_told, "request");
+    }
+
     /// Counts and logs the end of a request whose answer has begun. `outcome` is a metric label and
     /// a log value. `status` is 0 for a stream that ended early, unless a server answered the request
     /// to resume it with an error status.
@@ -433,16 +477,17 @@
     }
 }
 
-fn find_workspace(
-    config: &RelayConfig,
-    route: &RouteRule,
+fn find_route<'a>(
+    config: &'a RelayConfig,
     caller: &CallerHead,
-) -> Result<Option<WorkspaceId>, Refusal> {
+    path: &str,
+) -> Result<(&'a RouteRule, Option<WorkspaceId>), Refusal> {
+    let route = config.route(&caller.host, path).ok_or(Refusal::new(RefusalKind::NoRoute))?;
     let workspace = caller.key.as_ref().and_then(|key| config.workspace(key));
     if workspace.is_none() && config.needs_keys() && !route.public {
         return Err(Refusal::new(RefusalKind::UnknownKey));
     }
-    Ok(workspace.cloned())
+    Ok((route, workspace.cloned()))
 }
 
 /// Picks one of the route's services at random, by their weights.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,11 +8,12 @@
         metrics::RelayMetrics,
         retry::RetryBudget,
         server::{BackendServer, ServerId, ServerTable},
+        standing::ConfigStanding,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     base::{SharedClock, Tick},
     std::sync::atomic::{AtomicBool, AtomicUsize},
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, watch},
     tracing::info,
 };
 
@@ -29,6 +30,8 @@
 pub struct RelayShared {
     /// The configuration in force; empty until the first one is received.
     pub config: ArcSwapOption<RelayConfig>,
+    /// How recent that configuration is known to be. Set after the configuration is replaced.
+    pub standing: watch::Sender<ConfigStanding>,
     /// The servers that accept requests now, by service.
     pub servers: ArcSwap<ServerTable>,
     /// This process's share of the retry limit.
@@ -56,6 +59,7 @@
     pub fn new(clock: SharedClock, budget: RetryBudget, signs: mpsc::Sender<ServerSign>) -> Self {
         Self {
             config: ArcSwapOption::empty(),
+            standing: watch::Sender::default(),
             servers: ArcSwap::from_pointee(ServerTable::default()),
             budget,
             processes: AtomicUsize::new(1),
