--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -2,14 +2,17 @@
 //!
 //! Every process needs every version, and a version with thousands of routes takes a slow link
 //! seconds. So only the watchers read it from the store; each other process queries one process,
-//! and at most a few others query it in turn (see `MemberTable::config_source`).
+//! and at most a few others query it in turn (see `MemberTable::config_source`). A query is answered
+//! when the process has a newer configuration or a later confirmation of its own, so that both pass
+//! down the tree without a pause.
 
 use {
     crate::{
-        peer_link::{LinkError, PeerLink, UnreadableSnafu},
+        config_tracker::ConfigClaim,
+        peer_link::{LinkError, PeerLink, TimedOutSnafu, UnreadableSnafu},
         ports::{ConfigStamp, ConfigUpdate},
     },
-    base::StoreEra,
+    base::{SharedClock, StoreEra, Tick},
     bytes::{Buf, Bytes},
     parking_lot::Mutex,
     snafu::ResultExt,
@@ -21,52 +24,89 @@
     },
     tokio::{
         sync::Notify,
-        time::{Instant, timeout_at},
+        time::{Instant, timeout, timeout_at},
     },
 };
 
-/// How long a process waits for a newer configuration before it answers a query without one. A
-/// process whose source is stalled learns of a newer version from gossip much earlier.
-const MAX_QUERY_WAIT: Duration = Duration::from_secs(4);
+/// How long a process waits before it answers a query although it has nothing new. Longer than the
+/// time between two confirmations by the store.
+const MAX_QUERY_WAIT: Duration = Duration::from_millis(1_800);
 /// A query times out this long after [`MAX_QUERY_WAIT`].
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
-/// Time in which a process that is known to have a newer configuration begins to send it.
-const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// Time in which a process that claims to have a better configuration must accept a connection and
+/// begin to answer; several round trips. The next one is asked after it.
+const FETCH_LIMIT: Duration = Duration::from_millis(250);
+/// A later confirmation is worth an answer if it is later by this much.
+const MIN_GAIN: Duration = Duration::from_millis(300);
+/// Stands for an age that is not known, in messages.
+const UNKNOWN_AGE: u32 = u32::MAX;
 
-/// First byte of a query. A [`ConfigQuery`] follows.
-pub(crate) const CONFIG_QUERY: u8 = 3;
+/// First byte of a query. A [`ConfigQuery`] follows. 3 was that of queries without an age.
+pub(crate) const CONFIG_QUERY: u8 = 6;
 
 /// The fields of a query after its first byte.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigQuery {
-    /// The configuration that the reader has.
-    pub(crate) known: ConfigStamp,
+    /// The configuration that the reader has, and its age.
+    pub(crate) known: ConfigClaim,
     /// How long to wait for a newer one.
     pub(crate) wait: Duration,
 }
 
 impl ConfigQuery {
     /// Length of the encoded fields, in bytes.
-    pub(crate) const BYTES: usize = 20;
+    pub(crate) const BYTES: usize = 24;
 
-    /// Version, era and milliseconds to wait, as big-endian numbers of eight, eight and four bytes.
+    /// Version, era, age and wait, as big-endian numbers of eight, eight, four and four bytes.
     fn encode(self) -> [u8; Self::BYTES] {
-        let wait_ms = u32::try_from(self.wait.as_millis()).unwrap_or(u32::MAX);
         let mut bytes = [0; Self::BYTES];
-        bytes[..8].copy_from_slice(&self.known.version.to_be_bytes());
-        bytes[8..16].copy_from_slice(&self.known.era.0.to_be_bytes());
-        bytes[16..].copy_from_slice(&wait_ms.to_be_bytes());
+        bytes[..8].copy_from_slice(&self.known.stamp.version.to_be_bytes());
+        bytes[8..16].copy_from_slice(&self.known.stamp.era.0.to_be_bytes());
+        bytes[16..20].copy_from_slice(&self.known.age_ms.unwrap_or(UNKNOWN_AGE).to_be_bytes());
+        bytes[20..].copy_from_slice(&millis(self.wait).to_be_bytes());
         bytes
     }
 
     pub(crate) fn decode(bytes: &[u8; Self::BYTES]) -> Self {
         let mut rest = &bytes[..];
         let (version, era) = (rest.get_u64(), rest.get_u64());
+        let age_ms = Some(rest.get_u32()).filter(|age_ms| *age_ms != UNKNOWN_AGE);
         let wait = Duration::from_millis(rest.get_u32().into());
-        Self { known: ConfigStamp { version, era: StoreEra(era) }, wait }
+        let stamp = ConfigStamp { version, era: StoreEra(era) };
+        Self { known: ConfigClaim { stamp, age_ms }, wait }
     }
 }
 
+pub(crate) fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+base::value_type!(
+    /// What the answer to a query says beside the configuration.
+    #[derive(Copy)]
+    struct AnswerHead {
+        /// What the answering process says about its configuration.
+        claim: ConfigClaim,
+        /// How long it held the query. The answer was made at least that long after the query was
+        /// sent, whatever time it took to arrive.
+        held_ms: u32,
+        /// Number of processes between the store and the answering one.
+        depth: u8,
+    }
+);
+
+/// The answer to a query.
+#[derive(Debug)]
+pub(crate) struct ConfigAnswer {
+    /// The configuration, if it is newer than the reader's.
+    pub(crate) update: Option<ConfigUpdate>,
+    /// Time since that, or else the reader's own one, was known to be the newest; `None` if the
+    /// answer does not show it.
+    pub(crate) age: Option<Duration>,
+    /// Number of processes between the store and the answering one.
+    pub(crate) depth: u8,
+}
+
 /// The newest configuration of this process, encoded at most once for all queries.
 #[derive(Debug)]
 struct OfferedConfig {
@@ -74,36 +114,82 @@
     encoded: OnceLock<Bytes>,
 }
 
+#[derive(Clone, Debug, Default)]
+struct OfferState {
+    newest: Option<Arc<OfferedConfig>>,
+    confirmed_at: Option<Tick>,
+    depth: u8,
+}
+
 /// The newest configuration, for the queries of other processes.
 #[derive(Debug, Default)]
 pub struct ConfigOffer {
-    newest: Mutex<Option<Arc<OfferedConfig>>>,
+    state: Mutex<OfferState>,
     changed: Notify,
 }
 
 impl ConfigOffer {
     /// Replaces the configuration and answers the waiting queries.
     pub fn publish(&self, update: Arc<ConfigUpdate>) {
-        *self.newest.lock() = Some(Arc::new(OfferedConfig { update, encoded: OnceLock::new() }));
+        let offered = OfferedConfig { update, encoded: OnceLock::new() };
+        self.state.lock().newest = Some(Arc::new(offered));
         self.changed.notify_waiters();
     }
 
-    /// The encoded configuration if it is newer than the reader's, after waiting for one.
-    pub(crate) async fn answer(&self, query: ConfigQuery) -> io::Result<Option<Bytes>> {
+    /// Records when the configuration was last known to be the newest one, and the number of
+    /// processes between the store and this one.
+    pub fn confirm(&self, confirmed_at: Option<Tick>, depth: u8) {
+        {
+            let mut state = self.state.lock();
+            (state.confirmed_at, state.depth) = (confirmed_at, depth);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// The encoded answer to a query, after waiting for something new.
+    pub(crate) async fn answer(
+        &self,
+        query: ConfigQuery,
+        clock: &SharedClock,
+    ) -> io::Result<Vec<u8>> {
+        let received_at = clock.now();
+        let known_age = query.known.age_ms.map(|age_ms| Duration::from_millis(age_ms.into()));
+        let known_at = known_age.map(|age| received_at.back(age));
         let until = Instant::now() + query.wait;
         loop {
             let changed = self.changed.notified();
-            let newest = self.newest.lock().clone();
-            if let Some(offered) = newest.filter(|offered| offered.update.stamp() > query.known) {
-                return offered.encode().map(Some);
-            }
-            if timeout_at(until, changed).await.is_err() {
-                return Ok(None);
+            let state = self.state.lock().clone();
+            let is_news = state.is_newer(query.known.stamp)
+                || state.confirmed_at > known_at.map(|at| at + MIN_GAIN);
+            if is_news || timeout_at(until, changed).await.is_err() {
+                let now = clock.now();
+                return state.encode(query.known.stamp, now.since(received_at), now);
             }
         }
     }
 }
 
+impl OfferState {
+    fn stamp(&self) -> ConfigStamp {
+        self.newest.as_ref().map(|offered| offered.update.stamp()).unwrap_or_default()
+    }
+
+    fn is_newer(&self, known: ConfigStamp) -> bool {
+        self.stamp() > known
+    }
+
+    fn encode(&self, known: ConfigStamp, held: Duration, now: Tick) -> io::Result<Vec<u8>> {
+        let age_ms = self.confirmed_at.map(|at| millis(now.since(at)));
+        let claim = ConfigClaim { stamp: self.stamp(), age_ms };
+        let head = AnswerHead { claim, held_ms: millis(held), depth: self.depth };
+        let mut answer = postcard::to_stdvec(&head).map_err(io::Error::other)?;
+        if let Some(offered) = self.newest.as_ref().filter(|_| self.is_newer(known)) {
+            answer.extend_from_slice(&offered.encode()?);
+        }
+        Ok(answer)
+    }
+}
+
 impl OfferedConfig {
     fn encode(&self) -> io::Result<Bytes> {
         if let Some(encoded) = self.encoded.get() {
@@ -114,21 +200,23 @@
     }
 }
 
-/// Waits at another process for a configuration newer than `known`; `None` if it got none.
+/// Waits at another process for a configuration newer than the known one, or for a later
+/// confirmation of it.
 pub(crate) async fn poll_config(
     link: &mut PeerLink,
-    known: ConfigStamp,
-) -> Result<Option<ConfigUpdate>, LinkError> {
+    known: ConfigClaim,
+) -> Result<ConfigAnswer, LinkError> {
     let query = ConfigQuery { known, wait: MAX_QUERY_WAIT };
     send_query(link, query, MAX_QUERY_WAIT + RESPONSE_MARGIN).await
 }
 
-/// Fetches the configuration of a process that has a newer one than `known`.
+/// Asks a process that claims to have a better configuration than the known one.
 pub(crate) async fn fetch_config(
     address: SocketAddr,
-    known: ConfigStamp,
-) -> Result<Option<ConfigUpdate>, LinkError> {
-    let mut link = PeerLink::connect(address, None).await?;
+    known: ConfigClaim,
+) -> Result<ConfigAnswer, LinkError> {
+    let connecting = timeout(FETCH_LIMIT, PeerLink::connect(address, None)).await;
+    let mut link = connecting.unwrap_or_else(|_| TimedOutSnafu.fail())?;
     send_query(&mut link, ConfigQuery { known, wait: Duration::ZERO }, FETCH_LIMIT).await
 }
 
@@ -136,12 +224,22 @@
     link: &mut PeerLink,
     query: ConfigQuery,
     limit: Duration,
-) -> Result<Option<ConfigUpdate>, LinkError> {
+) -> Result<ConfigAnswer, LinkError> {
     let request = [&[CONFIG_QUERY], &query.encode()[..]].concat();
+    let sent_at = Instant::now();
     let response = link.exchange(&request, limit).await?;
-    if response.is_empty() {
-        return Ok(None);
-    }
-    let update: ConfigUpdate = postcard::from_bytes(&response).context(UnreadableSnafu)?;
-    Ok(Some(update).filter(|update| update.stamp() > query.known))
+    let (head, rest): (AnswerHead, &[u8]) =
+        postcard::take_from_bytes(&response).context(UnreadableSnafu)?;
+    let update: Option<ConfigUpdate> = match rest {
+        [] => None,
+        encoded => Some(postcard::from_bytes(encoded).context(UnreadableSnafu)?),
+    };
+    // A process with an older configuration can't confirm this one.
+    let claimed_age = head.claim.age_ms.filter(|_| head.claim.stamp >= query.known.stamp);
+    let age = claimed_age.map(|age_ms| {
+        let travel = sent_at.elapsed().saturating_sub(Duration::from_millis(head.held_ms.into()));
+        travel + Duration::from_millis(age_ms.into())
+    });
+    let update = update.filter(|update| update.stamp() > query.known.stamp);
+    Ok(ConfigAnswer { update, age, depth: head.depth })
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        config_share::fetch_config,
+        config_share::{ConfigAnswer, fetch_config},
+        config_tracker::ConfigOrigin,
         ports::{PlatformWatch, WatchError, WatchPage, WatchPosition},
         view::NodeView,
     },
-    std::{future::Future, sync::Arc, time::Duration},
+    relay::CONFIG_TRUST,
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
@@ -28,6 +30,9 @@
 /// Pause after a page of member and owner rows; at a common start hundreds are written one by one.
 const ROW_PAUSE: Duration = Duration::from_millis(150);
 
+/// Maximum number of peers asked in one attempt to catch up.
+const MAX_FETCHES: usize = 4;
+
 /// Follows the three watches until cancelled.
 pub async fn follow_all<W: PlatformWatch>(
     watch: Arc<W>,
@@ -37,21 +42,29 @@
     let config = follow(
         WatchSettings { what: "config", pause: &|| CONFIG_PAUSE, rereads_after_failure: true },
         |after| watch.watch_config(after, view.is_watcher()),
-        |page| page.changes.into_iter().for_each(|update| view.apply_config(update)),
+        |page| view.apply_config_page(page),
         // The other watches may be waiting for a response that never arrives.
         || watch.abandon_waiting(),
     );
     let server_pause = || if view.is_busy_owner() { BUSY_OWNER_PAUSE } else { SERVER_PAUSE };
     let servers = follow(
         WatchSettings { what: "servers", pause: &server_pause, rereads_after_failure: false },
-        |after| watch.watch_servers(after),
-        |page| view.apply_servers(page),
+        |after| watch.watch_servers(after, view.serves_readers()),
+        |page| {
+            if page.has_news() {
+                view.apply_servers(page);
+            }
+        },
         || view.note_outage(),
     );
     let rows = follow(
         WatchSettings { what: "rows", pause: &|| ROW_PAUSE, rereads_after_failure: false },
         |after| watch.watch_rows(after),
-        |page| view.apply_rows(page),
+        |page| {
+            if page.has_news() {
+                view.apply_rows(page);
+            }
+        },
         || {},
     );
     let all = async { tokio::join!(config, servers, rows, catch_up(&*watch, &view)) };
@@ -61,20 +74,49 @@
     }
 }
 
-/// Fetches the configuration from a peer that has had a newer one for some time. The process's own
-/// read may have stalled, or a large configuration may be arriving over a slow link; the second one
-/// goes on.
+/// Fetches the configuration from a peer that has a newer one or a confirmed one, when this process's
+/// own read may have stalled or its source may be cut off. A response that is arriving goes on.
 async fn catch_up<W: PlatformWatch>(watch: &W, view: &NodeView) {
     loop {
         view.outdated.notified().await;
+        let peers = view.better_peers();
+        if peers.is_empty() {
+            // The store may be out for all, or this process's sources and peers are cut off from it.
+            if view.take_store_turn() {
+                watch.read_store_next();
+            }
+            continue;
+        }
         watch.abandon_waiting();
-        let Some(address) = view.peer_ahead() else { continue };
-        match fetch_config(address, view.config_stamp()).await {
-            Ok(Some(update)) => view.apply_config(update),
-            Ok(None) => {}
-            Err(error) => info!(decision = "not-caught-up", peer = %address, why = %error, "state"),
+        for peer in peers.into_iter().take(MAX_FETCHES) {
+            if fetch_from(view, peer).await {
+                break;
+            }
+            view.distrust_peer(peer);
+        }
+    }
+}
+
+/// Fetches the configuration from one peer; returns whether that made it newer or confirmed it.
+async fn fetch_from(view: &NodeView, peer: SocketAddr) -> bool {
+    let known = view.config_claim();
+    let answer = match fetch_config(peer, known).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            info!(decision = "not-caught-up", %peer, why = %error, "state");
+            return false;
         }
+    };
+    let ConfigAnswer { update, age, depth } = answer;
+    if update.is_none() && age.is_none_or(|age| age >= CONFIG_TRUST) {
+        info!(decision = "not-caught-up", %peer, why = "nothing newer", "state");
+        return false;
     }
+    view.set_config_origin(ConfigOrigin::peer(peer, depth));
+    let position = WatchPosition::default();
+    let changes = Vec::from_iter(update);
+    view.apply_config_page(WatchPage { changes, position, is_snapshot: false, age });
+    true
 }
 
 /// How one watch is followed.
@@ -111,8 +153,9 @@
                 }
                 after = Some(page.position);
                 history_gone &= page.is_snapshot;
-                if page.is_snapshot || !page.changes.is_empty() {
-                    apply(page);
+                let has_news = page.has_news();
+                apply(page);
+                if has_news {
                     sleep(pause()).await;
                 }
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,7 +13,9 @@
 
 mod accept;
 pub mod addresses;
+pub mod config_ages;
 pub mod config_share;
+pub mod config_tracker;
 pub mod control;
 pub mod follow;
 mod http;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -163,6 +163,11 @@
         self.remote_watchers(now).is_none()
     }
 
+    /// Whether other processes read the server list and the rows from this one.
+    pub fn serves_readers(&self, now: Tick) -> bool {
+        self.is_watcher(now) && self.live_members(now).nth(ALL_WATCH_LIMIT).is_some()
+    }
+
     /// The watchers, or `None` if this process is a watcher itself.
     fn remote_watchers(&self, now: Tick) -> Option<Vec<(&HostId, &MemberRow)>> {
         let watchers = self.watchers(now);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,13 +4,20 @@
     crate::{logs::dropped_lines, view::NodeView},
     prometheus_client::{encoding::text::encode, metrics::gauge::Gauge, registry::Registry},
     relay::RelayShared,
-    std::{sync::Arc, sync::atomic::Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// The metrics registry, and gauges that are set from the local view at each scrape.
 pub(crate) struct NodeMetrics {
     registry: Registry,
     config_version: Gauge,
+    config_age: Gauge<f64, AtomicU64>,
     servers: Gauge,
     processes: Gauge,
     dropped: Gauge,
@@ -23,6 +30,9 @@
         let mut registry = Registry::with_prefix("gypsumfork");
         let config_version = Gauge::default();
         registry.register("config_version", "Version in force", config_version.clone());
+        let config_age = Gauge::default();
+        let help = "Time since the version in force was known to be the newest, in seconds";
+        registry.register("config_age_seconds", help, config_age.clone());
         let servers = Gauge::default();
         registry.register("open_servers", "Servers that take requests", servers.clone());
         let processes = Gauge::default();
@@ -31,7 +41,8 @@
         registry.register("log_lines_dropped", "Lines over the budget", dropped.clone());
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
-        Self { registry, dropped, config_version, servers, processes, view, shared }
+        view.config_ages.register(&mut registry);
+        Self { registry, dropped, config_version, config_age, servers, processes, view, shared }
     }
 
     /// Updates the gauges and returns the response body of a scrape.
@@ -39,6 +50,8 @@
         let version =
             self.view.with(|state| state.config.as_ref().map_or(0, |config| config.relay.version));
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.config_age
+            .set(self.view.config_age().as_ref().map_or(f64::NAN, Duration::as_secs_f64));
         self.servers.set(self.shared.servers.load().all().count() as i64);
         self.processes.set(self.shared.processes.load(Ordering::Relaxed) as i64);
         self.dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/node/src/page_cache.rs
+++ b/crates/node/src/page_cache.rs
@@ -9,7 +9,7 @@
 };
 
 /// Pages are served only if the store has answered within this time. It exceeds the time in which a
-/// configuration watch either returns or is found to be stalled.
+/// short-poll watch either returns or is found to be stalled.
 const MAX_STALENESS: Duration = Duration::from_millis(2_500);
 /// Maximum number of cached pages; about half a minute of changes at the usual rate.
 const MAX_PAGES: usize = 64;
@@ -19,12 +19,17 @@
 pub enum CacheLookup<T> {
     /// The changes since the position.
     Changes(WatchPage<T>),
-    /// Nothing has changed since the reader's position. Holds the position to continue from, which
-    /// is the same or a later one.
-    UpToDate(WatchPosition),
-    /// The pages since the position are not cached, or the store has not answered recently: the
-    /// reader has to query the store.
+    /// Nothing has changed since the reader's position.
+    UpToDate {
+        /// The position to continue from, which is the same or a later one.
+        position: WatchPosition,
+        /// Time since the store last answered.
+        age: Duration,
+    },
+    /// The pages since the position are not cached: the reader has to query the store.
     Miss,
+    /// The store has not answered recently: the reader should query another process.
+    Unreachable,
 }
 
 #[derive(Debug)]
@@ -86,7 +91,7 @@
         self.state.lock().last_answer_at = Some(now);
     }
 
-    /// Records that the store did not answer; lookups miss until it answers again.
+    /// Records that the store did not answer; it counts as unreachable until it answers again.
     pub fn mark_unreachable(&self) {
         self.state.lock().last_answer_at = None;
         self.updated.notify_waiters();
@@ -95,18 +100,26 @@
     /// Looks up the changes for a reader that knows everything up to `after`.
     pub fn lookup(&self, after: WatchPosition, now: Tick) -> CacheLookup<T> {
         let state = self.state.lock();
-        let fresh = state.last_answer_at.is_some_and(|at| now.since(at) < MAX_STALENESS);
+        let age = state.last_answer_at.map(|at| now.since(at));
         // A reader of another era may know rows that this era does not have.
         let covered = state.start.is_some_and(|start| start.era == after.era && after >= start);
-        if !fresh || !covered {
+        if !covered {
             return CacheLookup::Miss;
         }
+        let Some(age) = age.filter(|age| *age < MAX_STALENESS) else {
+            return CacheLookup::Unreachable;
+        };
         let since = state.pages.iter().filter(|page| page.end > after);
         let changes: Vec<T> = since.flat_map(|page| page.changes.clone()).collect();
         let end = state.pages.back().map_or(after, |page| page.end.max(after));
         if changes.is_empty() {
-            return CacheLookup::UpToDate(end);
+            return CacheLookup::UpToDate { position: end, age };
         }
-        CacheLookup::Changes(WatchPage { changes, position: end, is_snapshot: false })
+        CacheLookup::Changes(WatchPage {
+            changes,
+            position: end,
+            is_snapshot: false,
+            age: Some(age),
+        })
     }
 }
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -35,9 +35,6 @@
     /// The response did not begin or went on too slowly.
     #[snafu(display("no answer in time"))]
     TimedOut,
-    /// The process does not have what was asked for.
-    #[snafu(display("its cache does not cover the requested position"))]
-    Miss,
     /// The announced length exceeds `MAX_RESPONSE_BYTES`.
     #[snafu(display("the response of {bytes} bytes is above the limit"))]
     TooLarge {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,8 @@
 //! Gossip messages between processes, sent as datagrams.
 
 use {
-    base::{Incarnation, ModelName},
+    crate::{config_tracker::ConfigClaim, ports::ConfigStamp},
+    base::{Incarnation, ModelName, StoreEra},
     relay::ServerId,
     std::{io, net::SocketAddr, time::Duration},
     tokio::net::UdpSocket,
@@ -57,7 +58,8 @@
         pub own: PeerHeartbeat,
         /// Heartbeat counters of other processes that the sender forwards.
         pub forwarded: Vec<PeerHeartbeat>,
-        /// The sender's configuration version; 0 before it knows one.
+        /// The sender's configuration version; 0 before it knows one. Kept for earlier versions of
+        /// this program, which do not read `config`.
         pub config_version: u64,
         /// Whether callers already use the system, as far as the sender knows: it has accepted a
         /// request, was started without `first_start`, or a peer has said so. Never reset.
@@ -73,9 +75,21 @@
         /// fields, where an earlier version of this program ignores it.
         #[serde(skip)]
         pub leaving_servers: Vec<LeavingNotice>,
+        /// What the sender says about its configuration. Encoded last, where an earlier version of
+        /// this program ignores it; `None` if the sender is of such a version.
+        #[serde(skip)]
+        pub config: Option<ConfigClaim>,
     }
 );
 
+impl GossipMessage {
+    /// What the sender says about its configuration, as far as its version of this program does.
+    pub fn config_claim(&self) -> ConfigClaim {
+        let stamp = ConfigStamp { version: self.config_version, era: StoreEra::default() };
+        self.config.unwrap_or(ConfigClaim { stamp, age_ms: None })
+    }
+}
+
 base::value_type!(
     /// A server that has said that it is leaving.
     pub struct LeavingNotice {
@@ -88,19 +102,24 @@
 
 fn encode(message: &GossipMessage) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_extend(message, vec![MESSAGE_VERSION])?;
-    if message.leaving_servers.is_empty() {
-        return Ok(bytes);
+    let bytes = postcard::to_extend(&message.leaving_servers, bytes)?;
+    match &message.config {
+        Some(claim) => postcard::to_extend(claim, bytes),
+        None => Ok(bytes),
     }
-    postcard::to_extend(&message.leaving_servers, bytes)
 }
 
-/// Decodes a message without its first byte.
+/// Decodes a message without its first byte. The parts that an earlier version of this program did
+/// not send may be missing at the end.
 fn decode(bytes: &[u8]) -> Result<GossipMessage, postcard::Error> {
-    let (message, rest): (GossipMessage, &[u8]) = postcard::take_from_bytes(bytes)?;
-    if rest.is_empty() {
-        return Ok(message);
+    let (mut message, mut rest): (GossipMessage, &[u8]) = postcard::take_from_bytes(bytes)?;
+    if !rest.is_empty() {
+        (message.leaving_servers, rest) = postcard::take_from_bytes(rest)?;
+    }
+    if !rest.is_empty() {
+        message.config = Some(postcard::from_bytes(rest)?);
     }
-    Ok(GossipMessage { leaving_servers: postcard::from_bytes(rest)?, ..message })
+    Ok(message)
 }
 
 /// The socket for gossip messages.
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -32,6 +32,9 @@
     pub position: WatchPosition,
     /// Whether `changes` is a full snapshot, so that anything missing from it no longer exists.
     pub is_snapshot: bool,
+    /// Time since the page was complete: later changes may be missing from it. `None` if that is
+    /// not known.
+    pub age: Option<Duration>,
 }
 
 /// Why a watch returned no page.
@@ -105,6 +108,19 @@
     }
 );
 
+impl<T> WatchPage<T> {
+    /// The page with its changes in another form.
+    pub fn with_changes<U>(&self, changes: Vec<U>) -> WatchPage<U> {
+        let Self { position, is_snapshot, age, .. } = *self;
+        WatchPage { changes, position, is_snapshot, age }
+    }
+
+    /// Whether the page says more than that nothing has changed.
+    pub fn has_news(&self) -> bool {
+        self.is_snapshot || !self.changes.is_empty()
+    }
+}
+
 impl ConfigUpdate {
     /// The configuration's place in the order of all of them.
     pub fn stamp(&self) -> ConfigStamp {
@@ -180,10 +196,12 @@
         short_poll: bool,
     ) -> impl Future<Output = Result<WatchPage<ConfigUpdate>, WatchError>> + Send;
 
-    /// Watches the entries that servers register in the store.
+    /// Watches the entries that servers register in the store, with `short_poll` as in
+    /// [`Self::watch_config`].
     fn watch_servers(
         &self,
         after: Option<WatchPosition>,
+        short_poll: bool,
     ) -> impl Future<Output = Result<WatchPage<ServerChange>, WatchError>> + Send;
 
     /// Watches the rows that this program writes: members and owners of fabric domains.
@@ -195,6 +213,10 @@
     /// Ends the watches whose response has not begun, which then fail. Called when there are signs
     /// that they wait for a response that never arrives. Responses that are arriving go on.
     fn abandon_waiting(&self);
+
+    /// Makes the next watch of the configuration read the store, where it would read from another
+    /// process.
+    fn read_store_next(&self) {}
 }
 
 /// An engine's report of its state.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -349,7 +349,7 @@
         loop {
             let (message, from) = self.peers.receive().await;
             let now = self.shared.clock.now();
-            self.view.note_peer_version(message.config_version, from);
+            self.view.note_peer_config(from, message.config_claim());
             if message.in_traffic {
                 self.shared.in_traffic.store(true, Ordering::Relaxed);
             }
@@ -412,10 +412,12 @@
             counter: self.round.load(Ordering::Relaxed),
             leaving: self.shared.leaving.load(Ordering::Relaxed),
         };
+        let config = self.view.config_claim();
         GossipMessage {
             own,
             forwarded,
-            config_version: self.view.config_version(),
+            config_version: config.stamp.version,
+            config: Some(config),
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
             stalled: Vec::new(),
             broken: Vec::new(),
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -7,9 +7,10 @@
 use {
     crate::{
         accept::accept_until,
-        config_share::{CONFIG_QUERY, ConfigOffer, ConfigQuery, poll_config},
+        config_share::{CONFIG_QUERY, ConfigAnswer, ConfigOffer, ConfigQuery, millis, poll_config},
+        config_tracker::ConfigOrigin,
         page_cache::{CacheLookup, PageCache},
-        peer_link::{LinkError, MissSnafu, PeerLink, UnreadableSnafu},
+        peer_link::{LinkError, PeerLink, UnreadableSnafu},
         ports::{
             ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
             WatchPosition,
@@ -47,14 +48,18 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 /// How long a watcher is not queried after it failed to answer.
 const AVOID_PERIOD: Duration = Duration::from_secs(5);
+/// How long a watcher is not queried after it said that the store does not answer it.
+const UNREACHABLE_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum number of watchers queried before the store is read.
+const MAX_WATCHERS: usize = 2;
 /// The table whose changes a reader requests, encoded as the first byte of the request. The era and
 /// the version of the position up to which the reader knows the table follow, as big-endian numbers
-/// of eight bytes. 1 and 2 were the tables of requests without an era.
+/// of eight bytes. 1, 2, 4 and 5 were the tables of earlier formats.
 #[derive(Clone, Copy)]
 #[repr(u8)]
 enum SharedTable {
-    Servers = 4,
-    Rows = 5,
+    Servers = 7,
+    Rows = 8,
 }
 
 impl SharedTable {
@@ -63,11 +68,24 @@
     }
 }
 
+/// The answer of a watcher to a query of a table.
+#[derive(Serialize, Deserialize)]
+enum SharedAnswer<T> {
+    /// The changes since the requested position.
+    Page(SharedPage<T>),
+    /// The watcher does not have the changes since that position.
+    NotCovered,
+    /// The store has not answered the watcher recently.
+    Unreachable,
+}
+
 /// The changes since the requested position, and the position after them.
 #[derive(Serialize, Deserialize)]
 struct SharedPage<T> {
     changes: Vec<T>,
     position: WatchPosition,
+    /// Time since the store last answered the watcher.
+    age_ms: u32,
 }
 
 /// The pages that this process read from the store and serves to other processes.
@@ -94,6 +112,8 @@
     /// Whether the configuration was last read from another process, so that the position in the
     /// store's history is out of date.
     config_position_outdated: AtomicBool,
+    /// Whether the next read of the configuration is one of the store.
+    store_turn: AtomicBool,
     /// Watchers that failed to answer, each with the time until which it is not queried.
     avoided: Mutex<BTreeMap<HostId, Instant>>,
 }
@@ -115,6 +135,7 @@
             row_link: tokio::sync::Mutex::new(None),
             config_link: tokio::sync::Mutex::new(None),
             config_position_outdated: AtomicBool::new(false),
+            store_turn: AtomicBool::new(false),
             avoided: Mutex::new(BTreeMap::new()),
         }
     }
@@ -132,7 +153,8 @@
         page
     }
 
-    /// A page from the watcher that serves this process; `None` if the store has to be read.
+    /// A page from the watcher that serves this process, or from the next one if the store does not
+    /// answer that one; `None` if the store has to be read.
     async fn query_watcher<T: DeserializeOwned>(
         &self,
         table: SharedTable,
@@ -140,27 +162,56 @@
         after: Option<WatchPosition>,
     ) -> Option<WatchPage<T>> {
         let after = after?;
-        let (node, address) = self.view.source_watcher(&|node| self.is_avoided(node))?;
-        let queried = self
-            .query_over(link, &node, address, async |link| query_page(link, table, after).await)
-            .await;
-        let SharedPage { changes, position } = queried?;
-        Some(WatchPage { changes, position, is_snapshot: false })
+        for _ in 0..MAX_WATCHERS {
+            let (node, address) = self.view.source_watcher(&|node| self.is_avoided(node))?;
+            let sent_at = Instant::now();
+            let answer = self
+                .query_over(link, &node, address, async |link| query_page(link, table, after).await)
+                .await?;
+            match answer {
+                SharedAnswer::Page(SharedPage { changes, position, age_ms }) => {
+                    let age = Some(sent_at.elapsed() + Duration::from_millis(age_ms.into()));
+                    return Some(WatchPage { changes, position, is_snapshot: false, age });
+                }
+                SharedAnswer::NotCovered => {
+                    // The store has the position that this read continues from.
+                    info!(decision = "read-from-store", peer = %node, why = "not covered", "state");
+                    return None;
+                }
+                SharedAnswer::Unreachable => {
+                    info!(decision = "source-unreachable", peer = %node, "state");
+                    // In an outage the store may drop the entries of live servers; noting it keeps
+                    // them for a while.
+                    self.view.note_outage();
+                    self.avoid(&node, UNREACHABLE_PERIOD);
+                }
+            }
+        }
+        None
     }
 
     /// A configuration from another process, in a page without a position of its own; `None` if the
     /// store has to be read.
     async fn query_config(&self, after: Option<WatchPosition>) -> Option<WatchPage<ConfigUpdate>> {
         let after = after?;
+        if self.store_turn.swap(false, Ordering::Relaxed) {
+            return None;
+        }
         let (node, address) = self.view.config_source(&|node| self.is_avoided(node))?;
-        let known = self.view.config_stamp();
-        let update = self
+        let known = self.view.config_claim();
+        let ConfigAnswer { update, age, depth } = self
             .query_over(&self.config_link, &node, address, async |link| {
                 poll_config(link, known).await
             })
             .await?;
+        self.view.set_config_origin(ConfigOrigin::peer(&node, depth));
         self.config_position_outdated.store(true, Ordering::Relaxed);
-        Some(WatchPage { changes: Vec::from_iter(update), position: after, is_snapshot: false })
+        Some(WatchPage {
+            changes: Vec::from_iter(update),
+            position: after,
+            is_snapshot: false,
+            age,
+        })
     }
 
     /// Runs a query over the kept connection to a process, or over a new one. The result is `None` if
@@ -190,14 +241,7 @@
         queried
             .inspect_err(|error| {
                 info!(decision = "read-from-store", peer = %node, why = %error, "state");
-                if matches!(error, LinkError::Miss) {
-                    // The watcher may be unable to reach the store. In an outage the store may drop
-                    // the entries of live servers; noting it keeps them for a while. Or it does not
-                    // have the position, and does have the one that this read gets from the store.
-                    self.view.note_outage();
-                    return;
-                }
-                self.avoided.lock().insert(node.clone(), Instant::now() + AVOID_PERIOD);
+                self.avoid(node, AVOID_PERIOD);
             })
             .ok()
     }
@@ -208,6 +252,10 @@
         self.view.store_reads.note(table, reason);
     }
 
+    fn avoid(&self, node: &HostId, period: Duration) {
+        self.avoided.lock().insert(node.clone(), Instant::now() + period);
+    }
+
     fn is_avoided(&self, node: &HostId) -> bool {
         let mut avoided = self.avoided.lock();
         let now = Instant::now();
@@ -230,14 +278,11 @@
     link: &mut PeerLink,
     table: SharedTable,
     after: WatchPosition,
-) -> Result<SharedPage<T>, LinkError> {
+) -> Result<SharedAnswer<T>, LinkError> {
     let mut request = [table as u8; 17];
     request[1..9].copy_from_slice(&after.era.0.to_be_bytes());
     request[9..].copy_from_slice(&after.version.to_be_bytes());
     let response = link.exchange(&request, MAX_QUERY_WAIT + RESPONSE_MARGIN).await?;
-    if response.is_empty() {
-        return MissSnafu.fail();
-    }
     postcard::from_bytes(&response).context(UnreadableSnafu)
 }
 
@@ -256,13 +301,17 @@
         self.view.store_reads.note("config", read_reason(after, has_source, false));
         let page = self.watch.watch_config(after, short_poll).await;
         let StoreCaches { servers, rows } = &*self.caches;
-        if page.is_ok() {
-            let now = self.clock.now();
-            servers.mark_reachable(now);
-            rows.mark_reachable(now);
-        } else {
-            servers.mark_unreachable();
-            rows.mark_unreachable();
+        match &page {
+            Ok(_) => {
+                self.view.set_config_origin(ConfigOrigin::default());
+                // Rows change so rarely that their own watch seldom returns. The server list changes
+                // all the time, so an answer to another watch shows nothing about it.
+                rows.mark_reachable(self.clock.now());
+            }
+            Err(_) => {
+                servers.mark_unreachable();
+                rows.mark_unreachable();
+            }
         }
         page
     }
@@ -270,13 +319,15 @@
     async fn watch_servers(
         &self,
         after: Option<WatchPosition>,
+        short_poll: bool,
     ) -> Result<WatchPage<ServerChange>, WatchError> {
         if let Some(page) = self.query_watcher(SharedTable::Servers, &self.server_link, after).await
         {
             return Ok(page);
         }
         self.note_store_read("servers", after);
-        self.cache_page(&self.caches.servers, self.watch.watch_servers(after).await)
+        let page = self.watch.watch_servers(after, short_poll).await;
+        self.cache_page(&self.caches.servers, page)
     }
 
     async fn watch_rows(
@@ -292,10 +343,14 @@
 
     fn abandon_waiting(&self) {
         if let Some((node, _)) = self.view.config_source(&|node| self.is_avoided(node)) {
-            self.avoided.lock().insert(node, Instant::now() + AVOID_PERIOD);
+            self.avoid(&node, AVOID_PERIOD);
         }
         self.watch.abandon_waiting();
     }
+
+    fn read_store_next(&self) {
+        self.store_turn.store(true, Ordering::Relaxed);
+    }
 }
 
 /// Serves the configuration and the cached pages to other processes until cancelled.
@@ -330,7 +385,7 @@
         if table == CONFIG_QUERY {
             let mut query = [0; ConfigQuery::BYTES];
             stream.read_exact(&mut query).await?;
-            let response = offer.answer(ConfigQuery::decode(&query)).await?.unwrap_or_default();
+            let response = offer.answer(ConfigQuery::decode(&query), clock).await?;
             write_response(&mut stream, &response).await?;
             continue;
         }
@@ -353,39 +408,42 @@
     stream.write_all(response).await
 }
 
-/// Returns an encoded page; empty if the cache does not cover the position.
+/// Returns an encoded [`SharedAnswer`].
 async fn respond<T: Clone + Serialize>(
     cache: &PageCache<T>,
     clock: &SharedClock,
     after: WatchPosition,
 ) -> io::Result<Vec<u8>> {
-    let page = wait_for_changes(cache, clock, after).await;
-    page.map_or(Ok(Vec::new()), |page| postcard::to_stdvec(&page).map_err(io::Error::other))
+    let answer = wait_for_changes(cache, clock, after).await;
+    postcard::to_stdvec(&answer).map_err(io::Error::other)
 }
 
-/// The changes since a position, after waiting up to [`MAX_QUERY_WAIT`] for one; `None` if the
-/// cache does not cover the position or the store has not answered recently.
+/// The changes since a position, after waiting up to [`MAX_QUERY_WAIT`] for one.
 async fn wait_for_changes<T: Clone>(
     cache: &PageCache<T>,
     clock: &SharedClock,
     after: WatchPosition,
-) -> Option<SharedPage<T>> {
+) -> SharedAnswer<T> {
     let until = Instant::now() + MAX_QUERY_WAIT;
     loop {
         let updated = cache.updated.notified();
-        match cache.lookup(after, clock.now()) {
-            CacheLookup::Changes(WatchPage { changes, position, .. }) => {
-                return Some(SharedPage { changes, position });
+        let (page, is_due) = match cache.lookup(after, clock.now()) {
+            CacheLookup::Changes(page) => (page, true),
+            CacheLookup::UpToDate { position, age } => {
+                let age = Some(age);
+                let page = WatchPage { changes: Vec::new(), position, is_snapshot: false, age };
+                (page, Instant::now() >= until)
             }
-            CacheLookup::UpToDate(position) => {
-                if Instant::now() >= until {
-                    return Some(SharedPage { changes: Vec::new(), position });
-                }
-                // At the timeout the cache is read once more, because the store may have become
-                // unreachable.
-                let _ = timeout_at(until, updated).await;
-            }
-            CacheLookup::Miss => return None,
+            CacheLookup::Miss => return SharedAnswer::NotCovered,
+            CacheLookup::Unreachable => return SharedAnswer::Unreachable,
+        };
+        if is_due {
+            let age_ms = page.age.map_or(u32::MAX, millis);
+            let WatchPage { changes, position, .. } = page;
+            return SharedAnswer::Page(SharedPage { changes, position, age_ms });
         }
+        // At the timeout the cache is read once more, because the store may have become
+        // unreachable.
+        let _ = timeout_at(until, updated).await;
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,17 +1,20 @@
 //! The local view of this process (configuration, servers, members, owners) and the table of
 //! servers for requests that is derived from it.
 
+mod config;
 mod rows;
 
 use {
     crate::{
+        config_ages::ConfigAges,
         config_share::ConfigOffer,
+        config_tracker::ConfigTracker,
         members::MemberTable,
         owners::OwnedRow,
         peers::{HeadLoad, LeavingNotice},
         ports::{
-            ConfigStamp, ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry,
-            ServerStanding, WatchPage,
+            ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry, ServerStanding,
+            WatchPage,
         },
         rows::RowOwner,
         server_list::{ServerList, ServerListChanges},
@@ -42,18 +45,13 @@
 /// does not show it as open; several report intervals.
 const REPORTED_HEAD_TTL: Duration = Duration::from_millis(1_500);
 
-/// How long a peer may have a newer configuration before the local watch is considered stalled. It
-/// exceeds the time the store needs to notify all watches and is below the time in which a change
-/// must take effect.
-const OUTDATED_TOLERANCE: Duration = Duration::from_millis(500);
-
 /// The local view behind a lock that is held only briefly.
 pub struct NodeView {
     state: Mutex<ViewState>,
     shared: Arc<RelayShared>,
     /// See [`Self::is_busy_owner`].
     busy_owner: AtomicBool,
-    /// Notified when a peer has had a newer configuration for `OUTDATED_TOLERANCE`.
+    /// Notified when a better source of the configuration should be looked for.
     pub outdated: Notify,
     /// The newest configuration, for other processes.
     pub offer: ConfigOffer,
@@ -61,17 +59,8 @@
     pub changed: Notify,
     /// How often this process read the store itself.
     pub store_reads: StoreReads,
-}
-
-/// A peer that has a newer configuration than this process.
-#[derive(Clone, Copy, Debug)]
-struct PeerAhead {
-    /// The version that the peer has.
-    version: u64,
-    /// The address for connections to the peer.
-    address: SocketAddr,
-    /// Since when peers have been ahead.
-    since: Tick,
+    /// How old the configuration became.
+    pub config_ages: ConfigAges,
 }
 
 /// The content of the local view.
@@ -94,8 +83,8 @@
     counters: BTreeMap<ServerId, Arc<ServerCounters>>,
     /// Heads of groups that were reported as broken, with the time at which the report expires.
     broken: BTreeMap<ServerId, Tick>,
-    /// A peer with a newer configuration.
-    ahead: Option<PeerAhead>,
+    /// How recent the configuration is known to be.
+    tracker: ConfigTracker,
     /// Heads that their owners reported as serving, each with its model and the time at which the
     /// report expires.
     reported: BTreeMap<ServerId, (ModelName, Tick)>,
@@ -114,7 +103,7 @@
             servers_loaded: false,
             counters: BTreeMap::new(),
             broken: BTreeMap::new(),
-            ahead: None,
+            tracker: ConfigTracker::default(),
             reported: BTreeMap::new(),
         };
         Self {
@@ -125,6 +114,7 @@
             offer: ConfigOffer::default(),
             changed: Notify::new(),
             store_reads: StoreReads::default(),
+            config_ages: ConfigAges::default(),
         }
     }
 
@@ -137,30 +127,6 @@
         self.shared.clock.now()
     }
 
-    /// Applies a configuration and rebuilds the server table, unless it is at or below the known
-    /// one in the order of [`ConfigStamp`].
-    pub fn apply_config(&self, update: ConfigUpdate) {
-        let mut state = self.state.lock();
-        let known = state.config.as_ref().map(|config| config.stamp());
-        if known.is_some_and(|known| known >= update.stamp()) {
-            return;
-        }
-        info!(
-            decision = "config-taken",
-            version = update.relay.version,
-            era = update.era.0,
-            before = known.map(|known| known.version),
-            routes = update.relay.route_count(),
-            "state"
-        );
-        self.shared.config.store(Some(Arc::new(update.relay.clone())));
-        let update = Arc::new(update);
-        self.offer.publish(update.clone());
-        state.config = Some(update);
-        self.rebuild(&mut state);
-        self.changed.notify_one();
-    }
-
     /// Applies a page of the server list and rebuilds the server table. A snapshot also removes the
     /// servers that it does not contain.
     pub fn apply_servers(&self, page: WatchPage<ServerChange>) {
@@ -173,8 +139,10 @@
     }
 
     /// Removes expired entries: servers kept after an outage of the store, and reports about heads.
+    /// Also checks the age of the configuration.
     pub fn expire(&self) {
         let mut state = self.state.lock();
+        self.check_config(&mut state);
         let now = self.now();
         let delta = state.servers.expire(now);
         state.members.expire(now);
@@ -204,55 +172,6 @@
         self.changed.notify_one();
     }
 
-    /// The version of the newest configuration; 0 before one is known.
-    pub fn config_version(&self) -> u64 {
-        self.shared.config.load().as_ref().map_or(0, |config| config.version)
-    }
-
-    /// The newest configuration's place in the order; zero before one is known.
-    pub fn config_stamp(&self) -> ConfigStamp {
-        self.with(|state| state.config.as_ref().map(|config| config.stamp())).unwrap_or_default()
-    }
-
-    /// Records the configuration version of the peer at `address`. If peers have had a newer one than
-    /// this process for `OUTDATED_TOLERANCE`, [`Self::outdated`] is notified.
-    pub fn note_peer_version(&self, version: u64, address: SocketAddr) {
-        let own = self.config_version();
-        let now = self.now();
-        self.with(|state| {
-            // Once this process has what a peer was ahead with, it has kept up so far.
-            let mut ahead = state.ahead.filter(|ahead| ahead.version > own);
-            if version > own {
-                let known = ahead.get_or_insert(PeerAhead { version, address, since: now });
-                if version > known.version {
-                    (known.version, known.address) = (version, address);
-                }
-                if now.since(known.since) >= OUTDATED_TOLERANCE {
-                    known.since = now;
-                    self.outdated.notify_one();
-                }
-            }
-            state.ahead = ahead;
-        });
-    }
-
-    /// The address of the peer with the newest configuration, if it is newer than this process's.
-    pub fn peer_ahead(&self) -> Option<SocketAddr> {
-        let known = self.config_version();
-        self.with(|state| state.ahead.filter(|ahead| ahead.version > known))
-            .map(|ahead| ahead.address)
-    }
-
-    /// The process from which to read the configuration, except those to avoid; `None` if this
-    /// process should read it from the store.
-    pub fn config_source(
-        &self,
-        is_avoided: &dyn Fn(&HostId) -> bool,
-    ) -> Option<(HostId, SocketAddr)> {
-        let now = self.now();
-        self.with(|state| state.members.config_source(now, is_avoided))
-    }
-
     /// Whether this process should detect an unresponsive store itself, by a watch that is answered
     /// at short intervals. A few such processes suffice: the others learn of a new version from
     /// peers.
@@ -261,6 +180,13 @@
         self.with(|state| state.members.is_watcher(now))
     }
 
+    /// Whether other processes read the server list and the rows from this one, so that a stalled
+    /// watch must be detected early.
+    pub fn serves_readers(&self) -> bool {
+        let now = self.now();
+        self.with(|state| state.members.serves_readers(now))
+    }
+
     /// The process from which to read the server list and the rows, except those to avoid; `None` if
     /// this process should read them from the store.
     pub fn source_watcher(
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -149,7 +149,12 @@
     fn list(&self, names: &[&str]) {
         let changes = names.iter().map(|name| ServerChange::Listed(Box::new(engine(name))));
         let changes = changes.collect();
-        self.view.apply_servers(WatchPage { changes, position: at(1), is_snapshot: true });
+        self.view.apply_servers(WatchPage {
+            changes,
+            position: at(1),
+            is_snapshot: true,
+            age: None,
+        });
     }
 }
 
@@ -193,7 +198,7 @@
         value: serde_json::to_string(&row).unwrap(),
     };
     let changes = vec![RowChange::Written(stored)];
-    WatchPage { changes, position: at(1), is_snapshot: true }
+    WatchPage { changes, position: at(1), is_snapshot: true, age: None }
 }
 
 fn engine(name: &str) -> ServerEntry {
@@ -228,7 +233,12 @@
             state.members.insert_row(HostId::new(format!("n{node}")).unwrap(), row, Tick(0));
         }
     });
-    rig.view.apply_rows(WatchPage { changes: Vec::new(), position: at(2), is_snapshot: false });
+    rig.view.apply_rows(WatchPage {
+        changes: Vec::new(),
+        position: at(2),
+        is_snapshot: false,
+        age: None,
+    });
     let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
     for listed in [2, 4, 6] {
         rig.list(&names[..listed]);
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -20,7 +20,7 @@
         },
         time::Duration,
     },
-    support::relay_shared,
+    support::{relay_shared, tell_version},
     tokio::{sync::Notify, time::sleep},
     tokio_util::sync::CancellationToken,
 };
@@ -80,18 +80,19 @@
         let version = self.version.load(Ordering::SeqCst);
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
         let changes = vec![ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }];
-        Ok(WatchPage { changes, position: at(1), is_snapshot: after.is_none() })
+        Ok(WatchPage { changes, position: at(1), is_snapshot: after.is_none(), age: None })
     }
 
     async fn watch_servers(
         &self,
         after: Option<WatchPosition>,
+        _short_poll: bool,
     ) -> Result<WatchPage<ServerChange>, WatchError> {
         self.server_calls.fetch_add(1, Ordering::SeqCst);
         match after {
             None => {
                 self.full_reads.fetch_add(1, Ordering::SeqCst);
-                Ok(WatchPage { changes: Vec::new(), position: at(1), is_snapshot: true })
+                Ok(WatchPage { changes: Vec::new(), position: at(1), is_snapshot: true, age: None })
             }
             Some(position) if self.history_gone_once.swap(false, Ordering::SeqCst) => {
                 Err(WatchError::HistoryGone { position })
@@ -99,7 +100,7 @@
             Some(position) if self.servers_change.load(Ordering::SeqCst) => {
                 sleep(Duration::from_millis(4)).await;
                 let dropped = ServerChange::Dropped(HostId::new("s").unwrap());
-                Ok(WatchPage { changes: vec![dropped], position, is_snapshot: false })
+                Ok(WatchPage { changes: vec![dropped], position, is_snapshot: false, age: None })
             }
             Some(_) => self.wait_forever().await,
         }
@@ -223,11 +224,11 @@
     store.version.store(6, Ordering::SeqCst);
     sleep(Duration::from_secs(30)).await;
     assert_eq!(version(&view), Some(5));
-    view.note_peer_version(6, UNREACHABLE_PEER);
+    tell_version(&view, 6, UNREACHABLE_PEER);
     sleep(Duration::from_secs(1)).await;
     assert_eq!(version(&view), Some(5), "the local watch may still deliver it");
     clock.advance(Duration::from_millis(600));
-    view.note_peer_version(6, UNREACHABLE_PEER);
+    tell_version(&view, 6, UNREACHABLE_PEER);
     sleep(Duration::from_secs(1)).await;
     assert_eq!(version(&view), Some(6));
 }
@@ -245,7 +246,7 @@
     store.version.store(6, Ordering::SeqCst);
     store.config_transfer_ms.store(2_000, Ordering::SeqCst);
     for _ in 0..15 {
-        view.note_peer_version(6, UNREACHABLE_PEER);
+        tell_version(&view, 6, UNREACHABLE_PEER);
         sleep(Duration::from_millis(300)).await;
         clock.advance(Duration::from_millis(300));
     }
@@ -259,7 +260,7 @@
     let clock = Arc::new(ManualClock::new());
     let view = view(clock.clone());
     for version in 1..20 {
-        view.note_peer_version(version, UNREACHABLE_PEER);
+        tell_version(&view, version, UNREACHABLE_PEER);
         clock.advance(Duration::from_millis(300));
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
         view.apply_config(ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() });
@@ -276,8 +277,8 @@
     sleep(Duration::from_secs(1)).await;
     store.config_hangs.store(true, Ordering::SeqCst);
     sleep(Duration::from_secs(1)).await;
-    view.note_peer_version(4, UNREACHABLE_PEER);
-    view.note_peer_version(5, UNREACHABLE_PEER);
+    tell_version(&view, 4, UNREACHABLE_PEER);
+    tell_version(&view, 5, UNREACHABLE_PEER);
     sleep(Duration::from_secs(1)).await;
     assert!(!store.config_hangs.load(Ordering::SeqCst), "the configuration watch must be waiting");
     store.version.store(7, Ordering::SeqCst);
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -6,7 +6,8 @@
 use {
     base::{FailureDomainId, HostId, Incarnation, ManualClock, ServiceName, StoreEra},
     node::{
-        ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
+        ConfigStamp, ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
+        config_tracker::ConfigClaim,
         members::MemberTable,
         peers::{GossipMessage, LeavingNotice, PeerHeartbeat, PeerSocket},
         view::NodeView,
@@ -34,7 +35,7 @@
 
 fn apply(view: &NodeView, changes: Vec<ServerChange>, version: u64, is_snapshot: bool) {
     let position = WatchPosition { era: StoreEra(0), version };
-    view.apply_servers(WatchPage { changes, position, is_snapshot });
+    view.apply_servers(WatchPage { changes, position, is_snapshot, age: None });
 }
 
 fn standing(view: &NodeView) -> Option<ServerStanding> {
@@ -90,12 +91,17 @@
         broken: Vec::new(),
         loads: Vec::new(),
         leaving_servers: Vec::new(),
+        config: None,
     };
     let notice = LeavingNotice { server: server(), boot_id: Some(7) };
     let with_notice = GossipMessage { leaving_servers: vec![notice], ..plain.clone() };
     // A socket sends only once the runtime has seen that it is writable.
     tokio::time::sleep(Duration::from_millis(50)).await;
-    for message in [&plain, &with_notice] {
+    let stamp = ConfigStamp { version: 12, era: StoreEra(3) };
+    let config = Some(ConfigClaim { stamp, age_ms: Some(900) });
+    let with_claim = GossipMessage { config, ..plain.clone() };
+    let with_both = GossipMessage { config, ..with_notice.clone() };
+    for message in [&plain, &with_notice, &with_claim, &with_both] {
         sender.send(message, address);
         let received = tokio::time::timeout(Duration::from_secs(2), receiver.receive());
         assert_eq!(received.await.expect("no message arrived").0, *message);
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -44,7 +44,7 @@
 }
 
 fn page(changes: Vec<ServerChange>, is_snapshot: bool) -> WatchPage<ServerChange> {
-    WatchPage { changes, position: at(1), is_snapshot }
+    WatchPage { changes, position: at(1), is_snapshot, age: None }
 }
 
 fn listed(id: &str) -> ServerChange {
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -24,7 +24,7 @@
         },
         time::Duration,
     },
-    support::relay_shared,
+    support::{relay_shared, tell_version},
     tokio::{net::TcpListener, time::timeout},
     tokio_util::sync::CancellationToken,
 };
@@ -42,7 +42,11 @@
 
 fn page(changes: &[&str], position: u64, is_snapshot: bool) -> WatchPage<ServerChange> {
     let changes = changes.iter().map(|id| dropped(id)).collect();
-    WatchPage { changes, position: at(position), is_snapshot }
+    WatchPage { changes, position: at(position), is_snapshot, age: None }
+}
+
+fn up_to_date(position: u64) -> CacheLookup<ServerChange> {
+    CacheLookup::UpToDate { position: at(position), age: Duration::ZERO }
 }
 
 #[test]
@@ -54,11 +58,15 @@
     cache.insert(&page(&[], 15, false), START);
     cache.insert(&page(&["c"], 17, false), START);
     assert_eq!(cache.lookup(at(9), START), CacheLookup::Miss, "before the first page");
-    let both = CacheLookup::Changes(page(&["b", "c"], 17, false));
+    let changes = |ids: &[&str]| {
+        let age = Some(Duration::ZERO);
+        CacheLookup::Changes(WatchPage { age, ..page(ids, 17, false) })
+    };
+    let both = changes(&["b", "c"]);
     assert_eq!(cache.lookup(at(10), START), both);
     assert_eq!(cache.lookup(at(11), START), both, "a page may start before the position");
-    assert_eq!(cache.lookup(at(15), START), CacheLookup::Changes(page(&["c"], 17, false)));
-    assert_eq!(cache.lookup(at(20), START), CacheLookup::UpToDate(at(20)));
+    assert_eq!(cache.lookup(at(15), START), changes(&["c"]));
+    assert_eq!(cache.lookup(at(20), START), up_to_date(20));
 }
 
 /// A snapshot follows a loss of the store's history, so changes before it may have been missed:
@@ -70,19 +78,19 @@
     cache.insert(&page(&["b"], 12, false), START);
     cache.insert(&page(&["a"], 30, true), START);
     assert_eq!(cache.lookup(at(12), START), CacheLookup::Miss);
-    assert_eq!(cache.lookup(at(30), START), CacheLookup::UpToDate(at(30)));
+    assert_eq!(cache.lookup(at(30), START), up_to_date(30));
 }
 
 #[test]
-fn a_cache_misses_while_the_store_is_unreachable() {
+fn a_cache_says_that_the_store_is_unreachable() {
     let cache = PageCache::default();
     cache.insert(&page(&["a"], 10, true), START);
     let later = START + Duration::from_secs(3);
-    assert_eq!(cache.lookup(at(10), later), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(10), later), CacheLookup::Unreachable);
     cache.mark_reachable(later);
-    assert_eq!(cache.lookup(at(10), later), CacheLookup::UpToDate(at(10)));
+    assert_eq!(cache.lookup(at(10), later), up_to_date(10));
     cache.mark_unreachable();
-    assert_eq!(cache.lookup(at(10), later), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(10), later), CacheLookup::Unreachable);
 }
 
 #[test]
@@ -101,6 +109,7 @@
 struct UnchangingStore {
     calls: AtomicUsize,
     fails: AtomicBool,
+    has_config: AtomicBool,
 }
 
 impl PlatformWatch for UnchangingStore {
@@ -110,12 +119,17 @@
         _short_poll: bool,
     ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
         self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.has_config.load(Ordering::SeqCst) {
+            let changes = vec![config(1, 0)];
+            return Ok(WatchPage { changes, position: at(1), is_snapshot: true, age: None });
+        }
         Err(WatchError::Unavailable { detail: "store is down".to_owned() })
     }
 
     async fn watch_servers(
         &self,
         after: Option<WatchPosition>,
+        _short_poll: bool,
     ) -> Result<WatchPage<ServerChange>, WatchError> {
         self.calls.fetch_add(1, Ordering::SeqCst);
         if self.fails.load(Ordering::SeqCst) {
@@ -178,7 +192,7 @@
     }
 
     async fn query(&self, after: u64) -> WatchPage<ServerChange> {
-        self.watch.watch_servers(Some(at(after))).await.unwrap()
+        self.watch.watch_servers(Some(at(after)), false).await.unwrap()
     }
 
     fn store_calls(&self) -> usize {
@@ -227,11 +241,12 @@
         changes: keys.iter().map(|key| RowChange::Deleted((*key).into())).collect(),
         position: at(position),
         is_snapshot,
+        age: None,
     };
     rig.caches.rows.insert(&rows(&[], 10, true), now);
     rig.caches.rows.insert(&rows(&["member/n1"], 11, false), now);
     let page = rig.watch.watch_rows(Some(at(10))).await.unwrap();
-    assert_eq!(page, rows(&["member/n1"], 11, false));
+    assert_eq!(without_age(page), rows(&["member/n1"], 11, false));
     assert_eq!(rig.store_calls(), 0);
 }
 
@@ -249,7 +264,11 @@
     let empty = timeout(Duration::from_secs(2), rig.query(11))
         .await
         .expect("no response within the time limit");
-    assert_eq!(empty, empty_page(11));
+    assert_eq!(without_age(empty), empty_page(11));
+}
+
+fn without_age<T>(page: WatchPage<T>) -> WatchPage<T> {
+    WatchPage { age: None, ..page }
 }
 
 fn empty_page(position: u64) -> WatchPage<ServerChange> {
@@ -296,7 +315,7 @@
     let page = timeout(Duration::from_secs(2), rig.query(10))
         .await
         .expect("no response within the time limit");
-    assert_eq!(page, empty_page(10));
+    assert_eq!(without_age(page), empty_page(10));
     assert_eq!(rig.store_calls(), 1);
     let started = std::time::Instant::now();
     rig.query(10).await;
@@ -320,7 +339,7 @@
 async fn an_outage_of_watcher_and_store_is_an_error() {
     let rig = ReaderRig::start().await;
     rig.store.fails.store(true, Ordering::SeqCst);
-    assert!(rig.watch.watch_servers(Some(at(10))).await.is_err());
+    assert!(rig.watch.watch_servers(Some(at(10)), false).await.is_err());
 }
 
 fn config(version: u64, routes: usize) -> ConfigUpdate {
@@ -373,9 +392,9 @@
         rig.clock.clone(),
     ));
     tokio::spawn(follow_all(watch, rig.view.clone(), rig.stop.clone()));
-    rig.view.note_peer_version(36, peer);
+    tell_version(&rig.view, 36, peer);
     rig.clock.advance(Duration::from_millis(600));
-    rig.view.note_peer_version(36, peer);
+    tell_version(&rig.view, 36, peer);
     let caught_up = async {
         while rig.view.config_version() < 36 {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -384,3 +403,20 @@
     timeout(Duration::from_secs(1), caught_up).await.expect("still on an old version");
     assert_eq!(rig.view.with(|state| state.config.clone()).as_deref(), Some(&config(36, 1_490)));
 }
+
+/// Guards against a list whose own watch is silent while the store answers other watches: its readers
+/// were told that nothing had changed.
+#[tokio::test]
+async fn an_answer_about_the_configuration_does_not_confirm_the_server_list() {
+    let rig = ReaderRig::start().await;
+    let store = Arc::new(UnchangingStore::default());
+    store.has_config.store(true, Ordering::SeqCst);
+    let watch = SharedWatch::new(store, rig.served.clone(), rig.caches.clone(), rig.clock.clone());
+    rig.insert(&["a"], 10, true);
+    for _ in 0..4 {
+        rig.clock.advance(Duration::from_secs(1));
+        watch.watch_config(None, true).await.unwrap();
+    }
+    let now = base::TickClock::now(&*rig.clock);
+    assert_eq!(rig.caches.servers.lookup(at(10), now), CacheLookup::Unreachable);
+}
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -82,7 +82,7 @@
     position: WatchPosition,
     is_snapshot: bool,
 ) -> WatchPage<ServerChange> {
-    WatchPage { changes, position, is_snapshot }
+    WatchPage { changes, position, is_snapshot, age: None }
 }
 
 fn live_ids(view: &NodeView) -> Vec<String> {
@@ -153,7 +153,7 @@
             stored(&RowName::Member(host(index)), 1, value)
         });
         let changes = owner_row.chain(members).map(RowChange::Written).collect();
-        WatchPage { changes, position: at(self.era, self.version), is_snapshot }
+        WatchPage { changes, position: at(self.era, self.version), is_snapshot, age: None }
     }
 }
 
@@ -320,6 +320,7 @@
         changes: indices.iter().map(|index| row(*index)).collect(),
         position,
         is_snapshot,
+        age: None,
     };
     view.apply_rows(page(&[0, 1, 2], at(0, 90), true));
     view.apply_rows(page(&[1], at(1, 40), true));
@@ -390,7 +391,10 @@
     assert_eq!(cache.lookup(at(0, 40), now), CacheLookup::Miss);
     assert_eq!(cache.lookup(at(0, 90), now), CacheLookup::Miss);
     assert_eq!(cache.lookup(at(2, 40), now), CacheLookup::Miss);
-    assert_eq!(cache.lookup(at(1, 40), now), CacheLookup::UpToDate(at(1, 40)));
+    assert_eq!(
+        cache.lookup(at(1, 40), now),
+        CacheLookup::UpToDate { position: at(1, 40), age: Duration::ZERO }
+    );
 }
 
 /// The configuration neither goes back to the older copy's nor sticks: one that is given out again
