--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -49,7 +49,7 @@
     let server_pause = || if view.is_busy_owner() { BUSY_OWNER_PAUSE } else { SERVER_PAUSE };
     let servers = follow(
         WatchSettings { what: "servers", pause: &server_pause, rereads_after_failure: false },
-        |after| watch.watch_servers(after, view.serves_readers()),
+        |after| watch.watch_servers(after, view.needs_short_server_watch()),
         |page| {
             if page.has_news() {
                 view.apply_servers(page);
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -304,9 +304,13 @@
         match &page {
             Ok(_) => {
                 self.view.set_config_origin(ConfigOrigin::default());
-                // Rows change so rarely that their own watch seldom returns. The server list changes
-                // all the time, so an answer to another watch shows nothing about it.
-                rows.mark_reachable(self.clock.now());
+                // Rows change so rarely that their own watch seldom returns. That of the server list
+                // returns often where it is short, so an answer to another one shows nothing about it.
+                let now = self.clock.now();
+                rows.mark_reachable(now);
+                if !self.view.needs_short_server_watch() {
+                    servers.mark_reachable(now);
+                }
             }
             Err(_) => {
                 servers.mark_unreachable();
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -180,11 +180,12 @@
         self.with(|state| state.members.is_watcher(now))
     }
 
-    /// Whether other processes read the server list and the rows from this one, so that a stalled
-    /// watch must be detected early.
-    pub fn serves_readers(&self) -> bool {
+    /// Whether a stalled watch of the server list must be detected early, because other processes read
+    /// the list from this one and callers already use the system.
+    pub fn needs_short_server_watch(&self) -> bool {
         let now = self.now();
-        self.with(|state| state.members.serves_readers(now))
+        self.shared.in_traffic.load(Ordering::Relaxed)
+            && self.with(|state| state.members.serves_readers(now))
     }
 
     /// The process from which to read the server list and the rows, except those to avoid; `None` if
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -203,6 +203,7 @@
 /// The view of a process that lists a hundred processes, all with the same address.
 fn view(own: u32, address: SocketAddr, clock: Arc<ManualClock>) -> Arc<NodeView> {
     let shared = Arc::new(relay_shared(clock));
+    shared.in_traffic.store(true, Ordering::SeqCst);
     let name = |node: u32| HostId::new(format!("n{node}")).unwrap();
     let mut members = MemberTable::new(name(own));
     for node in 0..100 {
@@ -411,7 +412,10 @@
     let rig = ReaderRig::start().await;
     let store = Arc::new(UnchangingStore::default());
     store.has_config.store(true, Ordering::SeqCst);
-    let watch = SharedWatch::new(store, rig.served.clone(), rig.caches.clone(), rig.clock.clone());
+    let address = rig.served.with(|state| state.members.peer_addresses()[0]);
+    let mut views = (0..100).map(|own| view(own, address, rig.clock.clone()));
+    let watcher = views.find(|view| view.source_watcher(&|_| false).is_none()).unwrap();
+    let watch = SharedWatch::new(store, watcher, rig.caches.clone(), rig.clock.clone());
     rig.insert(&["a"], 10, true);
     for _ in 0..4 {
         rig.clock.advance(Duration::from_secs(1));
