--- a/crates/node/tests/spread/mod.rs
+++ b/crates/node/tests/spread/mod.rs
@@ -2,6 +2,7 @@
 //! delays, processes that freeze, die or are cut off, and a store that does not serve all.
 
 mod process;
+mod store;
 mod world;
 
 pub(crate) use {
--- a/crates/node/tests/spread/world.rs
+++ b/crates/node/tests/spread/world.rs
@@ -20,13 +20,9 @@
 
 const GOSSIP_MS: Millis = 300;
 const TICK_MS: Millis = 100;
-const SHORT_POLL_MS: Millis = 1_400;
-const STORE_MARGIN_MS: Millis = 700;
-const STORE_MS: Millis = 4;
 const HOP_MS: Millis = 1;
 const AVOID_MS: Millis = 5_000;
 const RESPONSE_MARGIN_MS: Millis = 400;
-const STALE_MS: Millis = 3_000;
 /// Time until the others agree that a process is down.
 const VIEW_MS: Millis = 2_400;
 /// Share of the datagrams that are lost.
@@ -67,7 +63,7 @@
     Cut(bool),
 }
 
-enum Event {
+pub(super) enum Event {
     Version(u64),
     Fault { process: usize, fault: Fault },
     Gossip(usize),
@@ -85,7 +81,7 @@
 }
 
 #[derive(Clone, Copy)]
-struct Answer {
+pub(super) struct Answer {
     claim: ConfigClaim,
     held: Millis,
     /// Whether it has the configuration.
@@ -97,13 +93,13 @@
     policy: Policy,
     pub(crate) processes: Vec<Process>,
     /// Versions with the time of their acknowledgement.
-    acked: BTreeMap<u64, Millis>,
-    config_bytes: u64,
+    pub(super) acked: BTreeMap<u64, Millis>,
+    pub(super) config_bytes: u64,
     /// When the processes agree on another set of live ones.
     views: Vec<Millis>,
     /// Watches that the store holds until a change, each with its process and read.
-    held_by_store: Vec<(usize, u64)>,
-    now: Millis,
+    pub(super) held_by_store: Vec<(usize, u64)>,
+    pub(super) now: Millis,
     order: u64,
     events: BinaryHeap<Reverse<(Millis, u64)>>,
     pending: BTreeMap<u64, Event>,
@@ -172,7 +168,7 @@
         self.push(at, Event::Fault { process, fault });
     }
 
-    fn push(&mut self, at: Millis, event: Event) {
+    pub(super) fn push(&mut self, at: Millis, event: Event) {
         self.order += 1;
         self.events.push(Reverse((at.max(self.now), self.order)));
         self.pending.insert(self.order, event);
@@ -400,7 +396,7 @@
         self.processes[by].source(view, &alive, now)
     }
 
-    fn next_read(&mut self, by: usize, pause: Millis) {
+    pub(super) fn next_read(&mut self, by: usize, pause: Millis) {
         self.processes[by].read += 1;
         let read = self.processes[by].read;
         self.push(self.now + pause, Event::Read { by, read });
@@ -436,7 +432,7 @@
         if answer.is_newer { self.config_bytes / self.processes[to].bytes_per_ms } else { 0 }
     }
 
-    fn answer_parked(&mut self, at: usize) {
+    pub(super) fn answer_parked(&mut self, at: usize) {
         let now = self.now;
         let is_aged = self.policy == Policy::Aged;
         let parked = std::mem::take(&mut self.processes[at].parked);
@@ -478,95 +474,11 @@
         self.answer_parked(by);
     }
 
-    fn set_version(&mut self, by: usize, version: u64) {
+    pub(super) fn set_version(&mut self, by: usize, version: u64) {
         let process = &mut self.processes[by];
         process.tracker.set_own(ConfigStamp { version, era: StoreEra(0) });
         process.taken.insert(version, self.now);
     }
-
-    fn read_store(&mut self, by: usize, is_full: bool) {
-        let now = self.now;
-        let read = self.processes[by].read;
-        self.store_calls += 1;
-        let known = self.processes[by].tracker.claim(tick(now)).stamp.version;
-        let transfer = self.config_bytes / self.processes[by].bytes_per_ms;
-        match self.processes[by].reach {
-            Reach::Refuses => {
-                let after = now + STORE_MS;
-                self.push(after, Event::StoreAnswer { to: by, read, version: None, age: 0 });
-            }
-            Reach::Silent => {
-                let after = now + SHORT_POLL_MS + STORE_MARGIN_MS;
-                self.push(after, Event::StoreAnswer { to: by, read, version: None, age: 0 });
-            }
-            reach => {
-                let newest = self.newest(reach);
-                let version = Some(newest.max(known));
-                if is_full || newest > known {
-                    let after = now + STORE_MS + transfer;
-                    self.push(after, Event::StoreAnswer { to: by, read, version, age: transfer });
-                } else {
-                    self.held_by_store.push((by, read));
-                    self.push(now + SHORT_POLL_MS, Event::StoreExpire { to: by, read });
-                }
-            }
-        }
-    }
-
-    /// The newest version as the store shows it.
-    fn newest(&self, reach: Reach) -> u64 {
-        let lag = if reach == Reach::Stale { STALE_MS } else { 0 };
-        let until = self.now.saturating_sub(lag);
-        let acked = self.acked.iter().filter(|(_, acked)| **acked <= until);
-        acked.map(|(version, _)| *version).max().unwrap_or(1)
-    }
-
-    /// Answers the watches that the store holds, after a change.
-    fn answer_held(&mut self, version: u64) {
-        for (to, read) in std::mem::take(&mut self.held_by_store) {
-            let process = &self.processes[to];
-            if process.read == read && process.reach == Reach::Serves {
-                let transfer = self.config_bytes / process.bytes_per_ms;
-                let after = self.now + STORE_MS + transfer;
-                let version = Some(version);
-                self.push(after, Event::StoreAnswer { to, read, version, age: transfer });
-            } else {
-                self.held_by_store.push((to, read));
-            }
-        }
-    }
-
-    fn expire_held(&mut self, to: usize, read: u64) {
-        let now = self.now;
-        let known = self.held_by_store.len();
-        self.held_by_store.retain(|held| *held != (to, read));
-        if known == self.held_by_store.len() {
-            return;
-        }
-        let reach = self.processes[to].reach;
-        let after = if reach == Reach::Silent { STORE_MARGIN_MS } else { STORE_MS };
-        let answers = matches!(reach, Reach::Serves | Reach::Stale);
-        let version = answers.then(|| self.newest(reach));
-        self.push(now + after, Event::StoreAnswer { to, read, version, age: STORE_MS });
-    }
-
-    fn take_from_store(&mut self, by: usize, version: Option<u64>, age: Millis) {
-        let now = self.now;
-        let process = &mut self.processes[by];
-        let Some(version) = version else {
-            process.failures += 1;
-            let pause = (100 << process.failures.min(3)) / 2;
-            return self.next_read(by, pause.min(400));
-        };
-        process.failures = 0;
-        process.tracker.confirm(tick(now.saturating_sub(age)));
-        let is_newer = version > process.tracker.claim(tick(now)).stamp.version;
-        if is_newer {
-            self.set_version(by, version);
-        }
-        self.answer_parked(by);
-        self.next_read(by, if is_newer { 100 } else { 0 });
-    }
 }
 
 impl Event {
