Convert the age of a claim in one place

No behaviour or message changes. Checked: clippy over the workspace, docs of node and relay, all tests of node (but the known red one), platform and soak.

--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        config_tracker::ConfigClaim,
+        config_tracker::{ConfigClaim, millis},
         peer_link::{LinkError, PeerLink, TimedOutSnafu, UnreadableSnafu},
         ports::{ConfigStamp, ConfigUpdate},
     },
@@ -77,10 +77,6 @@
     }
 }
 
-pub(crate) fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 base::value_type!(
     /// What the answer to a query says beside the configuration.
     #[derive(Copy)]
@@ -153,8 +149,7 @@
         clock: &SharedClock,
     ) -> io::Result<Vec<u8>> {
         let received_at = clock.now();
-        let known_age = query.known.age_ms.map(|age_ms| Duration::from_millis(age_ms.into()));
-        let known_at = known_age.map(|age| received_at.back(age));
+        let known_at = query.known.age().map(|age| received_at.back(age));
         let until = Instant::now() + query.wait;
         loop {
             let changed = self.changed.notified();
@@ -179,8 +174,7 @@
     }
 
     fn encode(&self, known: ConfigStamp, held: Duration, now: Tick) -> io::Result<Vec<u8>> {
-        let age_ms = self.confirmed_at.map(|at| millis(now.since(at)));
-        let claim = ConfigClaim { stamp: self.stamp(), age_ms };
+        let claim = ConfigClaim::new(self.stamp(), self.confirmed_at.map(|at| now.since(at)));
         let head = AnswerHead { claim, held_ms: millis(held), depth: self.depth };
         let mut answer = postcard::to_stdvec(&head).map_err(io::Error::other)?;
         if let Some(offered) = self.newest.as_ref().filter(|_| self.is_newer(known)) {
@@ -235,11 +229,9 @@
         encoded => Some(postcard::from_bytes(encoded).context(UnreadableSnafu)?),
     };
     // A process with an older configuration can't confirm this one.
-    let claimed_age = head.claim.age_ms.filter(|_| head.claim.stamp >= query.known.stamp);
-    let age = claimed_age.map(|age_ms| {
-        let travel = sent_at.elapsed().saturating_sub(Duration::from_millis(head.held_ms.into()));
-        travel + Duration::from_millis(age_ms.into())
-    });
+    let claimed_age = head.claim.age().filter(|_| head.claim.stamp >= query.known.stamp);
+    let held = Duration::from_millis(head.held_ms.into());
+    let age = claimed_age.map(|age| sent_at.elapsed().saturating_sub(held) + age);
     let update = update.filter(|update| update.stamp() > query.known.stamp);
     Ok(ConfigAnswer { update, age, depth: head.depth })
 }
--- a/crates/node/src/config_tracker.rs
+++ b/crates/node/src/config_tracker.rs
@@ -41,6 +41,23 @@
     }
 );
 
+impl ConfigClaim {
+    /// The claim of a process whose configuration was last confirmed this time ago.
+    pub fn new(stamp: ConfigStamp, age: Option<Duration>) -> Self {
+        Self { stamp, age_ms: age.map(millis) }
+    }
+
+    /// Time since the configuration was last known to be the newest one.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(|age_ms| Duration::from_millis(age_ms.into()))
+    }
+}
+
+/// A time span in the milliseconds of messages; the longest one if it is above that.
+pub(crate) fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Where a configuration came from.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigOrigin {
@@ -120,18 +137,16 @@
 
     /// What this process tells others about its configuration.
     pub fn claim(&self, now: Tick) -> ConfigClaim {
-        let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        ConfigClaim { stamp: self.own, age_ms: self.age(now).map(millis) }
+        ConfigClaim::new(self.own, self.age(now))
     }
 
     /// Records what the peer at `address` says about its configuration.
     pub fn note_claim(&mut self, address: SocketAddr, claim: ConfigClaim, now: Tick) {
         self.claims.retain(|_, known| now.since(known.heard_at) < CLAIM_TTL);
         let distrusted_until = self.claims.get(&address).and_then(|known| known.distrusted_until);
-        let age = claim.age_ms.map(|age_ms| Duration::from_millis(age_ms.into()));
         let known = PeerClaim {
             stamp: claim.stamp,
-            confirmed_at: age.map(|age| now.back(age)),
+            confirmed_at: claim.age().map(|age| now.back(age)),
             heard_at: now,
             distrusted_until,
         };
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -7,8 +7,8 @@
 use {
     crate::{
         accept::accept_until,
-        config_share::{CONFIG_QUERY, ConfigAnswer, ConfigOffer, ConfigQuery, millis, poll_config},
-        config_tracker::ConfigOrigin,
+        config_share::{CONFIG_QUERY, ConfigAnswer, ConfigOffer, ConfigQuery, poll_config},
+        config_tracker::{ConfigOrigin, millis},
         page_cache::{CacheLookup, PageCache},
         peer_link::{LinkError, PeerLink, UnreadableSnafu},
         ports::{
