Log the limits that servers name, with the kind of answer that shows them

Nothing told the hypotheses of the capped servers apart: no line said that an answer named a limit, or to which process. Heads of answers to requests and to probes bear it. Nothing is sent differently yet.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -236,6 +236,7 @@
         }
         match result {
             Ok(report) => {
+                self.shared.limits.note_answer(host, report.limit, "probe");
                 if let Some(model) = serving_model(&owned.planner, host, &report.facts) {
                     let ServerLoad { running, waiting, .. } = report.load;
                     let (head, model, slots) = (host.clone(), model.clone(), owned.slots);
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -3,6 +3,7 @@
 use {
     base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
+    limit::NamedLimit,
     plan::staged::{EngineState, OrderEnd, StagedOrder},
     relay::{RelayConfig, ServerId, ServerLoad},
     serde::{Deserialize, Serialize},
@@ -228,6 +229,8 @@
     pub load: ServerLoad,
     /// Factor on the engine's usual service times; 1 is usual, and larger means slower.
     pub slowdown: f64,
+    /// What the response says about a limit on requests to the server.
+    pub limit: NamedLimit,
 }
 
 /// Why a probe of an engine failed.
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -10,6 +10,7 @@
         ModelName, RowVersion, ServiceName, StoreEra, Term, Tick,
     },
     infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
+    limit::NamedLimit,
     node::{
         ConfigUpdate, EngineAccess, EngineReport, EngineService, ModelRule, ProbeError, RowChange,
         ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
@@ -83,7 +84,12 @@
     ) -> Result<EngineReport, ProbeError> {
         let facts =
             EngineState { boot_id: Some(1), membership: None, model: None, staged: Vec::new() };
-        Ok(EngineReport { facts, load: ServerLoad::default(), slowdown: 1.0 })
+        Ok(EngineReport {
+            facts,
+            load: ServerLoad::default(),
+            slowdown: 1.0,
+            limit: NamedLimit::Absent,
+        })
     }
 
     async fn order(&self, order: &StagedOrder, term: Term, _limit: Duration) -> OrderEnd {
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -9,6 +9,7 @@
     bytes::Bytes,
     http::{HeaderMap, Response, request, response},
     http_body_util::Full,
+    limit::NamedLimit,
     snafu::Snafu,
     std::time::Duration,
 };
@@ -68,6 +69,8 @@
     pub leaving: bool,
     /// For how long the server wants no requests from this process, if it says so.
     pub quiet: Option<Duration>,
+    /// The requests per second that the server accepts from all processes together.
+    pub limit: NamedLimit,
 }
 
 /// Decodes the heads of callers' requests and of servers' answers, and writes heads for both.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod connect;
 mod crash;
 pub mod events;
+mod limit_watch;
 mod loss;
 pub mod metrics;
 mod poison_watch;
@@ -36,6 +37,7 @@
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
+    limit_watch::LimitWatch,
     metrics::RelayMetrics,
     poison_watch::PoisonWatch,
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -5,6 +5,7 @@
         buffered::BufferBudget,
         codec::AnswerFacts,
         config::RelayConfig,
+        limit_watch::LimitWatch,
         metrics::RelayMetrics,
         poison_watch::PoisonWatch,
         retry::RetryBudget,
@@ -52,6 +53,8 @@
     pub metrics: RelayMetrics,
     /// Parts of prompts that crash servers.
     pub poison: Arc<PoisonWatch>,
+    /// Request rates that servers have named.
+    pub limits: LimitWatch,
     /// Clock for deadlines, back-off and latencies.
     pub clock: SharedClock,
     /// Memory for answers that are being buffered.
@@ -73,6 +76,7 @@
             leaving: AtomicBool::new(false),
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
+            limits: LimitWatch::default(),
             clock,
             buffers: BufferBudget::default(),
             signs,
@@ -89,6 +93,7 @@
         if let Some(report) = facts.load {
             server.counters.note_load(report, now);
         }
+        self.limits.note_answer(&server.id, facts.limit, "request");
         if let Some(span) = facts.quiet {
             server.counters.note_quiet(now, span);
             info!(decision = "server-quiet", server = %server.id,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -7,6 +7,7 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
     http_body_util::Full,
+    limit::NamedLimit,
     poison::{PartId, PromptParts},
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
@@ -180,7 +181,11 @@
         let number = |name: &str| head.headers.get(name)?.to_str().ok()?.parse().ok();
         let leaving = head.headers.contains_key("x-leaving");
         let quiet = number("x-quiet-ms").map(Duration::from_millis);
-        AnswerFacts { verdict, load: None, leaving, quiet }
+        let limit = match head.headers.get("x-limit").and_then(|value| value.to_str().ok()) {
+            Some(text) => text.parse().map_or(NamedLimit::Unreadable, NamedLimit::Rate),
+            None => NamedLimit::Absent,
+        };
+        AnswerFacts { verdict, load: None, leaving, quiet, limit }
     }
 
     fn strip_answer(&self, headers: &mut HeaderMap) {
