Keep the limit that a server names, over all processes together

What was seen: a server that named 6.2 requests a second got 47 in 4 s, and all processes sent to it as if it had named nothing. Cause: nobody acted on the limit, and no process alone could, since it holds for the sum. The class of fault: a bound that holds for a server over all processes is kept, if at all, by each process on its own.

Three processes, the same ones for everybody by rendezvous over the live ones, share the rate of a limited server in equal parts; all others send it nothing. A share begins without a saved request, after a moment in which the process before it learns of the change; pauses are no credit. What answers show is told to all processes at once, and repeated to a peer whose checksum differs. A limit ends or rises only by an answer whose request was sent after the last one that named it had arrived. Callers for whom all servers are at their limits are refused at once, to return when the rate allows.

Weighed: a token at once for each process breaks the rule from some twelve processes on; the rate over the number of processes gives each a request in twenty seconds while others have none to send.

--- /dev/null
+++ b/crates/limit/src/settings.rs
@@ -0,0 +1,37 @@
+//! Settings of the tracker.
+
+use std::time::Duration;
+
+/// How a limit is divided among processes, and how long its end is remembered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// Number of processes that share the rate of one server. With more, each may save up one
+    /// request, and all of them could arrive together.
+    pub sharers: usize,
+    /// Below this rate, in requests per second, a single process uses it alone.
+    pub single_sharer_below: f64,
+    /// Rate, in requests per second, that is used at least. Without any request nobody would learn
+    /// that a limit has ended.
+    pub least_rate: f64,
+    /// A process that becomes a sharer sends nothing for this long, in which the process that it
+    /// replaces learns of the change.
+    pub handover: Duration,
+    /// How far a sharer may run behind its pace and still make up for it.
+    pub catch_up: Duration,
+    /// How long the end of a limit is remembered, so that a process that did not hear of it can't
+    /// bring the limit back.
+    pub end_memory: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            sharers: 3,
+            single_sharer_below: 0.5,
+            least_rate: 0.1,
+            handover: Duration::from_secs(1),
+            catch_up: Duration::from_millis(200),
+            end_memory: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limit/tests/tracker.rs
@@ -0,0 +1,200 @@
+//! What one process takes from answers and messages about limits, and what it sends then.
+
+use {
+    base::{HostId, RatePerSecond, Tick},
+    limit::{LimitNotice, LimitSettings, LimitTracker, NamedLimit},
+    std::time::Duration,
+    yare::parameterized,
+};
+
+const START: Tick = Tick(1_000_000_000_000);
+
+fn at(millis: u64) -> Tick {
+    START + Duration::from_millis(millis)
+}
+
+fn server() -> HostId {
+    HostId::new("i-1").unwrap()
+}
+
+fn rate(value: f64) -> NamedLimit {
+    NamedLimit::Rate(RatePerSecond(value))
+}
+
+/// A tracker of a single process that has learned a limit at time 0.
+fn limited(value: f64) -> LimitTracker {
+    let mut tracker = LimitTracker::new(LimitSettings::default());
+    tracker.note_answer(&server(), rate(value), at(0), at(0)).unwrap();
+    tracker
+}
+
+/// Requests that are sent if one is tried every 10 ms.
+fn sent(tracker: &mut LimitTracker, from: u64, until: u64) -> usize {
+    (from..until).step_by(10).filter(|millis| tracker.try_take(&server(), at(*millis))).count()
+}
+
+#[parameterized(
+    usual = { 6.0, 24 },
+    slow = { 0.5, 2 },
+    zero_is_tested_now_and_then = { 0.0, 0 },
+    huge = { 1e308, 400 },
+)]
+fn a_single_process_keeps_the_rate(value: f64, in_4_s: usize) {
+    let mut tracker = limited(value);
+    let count = sent(&mut tracker, 0, 4_000);
+    assert!(count <= in_4_s + 1 && count + 2 >= in_4_s, "{count}");
+}
+
+/// Nobody would learn that a server accepts requests again if all avoided it for ever.
+#[test]
+fn a_limit_of_zero_is_tested_now_and_then() {
+    let mut tracker = limited(0.0);
+    let count = sent(&mut tracker, 0, 60_000);
+    assert!((3..=7).contains(&count), "{count} in a minute");
+}
+
+/// A pause in demand, or of the process, saved up requests that then arrived together.
+#[test]
+fn a_pause_is_no_credit() {
+    let mut tracker = limited(5.0);
+    sent(&mut tracker, 0, 2_000);
+    let count = sent(&mut tracker, 60_000, 61_000);
+    assert!(count <= 6, "{count} in the second after a pause");
+}
+
+#[test]
+fn a_limit_ends_with_an_answer_that_names_none() {
+    let mut tracker = limited(1.0);
+    let change = tracker.note_answer(&server(), NamedLimit::Absent, at(10), at(20)).unwrap();
+    assert_eq!((change.before, change.after), (Some(RatePerSecond(1.0)), None));
+    assert_eq!(sent(&mut tracker, 20, 1_020), 100);
+}
+
+/// The answer to an earlier request may be older than the one that named the limit.
+#[test]
+fn an_answer_that_was_overtaken_does_not_end_a_limit() {
+    let mut tracker = limited(1.0);
+    tracker.note_answer(&server(), rate(1.0), at(90), at(100));
+    assert!(tracker.note_answer(&server(), NamedLimit::Absent, at(95), at(120)).is_none());
+    assert!(tracker.note_answer(&server(), rate(9.0), at(95), at(120)).is_none());
+    assert!(tracker.note_answer(&server(), NamedLimit::Absent, at(101), at(120)).is_some());
+}
+
+#[test]
+fn a_lower_limit_counts_at_once() {
+    let mut tracker = limited(50.0);
+    assert!(tracker.note_answer(&server(), rate(2.0), at(0), at(1)).is_some());
+    let count = sent(&mut tracker, 1, 4_001);
+    assert!(count <= 9, "{count}");
+}
+
+#[test]
+fn an_unreadable_limit_changes_nothing() {
+    let mut tracker = limited(1.0);
+    assert!(tracker.note_answer(&server(), NamedLimit::Unreadable, at(10), at(20)).is_none());
+    assert_eq!(tracker.rate(&server()), Some(RatePerSecond(1.0)));
+    let mut fresh = LimitTracker::new(LimitSettings::default());
+    assert!(fresh.note_answer(&server(), NamedLimit::Unreadable, at(10), at(20)).is_none());
+    assert!(fresh.is_idle());
+}
+
+fn notice(value: Option<f64>, age_ms: u64) -> LimitNotice {
+    LimitNotice {
+        server: server(),
+        rate: value.map(RatePerSecond),
+        age: Duration::from_millis(age_ms),
+    }
+}
+
+/// News that were lost on the way are repeated by peers, some of which are behind themselves.
+#[parameterized(
+    end_before_the_limit = { notice(None, 200), Some(5.0) },
+    end_after_it = { notice(None, 50), None },
+    older_rate = { notice(Some(1.0), 200), Some(5.0) },
+    newer_rate = { notice(Some(9.0), 50), Some(9.0) },
+    invalid = { notice(Some(f64::NAN), 50), Some(5.0) },
+    negative = { notice(Some(-1.0), 50), Some(5.0) },
+)]
+fn the_newer_of_two_accounts_counts(notice: LimitNotice, expected: Option<f64>) {
+    let mut tracker = limited(5.0);
+    tracker.receive(&[notice], at(100));
+    assert_eq!(tracker.rate(&server()), expected.map(RatePerSecond));
+}
+
+/// The end of a limit must reach processes that have heard only of its begin.
+#[test]
+fn the_end_of_a_limit_is_remembered_for_others() {
+    let mut tracker = limited(5.0);
+    tracker.note_answer(&server(), NamedLimit::Absent, at(10), at(20));
+    tracker.receive(&[notice(Some(5.0), 100)], at(100));
+    assert_eq!(tracker.rate(&server()), None);
+    assert_eq!(tracker.notices(at(100)), [notice(None, 90)]);
+    tracker.expire(|_| true, at(120_000));
+    assert!(tracker.is_idle() && tracker.digest() == LimitTracker::default().digest());
+}
+
+#[test]
+fn changes_are_told_once() {
+    let mut tracker = limited(5.0);
+    assert_eq!(tracker.take_update(at(10)), [notice(Some(5.0), 10)]);
+    tracker.note_answer(&server(), rate(5.0), at(20), at(30));
+    assert_eq!(tracker.take_update(at(40)), []);
+    tracker.receive(&[notice(Some(3.0), 0)], at(50));
+    assert_eq!(tracker.take_update(at(60)), []);
+}
+
+fn names(count: usize) -> Vec<HostId> {
+    (0..count).map(|index| HostId::new(format!("n{index}")).unwrap()).collect()
+}
+
+/// A process that does not know the others yet took the whole rate for its own.
+#[test]
+fn a_process_that_is_not_listed_sends_nothing() {
+    let mut tracker = limited(50.0);
+    tracker.set_processes(&names(1)[0], Vec::new(), at(0));
+    assert_eq!(sent(&mut tracker, 0, 10_000), 0);
+    tracker.set_processes(&names(1)[0], names(1), at(10_000));
+    assert!(sent(&mut tracker, 10_000, 13_000) > 0);
+}
+
+/// Each of many processes kept a part of its own, and all of them together sent more than allowed.
+#[parameterized(few = { 12 }, many = { 103 }, most = { 295 })]
+fn all_processes_together_keep_the_rate(processes: usize) {
+    let live = names(processes);
+    for value in [0.02, 0.5, 4.0, 20.0, 50.0] {
+        let mut total = 0;
+        for own in &live {
+            let mut tracker = LimitTracker::new(LimitSettings::default());
+            tracker.set_processes(own, live.clone(), at(0));
+            tracker.note_answer(&server(), rate(value), at(0), at(0));
+            total += sent(&mut tracker, 6_000, 10_000);
+        }
+        let total = total as f64;
+        assert!(total <= 4.0 * value + 3.0, "{total} requests in 4 s at {value}");
+        assert!(total >= 0.9 * 4.0 * value - 1.0, "{total} requests in 4 s at {value}");
+    }
+}
+
+/// A process that takes over a share waits until the one before it has learned of the change.
+#[test]
+fn a_share_that_is_taken_over_begins_later() {
+    let live = names(12);
+    let trackers = live.iter().map(|own| {
+        let mut tracker = LimitTracker::new(LimitSettings::default());
+        tracker.set_processes(own, live.clone(), at(0));
+        tracker.note_answer(&server(), rate(30.0), at(0), at(0));
+        (own, tracker)
+    });
+    let (sharing, resting): (Vec<_>, Vec<_>) =
+        trackers.partition(|(_, tracker)| tracker.limits()[0].own.0 > 0.0);
+    assert_eq!(sharing.len(), 3);
+    let gone = sharing[0].0;
+    let left: Vec<HostId> = live.iter().filter(|node| *node != gone).cloned().collect();
+    let mut successors = 0;
+    for (own, mut tracker) in resting {
+        tracker.set_processes(own, left.clone(), at(1_000));
+        assert_eq!(sent(&mut tracker, 1_000, 2_000), 0);
+        successors += usize::from(sent(&mut tracker, 2_000, 3_000) > 0);
+    }
+    assert_eq!(successors, 1);
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,7 @@
     },
     base::{FabricDomainId, ModelName, SharedClock, Term, Tick},
     infra::TableStore,
+    limit::NamedLimit,
     plan::staged::{
         DemandWeight, EngineState, MemberPhase, ObservationSource, OrderEnd, ProbeFailure,
         StagedHost, StagedInput, StagedModel, StagedOrder, StagedPlanner, StagedSettings,
@@ -217,6 +218,9 @@
         result: Result<EngineReport, ProbeError>,
     ) {
         let now = self.clock.now();
+        if let Ok(report) = &result {
+            self.note_limit(host, report.limit, sent_at);
+        }
         let Some(owned) = self.domains.get_mut(domain) else { return };
         if let Some(probe_state) = owned.probes.get_mut(host) {
             probe_state.running = false;
@@ -236,7 +240,6 @@
         }
         match result {
             Ok(report) => {
-                self.shared.limits.note_answer(host, report.limit, "probe");
                 if let Some(model) = serving_model(&owned.planner, host, &report.facts) {
                     let ServerLoad { running, waiting, .. } = report.load;
                     let (head, model, slots) = (host.clone(), model.clone(), owned.slots);
@@ -265,6 +268,17 @@
         }
     }
 
+    /// Applies what a probe says about an engine's limit if the engine takes requests.
+    fn note_limit(&self, host: &ServerId, limit: NamedLimit, sent_at: Tick) {
+        let limits = &self.shared.limits;
+        if limits.is_idle() && limit == NamedLimit::Absent {
+            return;
+        }
+        if self.shared.servers.load().all().any(|server| server.id == *host) {
+            limits.note_answer(host, limit, sent_at, "probe");
+        }
+    }
+
     /// Probes all engines of a server's domain at once if this process owns the domain.
     fn probe_soon(&mut self, server: &ServerId) {
         let now = self.clock.now();
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -4,15 +4,19 @@
     crate::{
         control::HeadUpdates,
         peers::{
-            GOSSIP_INTERVAL, GossipMessage, HEARTBEATS_PER_MESSAGE, LOADS_PER_MESSAGE,
-            PEERS_PER_ROUND, PeerHeartbeat, PoisonClaim, split_update,
+            GOSSIP_INTERVAL, GossipMessage, HEARTBEATS_PER_MESSAGE, LIMITS_PER_MESSAGE,
+            LOADS_PER_MESSAGE, LimitClaim, PEERS_PER_ROUND, PeerHeartbeat, PoisonClaim,
+            split_update,
         },
         run::NodeRuntime,
     },
+    base::HostId,
+    limit::LimitNotice,
     poison::PoisonUpdate,
     rand::seq::SliceRandom,
     relay::{ServerId, ServerSign},
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -23,6 +27,8 @@
 
 /// How often expired entries are removed from the local view.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of messages with limits that answer one message of a peer.
+const MAX_LIMIT_REPLIES: usize = 4;
 
 impl NodeRuntime {
     pub(crate) async fn receive_gossip(self: Arc<Self>, local_sender: mpsc::Sender<ServerId>) {
@@ -43,6 +49,9 @@
             if let Some(claim) = &message.poison {
                 self.receive_poison(claim, from);
             }
+            if let Some(claim) = &message.limits {
+                self.receive_limits(claim, from);
+            }
             self.view.note_loads(&message.loads);
             if !message.broken.is_empty() {
                 self.view.note_broken(&message.broken);
@@ -66,6 +75,7 @@
                 _ = expire.tick() => {
                     self.view.expire();
                     self.shared.poison.evaluate();
+                    self.refresh_limits();
                 }
                 _ = rounds.tick() => self.gossip_round(),
             }
@@ -74,7 +84,9 @@
 
     fn gossip_round(&self) {
         self.round.fetch_add(1, Ordering::Relaxed);
-        let message = self.message();
+        self.expire_limits();
+        let limits = LimitClaim { digest: self.shared.limits.digest(), ..Default::default() };
+        let message = GossipMessage { limits: Some(limits), ..self.message() };
         let mut peers = self.view.with(|state| state.members.peer_addresses());
         peers.shuffle(&mut rand::rng());
         for peer in peers.into_iter().take(PEERS_PER_ROUND) {
@@ -85,7 +97,7 @@
             };
             if !claim.update.is_empty() {
                 let evidence =
-                    GossipMessage { poison: Some(claim), forwarded: Vec::new(), ..message.clone() };
+                    GossipMessage { poison: Some(claim), forwarded: Vec::new(), ..self.message() };
                 self.peers.send(&evidence, peer);
             }
         }
@@ -119,6 +131,67 @@
             loads: Vec::new(),
             leaving_servers: Vec::new(),
             poison: Some(PoisonClaim { digest: self.shared.poison.digest(), ..Default::default() }),
+            limits: None,
+        }
+    }
+
+    /// Tells the relay which processes share the limits of servers. This process shares none while
+    /// it is about to stop.
+    fn refresh_limits(&self) {
+        let now = self.shared.clock.now();
+        let is_leaving = self.shared.leaving.load(Ordering::Relaxed);
+        let live: Vec<HostId> = self.view.with(|state| {
+            let live = state.members.live_members(now).map(|(node, _)| node);
+            live.filter(|node| !is_leaving || **node != self.own.node).cloned().collect()
+        });
+        self.shared.limits.set_processes(&self.own.node, live);
+    }
+
+    fn expire_limits(&self) {
+        let limits = &self.shared.limits;
+        if !limits.is_idle() {
+            let listed: BTreeSet<HostId> = self
+                .view
+                .with(|state| state.servers.entries().map(|entry| entry.id.clone()).collect());
+            limits.expire(|server| listed.contains(server));
+        }
+    }
+
+    /// Applies what a peer says about limits of servers. A peer that does not know the same limits is
+    /// told some of those that this process knows, the rest when it asks again.
+    fn receive_limits(&self, claim: &LimitClaim, from: SocketAddr) {
+        let limits = &self.shared.limits;
+        if !claim.notices.is_empty() {
+            limits.receive(&claim.notices);
+        } else if claim.digest != limits.digest() {
+            let mut notices = limits.settled_notices();
+            notices.shuffle(&mut rand::rng());
+            notices.truncate(MAX_LIMIT_REPLIES * LIMITS_PER_MESSAGE);
+            for message in self.limit_messages(&notices) {
+                self.peers.send(&message, from);
+            }
+        }
+    }
+
+    fn limit_messages(&self, notices: &[LimitNotice]) -> impl Iterator<Item = GossipMessage> {
+        let digest = self.shared.limits.digest();
+        notices.chunks(LIMITS_PER_MESSAGE).map(move |notices| GossipMessage {
+            limits: Some(LimitClaim { digest, notices: notices.to_vec() }),
+            forwarded: Vec::new(),
+            ..self.message()
+        })
+    }
+
+    /// Tells all processes at once of limits that answers have shown.
+    pub(crate) async fn broadcast_limit_updates(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            let notices = tokio::select! {
+                () = stop.cancelled() => return,
+                notices = self.shared.limits.next_update() => notices,
+            };
+            for message in self.limit_messages(&notices) {
+                self.send_to_all(&message);
+            }
         }
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{logs::dropped_lines, view::NodeView},
+    limit::KnownLimit,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{family::Family, gauge::Gauge},
@@ -23,6 +24,12 @@
     part: String,
 }
 
+/// Labels of a server with a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServerLabels {
+    server: String,
+}
+
 /// The metrics registry, and gauges that are set from the local view at each scrape.
 pub(crate) struct NodeMetrics {
     registry: Registry,
@@ -32,6 +39,8 @@
     processes: Gauge,
     dropped: Gauge,
     refused_parts: Family<PartLabels, Gauge<f64, AtomicU64>>,
+    server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    own_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     view: Arc<NodeView>,
     shared: Arc<RelayShared>,
 }
@@ -53,6 +62,12 @@
         let refused_parts = Family::default();
         let help = "Parts of prompts that are refused, with the time that is left, in seconds";
         registry.register("refused_part_seconds", help, refused_parts.clone());
+        let server_limits = Family::default();
+        let help = "Requests per second that a server accepts from all processes together";
+        registry.register("server_limit", help, server_limits.clone());
+        let own_limits = Family::default();
+        let help = "Part of a server's limit that this process may use, in requests per second";
+        registry.register("server_limit_own", help, own_limits.clone());
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
@@ -60,6 +75,8 @@
             registry,
             dropped,
             refused_parts,
+            server_limits,
+            own_limits,
             config_version,
             config_age,
             servers,
@@ -84,6 +101,13 @@
             let labels = PartLabels { part: refusal.part.to_string() };
             self.refused_parts.get_or_create(&labels).set(refusal.left.as_secs_f64());
         }
+        self.server_limits.clear();
+        self.own_limits.clear();
+        for KnownLimit { server, rate, own } in self.shared.limits.limits() {
+            let labels = ServerLabels { server: server.to_string() };
+            self.server_limits.get_or_create(&labels).set(rate.0);
+            self.own_limits.get_or_create(&labels).set(own.0);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             tracing::warn!(%error, "failed to encode the metrics");
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,6 +3,7 @@
 use {
     crate::{config_tracker::ConfigClaim, ports::ConfigStamp},
     base::{Incarnation, ModelName, StoreEra},
+    limit::LimitNotice,
     poison::PoisonUpdate,
     relay::ServerId,
     std::{io, net::SocketAddr, time::Duration},
@@ -28,6 +29,8 @@
 const CRASHES_PER_MESSAGE: usize = 4;
 /// Maximum number of sound or of refused parts in one message, at up to forty bytes each.
 const PARTS_PER_MESSAGE: usize = 16;
+/// Maximum number of limits in one message, at up to 160 bytes each.
+pub const LIMITS_PER_MESSAGE: usize = 7;
 
 base::value_type!(
     /// The heartbeat counter of one incarnation of a process.
@@ -90,6 +93,21 @@
         /// `None` if the sender is of an earlier version.
         #[serde(skip)]
         pub poison: Option<PoisonClaim>,
+        /// What the sender says about limits of servers. Encoded after `poison`; `None` in messages
+        /// about other things, and if the sender is of an earlier version.
+        #[serde(skip)]
+        pub limits: Option<LimitClaim>,
+    }
+);
+
+base::value_type!(
+    /// What a process says about the limits of servers.
+    #[derive(Default)]
+    pub struct LimitClaim {
+        /// A checksum of the limits that it knows, see `LimitTracker::digest`.
+        pub digest: u64,
+        /// What is new, or what the receiver may not know; empty in most messages.
+        pub notices: Vec<LimitNotice>,
     }
 );
 
@@ -127,7 +145,9 @@
     let bytes = postcard::to_extend(&message.leaving_servers, bytes)?;
     let Some(config) = &message.config else { return Ok(bytes) };
     let bytes = postcard::to_extend(config, bytes)?;
-    match &message.poison {
+    let Some(claim) = &message.poison else { return Ok(bytes) };
+    let bytes = postcard::to_extend(claim, bytes)?;
+    match &message.limits {
         Some(claim) => postcard::to_extend(claim, bytes),
         None => Ok(bytes),
     }
@@ -146,7 +166,12 @@
         rest = remaining;
     }
     if !rest.is_empty() {
-        message.poison = Some(postcard::from_bytes(rest)?);
+        let (claim, remaining) = postcard::take_from_bytes(rest)?;
+        message.poison = Some(claim);
+        rest = remaining;
+    }
+    if !rest.is_empty() {
+        message.limits = Some(postcard::from_bytes(rest)?);
     }
     Ok(message)
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -135,6 +135,8 @@
     let shared = Arc::new(RelayShared::new(clock, budget, signs));
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     shared.poison.set_admitted(settings.admitted_parts());
+    // Until it knows the others, this process must not take the rate of a server for its own.
+    shared.limits.set_processes(&own.node, Vec::new());
     let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
     let peer_address = settings.peer_address();
     let peers =
@@ -193,6 +195,7 @@
         tokio::spawn(self.clone().receive_gossip(local_sender.clone()));
         tokio::spawn(self.clone().forward_signs(signs, local_sender));
         tokio::spawn(self.clone().broadcast_poison_updates(stop.clone()));
+        tokio::spawn(self.clone().broadcast_limit_updates(stop.clone()));
         let (head_updates, update_receiver) = mpsc::channel(HEAD_UPDATE_QUEUE);
         tokio::spawn(self.clone().broadcast_head_updates(update_receiver));
         let control_stop = stop.child_token();
--- a/crates/node/tests/poison_update.rs
+++ b/crates/node/tests/poison_update.rs
@@ -1,11 +1,12 @@
 //! Updates about parts of prompts that crash servers, as they travel between processes.
 
 use {
-    base::{HostId, Incarnation, StoreEra},
+    base::{HostId, Incarnation, RatePerSecond, StoreEra},
+    limit::LimitNotice,
     node::{
         ConfigStamp,
         config_tracker::ConfigClaim,
-        peers::{GossipMessage, PeerHeartbeat, PeerSocket, PoisonClaim, split_update},
+        peers::{GossipMessage, LimitClaim, PeerHeartbeat, PeerSocket, PoisonClaim, split_update},
     },
     poison::{CrashNotice, PartId, PoisonUpdate, RefusalNotice, SoundNotice},
     rand::{Rng, SeedableRng},
@@ -30,6 +31,7 @@
         leaving_servers: Vec::new(),
         config: Some(ConfigClaim { stamp, age_ms: Some(900) }),
         poison: None,
+        limits: None,
     }
 }
 
@@ -97,12 +99,17 @@
     let sound = SoundNotice { part: PartId(7), age: Duration::from_millis(5) };
     let update = PoisonUpdate { sound: vec![sound], ..Default::default() };
     message.poison = Some(PoisonClaim { digest: 9, update });
+    let rate = Some(RatePerSecond(4.5));
+    let server = HostId::new("i-1").unwrap();
+    let limit = LimitNotice { server, rate, age: Duration::from_millis(5) };
+    message.limits = Some(LimitClaim { digest: 9, notices: vec![limit] });
     let valid = [
         vec![1],
         postcard::to_stdvec(&message).unwrap(),
         postcard::to_stdvec(&message.leaving_servers).unwrap(),
         postcard::to_stdvec(&message.config.unwrap()).unwrap(),
         postcard::to_stdvec(&message.poison.clone().unwrap()).unwrap(),
+        postcard::to_stdvec(&message.limits.clone().unwrap()).unwrap(),
     ]
     .concat();
     for _ in 0..500 {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -84,6 +84,8 @@
     ConfigInDoubt,
     /// No server can accept the request now; it was not run.
     NoServer,
+    /// Every server that could take the request is at the limit that it named; it was not run.
+    AtLimit,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
     PoisonPart,
     /// The process is about to stop; the request was not run.
@@ -105,6 +107,7 @@
             Self::NoConfig
                 | Self::ConfigInDoubt
                 | Self::NoServer
+                | Self::AtLimit
                 | Self::PoisonPart
                 | Self::Stopping
                 | Self::TimedOutUnsent
@@ -126,6 +129,7 @@
             Self::NoConfig => "no-config",
             Self::ConfigInDoubt => "config-in-doubt",
             Self::NoServer => "no-server",
+            Self::AtLimit => "at-limit",
             Self::PoisonPart => "poison-part",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -10,7 +10,7 @@
         pump::{RelayBody, StreamPump, full_body},
         request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
         send::{LiveAnswer, SendOutcome, send_call},
-        server::{BackendServer, ServerId},
+        server::{BackendServer, ServerId, ServerTable},
         shared::RelayShared,
         standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
     },
@@ -44,6 +44,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Shortest span over which callers return after all servers have asked for quiet.
 const MIN_RETURN_SPREAD: Duration = Duration::from_millis(300);
+/// Longest mean time after which callers return that no server has room for below its limit.
+const MAX_LIMIT_RETURN: Duration = Duration::from_secs(5);
 /// With less time remaining than this, a request is not sent: it would occupy a slot for an answer
 /// that comes too late.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
@@ -272,13 +274,14 @@
             info!(id = %ctx.id, decision = "sent", route = %ctx.route, server = %server.id,
                 load = server.counters.load(now), send = progress.sends + 1,
                 left_ms = remaining.as_millis() as u64, "request");
+            let sent_at = self.shared.clock.now();
             match send_call(&self.codec, &ctx.id, &server, request, wait).await {
                 SendOutcome::Answer(answer, facts) => {
                     progress.note_send(&server);
                     progress.may_have_run = true;
                     let now = self.shared.clock.now();
                     server.counters.note_progress(now);
-                    self.shared.note_facts(&server, &facts, now);
+                    self.shared.note_facts(&server, &facts, sent_at, now);
                     return Ok(answer);
                 }
                 SendOutcome::NotSent(error) => {
@@ -295,7 +298,7 @@
                     let why = if facts.verdict == Verdict::OtherServer {
                         "another server has the address"
                     } else {
-                        self.shared.note_facts(&server, &facts, now);
+                        self.shared.note_facts(&server, &facts, sent_at, now);
                         "server did not run the request"
                     };
                     info!(id = %ctx.id, decision = "not-run", server = %server.id, why,
@@ -366,7 +369,7 @@
     ) -> bool {
         let table = self.shared.servers.load();
         let now = self.shared.clock.now();
-        table.candidates(&ctx.service, ctx.model.as_ref()).any(|other| {
+        self.open_candidates(&table, ctx, now).any(|other| {
             other.id != server.id
                 && !progress.tried.contains(&other.id)
                 && other.counters.accepts(now)
@@ -386,19 +389,33 @@
             return None;
         }
         let table = self.shared.servers.load();
-        let facts = ChoiceFacts { tried: &progress.tried, sample: rand::random(), now };
-        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
-        let server = match choose_server(servers, &facts) {
-            ServerChoice::Server(server) => server.clone(),
-            ServerChoice::Full | ServerChoice::NoCandidate => return None,
-        };
-        if progress.sends > 0 {
+        let mut is_paid = progress.sends == 0;
+        loop {
+            let facts = ChoiceFacts { tried: &progress.tried, sample: rand::random(), now };
+            let server = match choose_server(self.open_candidates(&table, ctx, now), &facts) {
+                ServerChoice::Server(server) => server.clone(),
+                ServerChoice::Full | ServerChoice::NoCandidate => return None,
+            };
             let processes = self.shared.processes.load(Ordering::Relaxed);
-            if !self.shared.budget.try_take(&ctx.service, processes, now) {
+            if !is_paid && !self.shared.budget.try_take(&ctx.service, processes, now) {
                 return None;
             }
+            is_paid = true;
+            if self.shared.limits.try_take(&server.id, now) {
+                return Some(server);
+            }
         }
-        Some(server)
+    }
+
+    /// The candidates for a request that are not at their limit.
+    fn open_candidates<'a>(
+        &'a self,
+        table: &'a ServerTable,
+        ctx: &'a CallContext,
+        now: Tick,
+    ) -> impl Iterator<Item = &'a BackendServer> {
+        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
+        servers.filter(move |server| self.shared.limits.allows(&server.id, now))
     }
 
     /// Whether a retry is possible: the route allows a further send, enough time remains, and some
@@ -406,8 +423,8 @@
     /// Does not consult the retry budget.
     pub(crate) fn has_retry_target(&self, ctx: &CallContext, progress: &CallProgress) -> bool {
         let table = self.shared.servers.load();
-        let mut servers = table.candidates(&ctx.service, ctx.model.as_ref());
         let now = self.shared.clock.now();
+        let mut servers = self.open_candidates(&table, ctx, now);
         progress.sends < ctx.attempts
             && ctx.expires_at.since(now) >= MIN_REMAINING
             && servers.any(|server| {
@@ -447,15 +464,38 @@
             RequestKind::Stream { .. } => STREAM_RETRY_AFTER,
             _ => DEFAULT_RETRY_AFTER,
         };
-        let retry_after = self.quiet_retry_after(ctx, now).unwrap_or(usual);
+        let no_server = match self.limit_retry_after(ctx, now) {
+            Some(span) => Refusal::until(RefusalKind::AtLimit, span),
+            None => {
+                let span = self.quiet_retry_after(ctx, now).unwrap_or(usual);
+                Refusal::until(RefusalKind::NoServer, span)
+            }
+        };
         match (progress.may_have_run, out_of_time) {
             (true, true) => Refusal::new(RefusalKind::TimedOut),
             (true, false) => Refusal::new(RefusalKind::Failed),
             (false, true) => Refusal::new(RefusalKind::TimedOutUnsent),
-            (false, false) => Refusal::until(RefusalKind::NoServer, retry_after),
+            (false, false) => no_server,
         }
     }
 
+    /// When the caller should return if every server that accepts requests has a limit: a random time
+    /// around the one in which one process may send them one more request. `None` if some server
+    /// has no limit or none accepts requests.
+    fn limit_retry_after(&self, ctx: &CallContext, now: Tick) -> Option<Duration> {
+        let table = self.shared.servers.load();
+        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
+        let accepting = servers.filter(|server| server.counters.accepts(now));
+        let rates: Option<Vec<f64>> =
+            accepting.map(|server| Some(self.shared.limits.rate(&server.id)?.0)).collect();
+        let total: f64 = rates.filter(|rates| !rates.is_empty())?.iter().sum();
+        let processes = self.shared.processes.load(Ordering::Relaxed).max(1) as f64;
+        let longest = MAX_LIMIT_RETURN.as_secs_f64();
+        let mean = (processes / total).clamp(DEFAULT_RETRY_AFTER.as_secs_f64(), longest);
+        let spread = 0.5 + rand::random::<f64>();
+        Some(Duration::from_secs_f64(mean * spread))
+    }
+
     /// When the caller should return if every server that could take the request wants none for a
     /// while: a random time after the first of them accepts requests again, so that callers do not
     /// return together. `None` if some server accepts requests or there is none.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -76,7 +76,7 @@
             leaving: AtomicBool::new(false),
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
-            limits: LimitWatch::default(),
+            limits: LimitWatch::new(clock.clone()),
             clock,
             buffers: BufferBudget::default(),
             signs,
@@ -88,12 +88,19 @@
         let _ = self.signs.try_send(ServerSign::Stalled(server.id.clone()));
     }
 
-    /// Applies what the head of an answer says about its server.
-    pub(crate) fn note_facts(&self, server: &BackendServer, facts: &AnswerFacts, now: Tick) {
+    /// Applies what the head of an answer, received at `now` to a request sent at `sent_at`, says
+    /// about its server.
+    pub(crate) fn note_facts(
+        &self,
+        server: &BackendServer,
+        facts: &AnswerFacts,
+        sent_at: Tick,
+        now: Tick,
+    ) {
         if let Some(report) = facts.load {
             server.counters.note_load(report, now);
         }
-        self.limits.note_answer(&server.id, facts.limit, "request");
+        self.limits.note_answer(&server.id, facts.limit, sent_at, "request");
         if let Some(span) = facts.quiet {
             server.counters.note_quiet(now, span);
             info!(decision = "server-quiet", server = %server.id,
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use {
+    base::{HostId, RatePerSecond},
+    limit::NamedLimit,
     relay::RequestKind,
     std::{
         sync::{
@@ -15,7 +17,7 @@
     support::{Behavior, ScriptedServer, TestRelay},
     tokio::{
         task::JoinSet,
-        time::{interval, sleep},
+        time::{Instant, interval, sleep},
     },
 };
 
@@ -65,3 +67,54 @@
     let in_window = limited.count() - before;
     assert!(in_window <= ALLOWED_IN_WINDOW, "{in_window} requests in {WINDOW:?}");
 }
+
+/// Requests that a server has no room for below its limit go to the others.
+#[tokio::test]
+async fn the_rest_goes_to_servers_without_a_limit() {
+    let limited = ScriptedServer::start(LIMITED).await;
+    let other = ScriptedServer::start(COMPLETE).await;
+    let relay = Arc::new(TestRelay::start(RequestKind::Safe, &[&limited, &other]).await);
+    for _ in 0..40 {
+        assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 200"));
+    }
+    assert!(limited.count() <= 4, "{}", limited.count());
+}
+
+/// The limit is used up before callers are refused, and these are told so at once.
+#[tokio::test]
+async fn callers_are_refused_at_once_where_every_server_is_at_its_limit() {
+    let limited = ScriptedServer::start(LIMITED).await;
+    let relay = Arc::new(TestRelay::start(RequestKind::Safe, &[&limited]).await);
+    let (sending, served) = send_steadily(relay.clone());
+    sleep(KNOWN_AFTER).await;
+    let before = served.load(Ordering::Relaxed);
+    sleep(WINDOW).await;
+    let in_window = served.load(Ordering::Relaxed) - before;
+    assert!((16..=ALLOWED_IN_WINDOW).contains(&in_window), "{in_window} served in {WINDOW:?}");
+    drop(sending);
+    let mut refused = 0;
+    for _ in 0..10 {
+        let began = Instant::now();
+        let answer = relay.ask(KEY).await;
+        if answer.starts_with("HTTP/1.1 503") {
+            assert!(answer.ends_with("at-limit") && answer.contains("x-retry-ms: "), "{answer}");
+            assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
+            refused += 1;
+        }
+    }
+    assert!(refused > 0);
+}
+
+/// A limit that the server no longer names no longer holds.
+#[tokio::test]
+async fn a_server_is_used_again_once_it_names_no_limit() {
+    let server = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
+    let id = HostId::new("s0").unwrap();
+    let named = NamedLimit::Rate(RatePerSecond(2.0));
+    relay.shared.limits.note_answer(&id, named, relay.shared.clock.now(), "test");
+    sleep(KNOWN_AFTER).await;
+    for _ in 0..10 {
+        assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 200"));
+    }
+}
