--- a/crates/node/tests/limit_update.rs
+++ b/crates/node/tests/limit_update.rs
@@ -36,7 +36,7 @@
 async fn the_largest_message_with_limits_arrives() {
     let notice = |index: usize| LimitNotice {
         server: HostId::new(format!("{index}{}", "i".repeat(127))).unwrap(),
-        rate: (index % 2 == 0).then_some(RatePerSecond(f64::MAX)),
+        rate: index.is_multiple_of(2).then_some(RatePerSecond(f64::MAX)),
         age: Duration::new(u64::MAX, 999_999_999),
     };
     let notices = (0..LIMITS_PER_MESSAGE).map(notice).collect();
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -68,6 +68,33 @@
     }
 }
 
+/// Chooses among servers without a limit, and among those with one that have room for a request below
+/// it. One of each is compared, so that the room is used before the other servers fill up: a server
+/// with a limit has room only now and then, and would rarely be one of two that are picked at random.
+pub fn choose_beside_limits<'a>(
+    unlimited: impl Iterator<Item = &'a BackendServer>,
+    limited: impl Iterator<Item = &'a BackendServer>,
+    facts: &ChoiceFacts<'_>,
+) -> ServerChoice<'a> {
+    let (unlimited, limited) = (choose_server(unlimited, facts), choose_server(limited, facts));
+    match (unlimited, limited) {
+        (ServerChoice::Server(a), ServerChoice::Server(b)) => {
+            let in_backoff = |server: &BackendServer| server.counters.in_backoff(facts.now);
+            let takes_b = match (in_backoff(a), in_backoff(b)) {
+                (false, true) => false,
+                (true, false) => true,
+                _ => prefers(b, a, facts),
+            };
+            ServerChoice::Server(if takes_b { b } else { a })
+        }
+        (_, ServerChoice::Server(server)) | (ServerChoice::Server(server), _) => {
+            ServerChoice::Server(server)
+        }
+        (ServerChoice::Full, _) | (_, ServerChoice::Full) => ServerChoice::Full,
+        _ => ServerChoice::NoCandidate,
+    }
+}
+
 fn cheaper_of_two<'a>(
     servers: &[&'a BackendServer],
     facts: &ChoiceFacts<'_>,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,7 +33,7 @@
 pub mod standing;
 
 pub use crate::{
-    choose::{ChoiceFacts, ServerChoice, choose_server},
+    choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         buffered::collect_answer,
-        choose::{ChoiceFacts, ServerChoice, choose_server},
+        choose::{ChoiceFacts, ServerChoice, choose_beside_limits},
         codec::{BackendCall, RequestCodec, Verdict},
         config::{RelayConfig, RouteRule},
         crash::check_crash,
@@ -392,7 +392,12 @@
         let mut is_paid = progress.sends == 0;
         loop {
             let facts = ChoiceFacts { tried: &progress.tried, sample: rand::random(), now };
-            let server = match choose_server(self.open_candidates(&table, ctx, now), &facts) {
+            let is_limited =
+                |server: &&BackendServer| self.shared.limits.rate(&server.id).is_some();
+            let open = || self.open_candidates(&table, ctx, now);
+            let unlimited = open().filter(|server| !is_limited(server));
+            let choice = choose_beside_limits(unlimited, open().filter(is_limited), &facts);
+            let server = match choice {
                 ServerChoice::Server(server) => server.clone(),
                 ServerChoice::Full | ServerChoice::NoCandidate => return None,
             };
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -7,7 +7,7 @@
     relay::{
         BackendServer, CallerLimits, ChoiceFacts, RelayConfig, RequestKind, RetryBudget,
         RetryLimits, RouteRule, ServerChoice, ServerLoad, ServiceSplit, WorkspaceRule,
-        choose_server, events::EventSplitter,
+        choose_beside_limits, choose_server, events::EventSplitter,
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     yare::parameterized,
@@ -260,3 +260,31 @@
     let results: Vec<bool> = (0..8).map(|_| splitter.push(part.clone()).is_err()).collect();
     assert!(results.contains(&true));
 }
+
+/// Servers with a limit have room for one request now and then. Picked at random like the others, they
+/// kept half of their room while the others filled up.
+#[test]
+fn room_below_a_limit_is_used_before_other_servers_fill_up() {
+    let others: Vec<BackendServer> = (0..6).map(|index| server(&format!("s{index}"))).collect();
+    for other in &others {
+        other.counters.note_load(ServerLoad { running: 20, waiting: 0, slots: 26 }, NOW);
+    }
+    let limited = [server("limited")];
+    limited[0].counters.note_load(ServerLoad { running: 2, waiting: 0, slots: 26 }, NOW);
+    let choose = |sample| choose_beside_limits(others.iter(), limited.iter(), &facts(sample, NOW));
+    let sample = |number: u64| number.wrapping_mul(6_364_136_223_846_793_005) >> 8;
+    let taken = (0..1_000).filter(|number| chosen(choose(sample(*number))) == "limited").count();
+    assert!(taken >= 900, "{taken} of 1,000 requests use the room");
+}
+
+#[test]
+fn a_server_with_a_limit_in_backoff_is_the_last_resort() {
+    let (others, limited) = ([server("a")], [server("limited")]);
+    limited[0].counters.note_failure(NOW, Duration::from_millis(800));
+    for sample in 0..50 {
+        let choice = choose_beside_limits(others.iter(), limited.iter(), &facts(sample, NOW));
+        assert_eq!(chosen(choice), "a");
+    }
+    let choice = choose_beside_limits([].iter(), limited.iter(), &facts(0, NOW));
+    assert_eq!(chosen(choice), "limited");
+}
