Let processes ask those that share a limit before each request

What callers would see: where all servers of a service name limits, only the three processes that share each could serve them, and the callers of the others were refused although the servers had room.

Now a process without a part of the limit asks one of the three over the datagrams between processes and sends the request only when granted; a denial says when to ask again, silence takes 60 ms. The limit is still counted in one place for each third, so that a disagreement about one process moves a third at most.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! A server in need names in its answers how many requests per second it accepts from all processes
 //! together. No process sees what the others send, so a few processes, the same ones for everybody,
-//! share the rate of such a server in equal parts, and the others send it nothing. Which ones they
-//! are follows from a hash over the live processes; no message is needed to agree on it.
+//! share the rate of such a server in equal parts, and the others ask one of them before each request.
+//! Which ones they are follows from a hash over the live processes; no message is needed to agree on it.
+//! Where two processes disagree about one that has just started or ended, a part of the rate is used
+//! twice or not at all, not the whole.
 //!
 //! [`LimitTracker`] holds what is known and decides; it does no I/O and has no clock.
 
@@ -14,7 +16,7 @@
 mod tracker;
 
 pub use crate::{
-    notice::{LimitChange, LimitNotice, NamedLimit},
+    notice::{AskOutcome, LimitChange, LimitNotice, NamedLimit},
     settings::LimitSettings,
-    tracker::{KnownLimit, LimitTracker},
+    tracker::{KnownLimit, LimitTracker, ServerRoom},
 };
--- a/crates/limit/src/notice.rs
+++ b/crates/limit/src/notice.rs
@@ -24,12 +24,22 @@
         pub server: HostId,
         /// Its limit; `None` if it has none any more.
         pub rate: Option<RatePerSecond>,
-        /// Time since the answer that showed it was received, or, where the limit has ended, since
-        /// the request of that answer was sent.
+        /// Time since the answer that showed it was received.
         pub age: Duration,
     }
 );
 
+base::value_type!(
+    /// What a process that shares the rate of a server says to one that asks to send it a request.
+    #[derive(Copy)]
+    pub enum AskOutcome {
+        /// The request may be sent.
+        Granted,
+        /// It may not, and there is no use in asking again before this time has passed.
+        Denied(Duration),
+    }
+);
+
 /// A change of the known limit of a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitChange {
--- a/crates/limit/src/pace.rs
+++ b/crates/limit/src/pace.rs
@@ -15,6 +15,11 @@
         Self { interval, next_at }
     }
 
+    /// Whether a request is allowed now.
+    pub(crate) fn is_due(&self, now: Tick) -> bool {
+        self.next_at <= now
+    }
+
     /// Time until the next request is allowed.
     pub(crate) fn wait(&self, now: Tick) -> Duration {
         self.next_at.since(now)
--- a/crates/limit/src/settings.rs
+++ b/crates/limit/src/settings.rs
@@ -5,8 +5,9 @@
 /// How a limit is divided among processes, and how long its end is remembered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitSettings {
-    /// Number of processes that share the rate of one server. With more, each may save up one
-    /// request, and all of them could arrive together.
+    /// Number of processes that share the rate of one server. The others ask them before each
+    /// request. With more, the loss of one costs less, but each may save up one request, and all of
+    /// them could arrive together.
     pub sharers: usize,
     /// Below this rate, in requests per second, a single process uses it alone.
     pub single_sharer_below: f64,
@@ -16,8 +17,13 @@
     /// A process that becomes a sharer sends nothing for this long, in which the process that it
     /// replaces learns of the change.
     pub handover: Duration,
+    /// When a sharer that can't be of use is asked again, if it does not say.
+    pub ask_again: Duration,
     /// How far a sharer may run behind its pace and still make up for it.
     pub catch_up: Duration,
+    /// A peer that knows other limits is told of those that have not changed for this long: later
+    /// news may still be on their way to it.
+    pub settled_after: Duration,
     /// How long the end of a limit is remembered, so that a process that did not hear of it can't
     /// bring the limit back.
     pub end_memory: Duration,
@@ -30,7 +36,9 @@
             single_sharer_below: 0.5,
             least_rate: 0.1,
             handover: Duration::from_secs(1),
+            ask_again: Duration::from_millis(300),
             catch_up: Duration::from_millis(200),
+            settled_after: Duration::from_millis(500),
             end_memory: Duration::from_secs(60),
         }
     }
--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        notice::{LimitChange, LimitNotice, NamedLimit},
+        notice::{AskOutcome, LimitChange, LimitNotice, NamedLimit},
         pace::RequestPace,
         settings::LimitSettings,
-        sharers::SharerPlace,
+        sharers::{select_sharers, sharer_interval},
     },
     base::{HostId, RatePerSecond, Tick},
     std::{
@@ -25,18 +25,35 @@
 struct LimitRecord {
     /// `None` once the limit has ended.
     rate: Option<RatePerSecond>,
-    /// When the last answer that named the rate was received. For a limit that has ended, when the
-    /// request was sent whose answer named none, which is the earliest time at which it was given.
+    /// When the last answer that showed this was received.
     shown_at: Tick,
-    /// This process's part; `None` if other processes share the rate.
-    share: Option<LimitShare>,
+    /// When the rate last changed.
+    changed_at: Tick,
+    /// The processes that share the rate.
+    sharers: Vec<LimitSharer>,
+    /// The pace of this process's part; `None` if it is not one of them.
+    pace: Option<RequestPace>,
 }
 
-/// This process's part of a server's rate.
-#[derive(Clone, Copy, Debug)]
-struct LimitShare {
-    place: SharerPlace,
-    pace: RequestPace,
+/// A process that shares the rate of a server.
+#[derive(Clone, Debug)]
+struct LimitSharer {
+    node: HostId,
+    /// When it may be asked for a request.
+    ask_from: Tick,
+}
+
+/// Whether a server has room for a request below its limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServerRoom {
+    /// It has no limit.
+    Unlimited,
+    /// This process may send it a request.
+    Own,
+    /// This process may be asked for a request.
+    Ask(HostId),
+    /// There is none, as far as is known.
+    Full,
 }
 
 /// The limit of one server, for metrics.
@@ -46,7 +63,8 @@
     pub server: HostId,
     /// Requests per second from all processes together.
     pub rate: RatePerSecond,
-    /// Requests per second that this process may send; 0 if other processes share the rate.
+    /// Requests per second that this process may send or grant to others; 0 if it does not share the
+    /// rate.
     pub own: RatePerSecond,
 }
 
@@ -66,7 +84,6 @@
     processes: Option<ProcessList>,
     /// Servers whose limits are to be told to the other processes.
     untold: BTreeSet<HostId>,
-    changed_at: Option<Tick>,
     digest: u64,
 }
 
@@ -94,13 +111,13 @@
         now: Tick,
     ) -> Option<LimitChange> {
         let known = self.records.get(server);
-        let (rate, shown_at) = match (named, known) {
+        let rate = match (named, known) {
             (NamedLimit::Unreadable, _) | (NamedLimit::Absent, None) => return None,
             (NamedLimit::Absent, Some(record)) => {
                 if record.rate.is_none() || sent_at <= record.shown_at {
                     return None;
                 }
-                (None, sent_at)
+                None
             }
             (NamedLimit::Rate(rate), known) => {
                 let before = known.and_then(|record| record.rate);
@@ -108,10 +125,10 @@
                 if is_higher && known.is_some_and(|record| sent_at <= record.shown_at) {
                     return None;
                 }
-                (Some(rate), now)
+                Some(rate)
             }
         };
-        let change = self.set(server, rate, shown_at, now);
+        let change = self.set(server, rate, now, now);
         if change.is_some() {
             self.untold.insert(server.clone());
         }
@@ -150,14 +167,52 @@
         }
     }
 
-    /// Time until this process may send a request to the server: zero if the server has no limit,
-    /// `None` if other processes share its rate.
-    pub fn wait(&self, server: &HostId, now: Tick) -> Option<Duration> {
-        match self.records.get(server) {
-            Some(LimitRecord { rate: Some(_), share, .. }) => {
-                share.as_ref().map(|share| share.pace.wait(now))
-            }
-            _ => Some(Duration::ZERO),
+    /// Whether the server has room for a request of this process. `sample` is a random number, which
+    /// selects one of the processes that may be asked.
+    pub fn room(&self, server: &HostId, sample: u64, now: Tick) -> ServerRoom {
+        let Some(record) = self.records.get(server).filter(|record| record.rate.is_some()) else {
+            return ServerRoom::Unlimited;
+        };
+        if record.pace.is_some_and(|pace| pace.is_due(now)) {
+            return ServerRoom::Own;
+        }
+        let own = self.processes.as_ref().map(|list| &list.own);
+        let others = || {
+            let sharers = record.sharers.iter();
+            sharers.filter(|sharer| Some(&sharer.node) != own && sharer.ask_from <= now)
+        };
+        let count = others().count() as u64;
+        let chosen = (count > 0).then(|| others().nth((sample % count) as usize)).flatten();
+        chosen.map_or(ServerRoom::Full, |sharer| ServerRoom::Ask(sharer.node.clone()))
+    }
+
+    /// Answers another process that asks to send the server a request.
+    pub fn answer_ask(&mut self, server: &HostId, now: Tick) -> AskOutcome {
+        let LimitSettings { catch_up, ask_again, .. } = self.settings;
+        match self.records.get_mut(server) {
+            Some(LimitRecord { rate: None, .. }) => AskOutcome::Granted,
+            Some(LimitRecord { pace: Some(pace), .. }) => match pace.try_take(now, catch_up) {
+                true => AskOutcome::Granted,
+                false => AskOutcome::Denied(pace.wait(now)),
+            },
+            // The processes disagree about who shares the rate, or this one has not heard of it.
+            Some(LimitRecord { pace: None, .. }) | None => AskOutcome::Denied(ask_again),
+        }
+    }
+
+    /// Records that a process was asked and did not grant the request. `wait` is when to ask it
+    /// again; `None` if it did not answer.
+    pub fn note_denied(
+        &mut self,
+        server: &HostId,
+        sharer: &HostId,
+        wait: Option<Duration>,
+        now: Tick,
+    ) {
+        let ask_from = now + wait.unwrap_or(self.settings.ask_again);
+        let sharers = self.records.get_mut(server).into_iter().flat_map(|r| &mut r.sharers);
+        for known in sharers.filter(|known| known.node == *sharer) {
+            known.ask_from = ask_from;
         }
     }
 
@@ -166,12 +221,13 @@
         self.records.get(server)?.rate
     }
 
-    /// Counts a request to the server, or returns false if none is allowed now.
+    /// Counts a request to the server that is sent without asking, or returns false if none is
+    /// allowed now.
     pub fn try_take(&mut self, server: &HostId, now: Tick) -> bool {
         let catch_up = self.settings.catch_up;
         match self.records.get_mut(server) {
-            Some(LimitRecord { rate: Some(_), share, .. }) => {
-                share.as_mut().is_some_and(|share| share.pace.try_take(now, catch_up))
+            Some(LimitRecord { rate: Some(_), pace, .. }) => {
+                pace.as_mut().is_some_and(|pace| pace.try_take(now, catch_up))
             }
             _ => true,
         }
@@ -205,9 +261,13 @@
         hasher.finish()
     }
 
-    /// Time since the last change; `None` before the first one.
-    pub fn unchanged_for(&self, now: Tick) -> Option<Duration> {
-        self.changed_at.map(|at| now.since(at))
+    /// What to tell a peer that knows other limits, as its [`Self::digest`] says. Recent changes are
+    /// left out.
+    pub fn settled_notices(&self, now: Tick) -> Vec<LimitNotice> {
+        let settled_after = self.settings.settled_after;
+        let is_settled = |record: &LimitRecord| now.since(record.changed_at) >= settled_after;
+        let settled = self.records.iter().filter(|(_, record)| is_settled(record));
+        settled.filter_map(|(server, _)| self.notice(server, now)).collect()
     }
 
     /// The limits in force.
@@ -215,8 +275,8 @@
         let mut limits = Vec::new();
         for (server, record) in &self.records {
             let Some(rate) = record.rate else { continue };
-            let share = |share: LimitShare| rate.0 / share.place.sharers as f64;
-            let own = RatePerSecond(record.share.map_or(0.0, share));
+            let own = record.pace.map_or(0.0, |_| rate.0 / record.sharers.len().max(1) as f64);
+            let own = RatePerSecond(own);
             limits.push(KnownLimit { server: server.clone(), rate, own });
         }
         limits
@@ -246,7 +306,8 @@
         if !self.records.contains_key(server) && self.records.len() >= MAX_SERVERS {
             return None;
         }
-        let fresh = LimitRecord { rate: None, shown_at, share: None };
+        let fresh =
+            LimitRecord { rate: None, shown_at, changed_at: now, sharers: Vec::new(), pace: None };
         let record = self.records.entry(server.clone()).or_insert(fresh);
         let before = record.rate;
         record.shown_at = record.shown_at.max(shown_at);
@@ -254,44 +315,56 @@
         if before == rate {
             return None;
         }
-        self.changed_at = Some(now);
+        record.changed_at = now;
         self.digest = self.compute_digest();
         self.update_share(server, now, Duration::ZERO);
         Some(LimitChange { server: server.clone(), before, after: rate })
     }
 
-    /// Computes this process's part of a server's rate anew. A part that it did not have begins
-    /// after `handover`, without a saved request.
+    /// Selects anew who shares a server's rate. A part that this process did not have begins after
+    /// `handover`, without a saved request.
     fn update_share(&mut self, server: &HostId, now: Tick, handover: Duration) {
         let Self { settings, records, processes, .. } = self;
         let Some(record) = records.get_mut(server) else { return };
         let Some(rate) = record.rate else {
-            record.share = None;
+            (record.sharers, record.pace) = (Vec::new(), None);
             return;
         };
-        let place = match processes {
-            None => Some(SharerPlace { rank: 0, sharers: 1 }),
-            Some(ProcessList { own, live }) => SharerPlace::find(server, rate, own, live, settings),
+        // The only process shares the rate with nobody.
+        let (rank, sharers) = match processes {
+            None => (Some(0), 1),
+            Some(ProcessList { own, live }) => {
+                let nodes = select_sharers(server, rate, live, settings);
+                let rank = nodes.iter().position(|node| node == own);
+                let sharers = nodes.len();
+                record.sharers = rebuild_sharers(&record.sharers, nodes, now);
+                (rank, sharers)
+            }
         };
-        let Some(place) = place else {
-            record.share = None;
+        let Some(rank) = rank else {
+            record.pace = None;
             return;
         };
-        let interval = place.interval(rate, settings);
-        match &mut record.share {
-            Some(share) => {
-                share.place = place;
-                share.pace.set_interval(interval, now);
-            }
+        let interval = sharer_interval(rate, sharers, settings);
+        match &mut record.pace {
+            Some(pace) => pace.set_interval(interval, now),
             None => {
-                let first_at = now + handover + place.first_after(interval);
-                let pace = RequestPace::new(interval, first_at);
-                record.share = Some(LimitShare { place, pace });
+                // The first requests of the sharers are spread over one interval.
+                let first_after = interval.mul_f64((rank + 1) as f64 / sharers as f64);
+                record.pace = Some(RequestPace::new(interval, now + handover + first_after));
             }
         }
     }
 }
 
+/// The sharers with these names; those that were known keep when they may be asked.
+fn rebuild_sharers(known: &[LimitSharer], nodes: Vec<HostId>, now: Tick) -> Vec<LimitSharer> {
+    let ask_from = |node: &HostId| {
+        known.iter().find(|sharer| sharer.node == *node).map_or(now, |sharer| sharer.ask_from)
+    };
+    nodes.into_iter().map(|node| LimitSharer { ask_from: ask_from(&node), node }).collect()
+}
+
 fn is_usable(rate: Option<RatePerSecond>) -> bool {
     rate.is_none_or(|rate| rate.0.is_finite() && rate.0 >= 0.0)
 }
--- a/crates/limit/tests/tracker.rs
+++ b/crates/limit/tests/tracker.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{HostId, RatePerSecond, Tick},
-    limit::{LimitNotice, LimitSettings, LimitTracker, NamedLimit},
+    limit::{AskOutcome, LimitNotice, LimitSettings, LimitTracker, NamedLimit, ServerRoom},
     std::time::Duration,
     yare::parameterized,
 };
@@ -128,7 +128,7 @@
     tracker.note_answer(&server(), NamedLimit::Absent, at(10), at(20));
     tracker.receive(&[notice(Some(5.0), 100)], at(100));
     assert_eq!(tracker.rate(&server()), None);
-    assert_eq!(tracker.notices(at(100)), [notice(None, 90)]);
+    assert_eq!(tracker.notices(at(100)), [notice(None, 80)]);
     tracker.expire(|_| true, at(120_000));
     assert!(tracker.is_idle() && tracker.digest() == LimitTracker::default().digest());
 }
@@ -198,3 +198,41 @@
     }
     assert_eq!(successors, 1);
 }
+
+/// A process that shares no part of a limit may still have callers for the server.
+#[test]
+fn other_processes_ask_those_that_share_a_limit() {
+    let live = names(12);
+    let mut trackers: Vec<LimitTracker> = Vec::new();
+    for own in &live {
+        let mut tracker = LimitTracker::new(LimitSettings::default());
+        tracker.set_processes(own, live.clone(), at(0));
+        tracker.note_answer(&server(), rate(3.0), at(0), at(0));
+        trackers.push(tracker);
+    }
+    let other = trackers.iter().position(|tracker| tracker.limits()[0].own.0 == 0.0).unwrap();
+    let mut asked = Vec::new();
+    while let ServerRoom::Ask(sharer) = trackers[other].room(&server(), 7, at(2_000)) {
+        let place = live.iter().position(|node| *node == sharer).unwrap();
+        assert_eq!(trackers[place].answer_ask(&server(), at(2_000)), AskOutcome::Granted);
+        let outcome = trackers[place].answer_ask(&server(), at(2_000));
+        let AskOutcome::Denied(wait) = outcome else { panic!("{outcome:?}") };
+        trackers[other].note_denied(&server(), &sharer, Some(wait), at(2_000));
+        asked.push(sharer);
+    }
+    assert_eq!(asked.len(), 3);
+    assert_eq!(trackers[other].room(&server(), 7, at(2_000)), ServerRoom::Full);
+    assert!(matches!(trackers[other].room(&server(), 7, at(3_100)), ServerRoom::Ask(_)));
+    // One that is asked by mistake grants nothing.
+    assert!(matches!(trackers[other].answer_ask(&server(), at(3_100)), AskOutcome::Denied(_)));
+}
+
+/// A process that has not heard of a limit must not let requests to the server pass.
+#[test]
+fn an_unknown_limit_is_not_granted() {
+    let mut tracker = LimitTracker::new(LimitSettings::default());
+    assert!(matches!(tracker.answer_ask(&server(), at(0)), AskOutcome::Denied(_)));
+    let mut ended = limited(1.0);
+    ended.note_answer(&server(), NamedLimit::Absent, at(10), at(20));
+    assert_eq!(ended.answer_ask(&server(), at(30)), AskOutcome::Granted);
+}
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -5,8 +5,8 @@
         control::HeadUpdates,
         peers::{
             GOSSIP_INTERVAL, GossipMessage, HEARTBEATS_PER_MESSAGE, LIMITS_PER_MESSAGE,
-            LOADS_PER_MESSAGE, LimitClaim, PEERS_PER_ROUND, PeerHeartbeat, PoisonClaim,
-            split_update,
+            LOADS_PER_MESSAGE, LimitAsk, LimitClaim, LimitReply, PEERS_PER_ROUND, PeerHeartbeat,
+            PoisonClaim, split_update,
         },
         run::NodeRuntime,
     },
@@ -14,7 +14,7 @@
     limit::LimitNotice,
     poison::PoisonUpdate,
     rand::seq::SliceRandom,
-    relay::{ServerId, ServerSign},
+    relay::{LimitQuestion, ServerId, ServerSign},
     std::{
         collections::BTreeSet,
         net::SocketAddr,
@@ -96,8 +96,7 @@
                 update: self.shared.poison.evidence_to_repeat(),
             };
             if !claim.update.is_empty() {
-                let evidence =
-                    GossipMessage { poison: Some(claim), forwarded: Vec::new(), ..self.message() };
+                let evidence = GossipMessage { poison: Some(claim), ..self.bare_message() };
                 self.peers.send(&evidence, peer);
             }
         }
@@ -114,6 +113,11 @@
     pub(crate) fn message(&self) -> GossipMessage {
         let forwarded =
             self.view.with(|state| state.members.heartbeats_to_send(HEARTBEATS_PER_MESSAGE));
+        GossipMessage { forwarded, ..self.bare_message() }
+    }
+
+    /// The same without the heartbeats of others.
+    fn bare_message(&self) -> GossipMessage {
         let own = PeerHeartbeat {
             incarnation: self.own.incarnation,
             counter: self.round.load(Ordering::Relaxed),
@@ -122,7 +126,7 @@
         let config = self.view.config_claim();
         GossipMessage {
             own,
-            forwarded,
+            forwarded: Vec::new(),
             config_version: config.stamp.version,
             config: Some(config),
             in_traffic: self.shared.in_traffic.load(Ordering::Relaxed),
@@ -161,7 +165,13 @@
     /// told some of those that this process knows, the rest when it asks again.
     fn receive_limits(&self, claim: &LimitClaim, from: SocketAddr) {
         let limits = &self.shared.limits;
-        if !claim.notices.is_empty() {
+        if let Some(LimitAsk { server, number }) = &claim.ask {
+            let reply = LimitReply { number: *number, outcome: limits.answer_ask(server) };
+            let claim = LimitClaim { reply: Some(reply), ..Default::default() };
+            self.peers.send(&self.limit_message(claim), from);
+        } else if let Some(LimitReply { number, outcome }) = claim.reply {
+            limits.receive_reply(number, outcome);
+        } else if !claim.notices.is_empty() {
             limits.receive(&claim.notices);
         } else if claim.digest != limits.digest() {
             let mut notices = limits.settled_notices();
@@ -175,13 +185,35 @@
 
     fn limit_messages(&self, notices: &[LimitNotice]) -> impl Iterator<Item = GossipMessage> {
         let digest = self.shared.limits.digest();
-        notices.chunks(LIMITS_PER_MESSAGE).map(move |notices| GossipMessage {
-            limits: Some(LimitClaim { digest, notices: notices.to_vec() }),
-            forwarded: Vec::new(),
-            ..self.message()
+        notices.chunks(LIMITS_PER_MESSAGE).map(move |notices| {
+            let notices = notices.to_vec();
+            self.limit_message(LimitClaim { digest, notices, ..Default::default() })
         })
     }
 
+    fn limit_message(&self, claim: LimitClaim) -> GossipMessage {
+        GossipMessage { limits: Some(claim), ..self.bare_message() }
+    }
+
+    /// Sends the questions of requests to the processes that share limits of servers.
+    pub(crate) async fn send_limit_questions(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            let questions = tokio::select! {
+                () = stop.cancelled() => return,
+                questions = self.shared.limits.next_questions() => questions,
+            };
+            for LimitQuestion { sharer, server, number } in questions {
+                // Without an address the request goes on after its time to wait.
+                let address = self.view.with(|state| state.members.peer_address(&sharer));
+                let ask = Some(LimitAsk { server, number });
+                if let Some(address) = address {
+                    let claim = LimitClaim { ask, ..Default::default() };
+                    self.peers.send(&self.limit_message(claim), address);
+                }
+            }
+        }
+    }
+
     /// Tells all processes at once of limits that answers have shown.
     pub(crate) async fn broadcast_limit_updates(self: Arc<Self>, stop: CancellationToken) {
         loop {
@@ -213,8 +245,7 @@
         let digest = self.shared.poison.digest();
         split_update(update).into_iter().map(move |update| GossipMessage {
             poison: Some(PoisonClaim { digest, update }),
-            forwarded: Vec::new(),
-            ..self.message()
+            ..self.bare_message()
         })
     }
 
@@ -239,19 +270,11 @@
         while let Some(HeadUpdates { broken, loads }) = update_receiver.recv().await {
             self.view.note_loads(&loads);
             for chunk in loads.chunks(LOADS_PER_MESSAGE) {
-                self.send_to_all(&GossipMessage {
-                    loads: chunk.to_vec(),
-                    forwarded: Vec::new(),
-                    ..self.message()
-                });
+                self.send_to_all(&GossipMessage { loads: chunk.to_vec(), ..self.bare_message() });
             }
             if !broken.is_empty() {
                 self.view.note_broken(&broken);
-                self.send_to_all(&GossipMessage {
-                    broken,
-                    forwarded: Vec::new(),
-                    ..self.message()
-                });
+                self.send_to_all(&GossipMessage { broken, ..self.bare_message() });
             }
         }
     }
@@ -298,8 +321,7 @@
         if let Some(leaving) = self.view.note_own_leaving(&server) {
             self.send_to_all(&GossipMessage {
                 leaving_servers: vec![leaving],
-                forwarded: Vec::new(),
-                ..self.message()
+                ..self.bare_message()
             });
         }
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{config_tracker::ConfigClaim, ports::ConfigStamp},
     base::{Incarnation, ModelName, StoreEra},
-    limit::LimitNotice,
+    limit::{AskOutcome, LimitNotice},
     poison::PoisonUpdate,
     relay::ServerId,
     std::{io, net::SocketAddr, time::Duration},
@@ -108,6 +108,30 @@
         pub digest: u64,
         /// What is new, or what the receiver may not know; empty in most messages.
         pub notices: Vec<LimitNotice>,
+        /// A question to the receiver.
+        pub ask: Option<LimitAsk>,
+        /// The reply to a question of the receiver.
+        pub reply: Option<LimitReply>,
+    }
+);
+
+base::value_type!(
+    /// Asks a process that shares the limit of a server whether a request may be sent there.
+    pub struct LimitAsk {
+        /// Id of the server.
+        pub server: ServerId,
+        /// Tells the questions of a process apart.
+        pub number: u64,
+    }
+);
+
+base::value_type!(
+    /// The reply to a [`LimitAsk`].
+    pub struct LimitReply {
+        /// The number of the question.
+        pub number: u64,
+        /// What the process says.
+        pub outcome: AskOutcome,
     }
 );
 
--- a/crates/node/tests/limit_update.rs
+++ b/crates/node/tests/limit_update.rs
@@ -40,7 +40,7 @@
         age: Duration::new(u64::MAX, 999_999_999),
     };
     let notices = (0..LIMITS_PER_MESSAGE).map(notice).collect();
-    let sent = message(Some(LimitClaim { digest: u64::MAX, notices }));
+    let sent = message(Some(LimitClaim { digest: u64::MAX, notices, ..Default::default() }));
     let receiver = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let address = receiver.address().unwrap();
     let sender = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
--- a/crates/node/tests/poison_update.rs
+++ b/crates/node/tests/poison_update.rs
@@ -102,7 +102,7 @@
     let rate = Some(RatePerSecond(4.5));
     let server = HostId::new("i-1").unwrap();
     let limit = LimitNotice { server, rate, age: Duration::from_millis(5) };
-    message.limits = Some(LimitClaim { digest: 9, notices: vec![limit] });
+    message.limits = Some(LimitClaim { digest: 9, notices: vec![limit], ..Default::default() });
     let valid = [
         vec![1],
         postcard::to_stdvec(&message).unwrap(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,7 +37,7 @@
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
-    limit_watch::LimitWatch,
+    limit_watch::{LimitQuestion, LimitWatch},
     metrics::RelayMetrics,
     poison_watch::PoisonWatch,
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
--- a/crates/relay/src/limit_watch.rs
+++ b/crates/relay/src/limit_watch.rs
@@ -3,16 +3,37 @@
 use {
     crate::server::ServerId,
     base::{RatePerSecond, SharedClock, Tick},
-    limit::{KnownLimit, LimitChange, LimitNotice, LimitSettings, LimitTracker, NamedLimit},
+    limit::{
+        AskOutcome, KnownLimit, LimitChange, LimitNotice, LimitSettings, LimitTracker, NamedLimit,
+        ServerRoom,
+    },
     parking_lot::Mutex,
-    std::time::Duration,
-    tokio::sync::Notify,
+    std::{
+        collections::BTreeMap,
+        sync::atomic::{AtomicU64, Ordering},
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, oneshot},
+        time::timeout,
+    },
     tracing::info,
 };
 
-/// A process tells a peer all limits that it knows only if they have not changed for this long:
-/// until then the news may still be on their way to that peer.
-const SETTLED_AFTER: Duration = Duration::from_secs(1);
+/// How long a request waits for a process that was asked: several times a datagram's way there and
+/// back between failure domains. A reply that comes later is void.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// A question to a process that shares the limit of a server: whether a request may be sent there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitQuestion {
+    /// The process to ask.
+    pub sharer: ServerId,
+    /// The server.
+    pub server: ServerId,
+    /// Tells the questions of this process apart.
+    pub number: u64,
+}
 
 /// What this process knows about the limits of servers, shared by all requests.
 pub struct LimitWatch {
@@ -20,13 +41,29 @@
     clock: SharedClock,
     /// Notified when there is an update for the other processes.
     update: Notify,
+    /// Questions that are still to be sent.
+    questions: Mutex<Vec<LimitQuestion>>,
+    /// Notified when there is a question.
+    asked: Notify,
+    /// Where the replies to questions go, by their numbers.
+    waiting: Mutex<BTreeMap<u64, oneshot::Sender<AskOutcome>>>,
+    next_number: AtomicU64,
 }
 
 impl LimitWatch {
     /// Knows no limit, and no other process.
     pub(crate) fn new(clock: SharedClock) -> Self {
         let tracker = Mutex::new(LimitTracker::new(LimitSettings::default()));
-        Self { tracker, clock, update: Notify::new() }
+        Self {
+            tracker,
+            clock,
+            update: Notify::new(),
+            questions: Mutex::default(),
+            asked: Notify::new(),
+            waiting: Mutex::default(),
+            // A reply to a question of an earlier run must not be taken for one of this run.
+            next_number: AtomicU64::new(rand::random::<u32>().into()),
+        }
     }
 
     /// Applies what an answer says about its server's limit. `sent_at` is when its request was sent;
@@ -71,12 +108,62 @@
         self.tracker.lock().is_idle()
     }
 
-    /// Whether this process may send the server a request now.
-    pub(crate) fn allows(&self, server: &ServerId, now: Tick) -> bool {
-        self.tracker.lock().wait(server, now).is_some_and(|wait| wait.is_zero())
+    /// Whether the server has room for a request, see [`LimitTracker::room`].
+    pub(crate) fn room(&self, server: &ServerId, sample: u64, now: Tick) -> ServerRoom {
+        self.tracker.lock().room(server, sample, now)
+    }
+
+    /// Asks another process whether a request may be sent to the server. Takes a moment at most.
+    pub(crate) async fn ask(&self, server: &ServerId, sharer: &ServerId) -> bool {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let (sender, reply) = oneshot::channel();
+        self.waiting.lock().insert(number, sender);
+        let _waiting = WaitingQuestion { watch: self, number };
+        let question = LimitQuestion { sharer: sharer.clone(), server: server.clone(), number };
+        self.questions.lock().push(question);
+        self.asked.notify_one();
+        let asked_at = self.clock.now();
+        let outcome = timeout(ASK_TIMEOUT, reply).await.ok().and_then(Result::ok);
+        let now = self.clock.now();
+        // This process may have stood still since, and the reply with it.
+        let is_late = now.since(asked_at) > ASK_TIMEOUT;
+        let wait = match outcome {
+            Some(AskOutcome::Granted) if !is_late => return true,
+            Some(AskOutcome::Denied(wait)) => Some(wait),
+            Some(AskOutcome::Granted) | None => None,
+        };
+        if outcome.is_none() {
+            info!(decision = "sharer-silent", %server, node = %sharer, "limits");
+        }
+        self.tracker.lock().note_denied(server, sharer, wait, now);
+        false
+    }
+
+    /// Waits for questions to other processes, and returns each of them once.
+    pub async fn next_questions(&self) -> Vec<LimitQuestion> {
+        loop {
+            let questions = std::mem::take(&mut *self.questions.lock());
+            if !questions.is_empty() {
+                return questions;
+            }
+            self.asked.notified().await;
+        }
+    }
+
+    /// Answers the question of another process.
+    pub fn answer_ask(&self, server: &ServerId) -> AskOutcome {
+        self.tracker.lock().answer_ask(server, self.clock.now())
+    }
+
+    /// Passes the reply to a question on to the request that waits for it.
+    pub fn receive_reply(&self, number: u64, outcome: AskOutcome) {
+        if let Some(waiting) = self.waiting.lock().remove(&number) {
+            // The request may have ended meanwhile.
+            let _ = waiting.send(outcome);
+        }
     }
 
-    /// Counts a request to the server; false if none is allowed now.
+    /// Counts a request to the server that is sent without asking; false if none is allowed now.
     pub(crate) fn try_take(&self, server: &ServerId, now: Tick) -> bool {
         self.tracker.lock().try_take(server, now)
     }
@@ -97,13 +184,10 @@
         }
     }
 
-    /// What a peer should be told whose [`Self::digest`] is another one. Empty while there are
-    /// recent changes.
+    /// What a peer should be told whose [`Self::digest`] is another one, see
+    /// [`LimitTracker::settled_notices`].
     pub fn settled_notices(&self) -> Vec<LimitNotice> {
-        let now = self.clock.now();
-        let tracker = self.tracker.lock();
-        let is_settled = tracker.unchanged_for(now).is_some_and(|span| span >= SETTLED_AFTER);
-        if is_settled { tracker.notices(now) } else { Vec::new() }
+        self.tracker.lock().settled_notices(self.clock.now())
     }
 
     /// A checksum of the known limits, see [`LimitTracker::digest`].
@@ -117,6 +201,18 @@
     }
 }
 
+/// A question that waits for its reply; forgotten when dropped.
+struct WaitingQuestion<'a> {
+    watch: &'a LimitWatch,
+    number: u64,
+}
+
+impl Drop for WaitingQuestion<'_> {
+    fn drop(&mut self) {
+        self.watch.waiting.lock().remove(&self.number);
+    }
+}
+
 fn log_change(change: &LimitChange, source: &'static str) {
     let LimitChange { server, before, after } = change;
     let text = |rate: &Option<RatePerSecond>| rate.map(|rate| rate.to_string());
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -19,6 +19,7 @@
     http::{HeaderMap, Method, Request, Response, Uri},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
+    limit::ServerRoom,
     poison::{PartsVerdict, PromptParts, RefusedPart},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -44,6 +45,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Shortest span over which callers return after all servers have asked for quiet.
 const MIN_RETURN_SPREAD: Duration = Duration::from_millis(300);
+/// How often a request may be denied a place below a limit before it goes elsewhere or is refused.
+const MAX_DENIALS: u32 = 3;
 /// Longest mean time after which callers return that no server has room for below its limit.
 const MAX_LIMIT_RETURN: Duration = Duration::from_secs(5);
 /// With less time remaining than this, a request is not sent: it would occupy a slot for an answer
@@ -259,15 +262,15 @@
         progress: &mut CallProgress,
     ) -> Result<Box<LiveAnswer>, Refusal> {
         loop {
-            let now = self.shared.clock.now();
-            let remaining = ctx.expires_at.since(now);
-            if remaining < MIN_REMAINING {
+            if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
                 return Err(self.final_refusal(ctx, progress));
             }
             self.check_resend(ctx, progress)?;
-            let Some(server) = self.next_server(ctx, progress, now) else {
+            let Some(server) = self.next_server(ctx, progress).await else {
                 return Err(self.final_refusal(ctx, progress));
             };
+            let now = self.shared.clock.now();
+            let remaining = ctx.expires_at.since(now);
             let wait = self.head_timeout(ctx, progress, &server, remaining);
             self.shared.metrics.note_send(ctx.kind, progress.sends > 0);
             let request = self.write_call(ctx, progress, &server, remaining);
@@ -378,41 +381,67 @@
     }
 
     /// The server for the next send, or `None` if the route allows no further send, no server can
-    /// take the request or the retry budget is used up.
-    fn next_server(
+    /// take the request or the retry budget is used up. Asks other processes first where they share
+    /// the limit of the server.
+    async fn next_server(
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
-        now: Tick,
     ) -> Option<BackendServer> {
         if progress.sends >= ctx.attempts {
             return None;
         }
-        let table = self.shared.servers.load();
         let mut is_paid = progress.sends == 0;
+        let mut denials = 0;
         loop {
-            let facts = ChoiceFacts { tried: &progress.tried, sample: rand::random(), now };
-            let is_limited =
-                |server: &&BackendServer| self.shared.limits.rate(&server.id).is_some();
-            let open = || self.open_candidates(&table, ctx, now);
-            let unlimited = open().filter(|server| !is_limited(server));
-            let choice = choose_beside_limits(unlimited, open().filter(is_limited), &facts);
-            let server = match choice {
-                ServerChoice::Server(server) => server.clone(),
-                ServerChoice::Full | ServerChoice::NoCandidate => return None,
-            };
+            let now = self.shared.clock.now();
+            let (server, room) = self.choose(ctx, progress, denials < MAX_DENIALS, now)?;
             let processes = self.shared.processes.load(Ordering::Relaxed);
             if !is_paid && !self.shared.budget.try_take(&ctx.service, processes, now) {
                 return None;
             }
             is_paid = true;
-            if self.shared.limits.try_take(&server.id, now) {
+            let limits = &self.shared.limits;
+            let may_send = match room {
+                ServerRoom::Unlimited => true,
+                ServerRoom::Own => limits.try_take(&server.id, now),
+                ServerRoom::Ask(sharer) => limits.ask(&server.id, &sharer).await,
+                ServerRoom::Full => false,
+            };
+            if may_send {
                 return Some(server);
             }
+            denials += 1;
         }
     }
 
-    /// The candidates for a request that are not at their limit.
+    /// Chooses a server that has room for a request. `may_ask` says whether that of other processes
+    /// counts.
+    fn choose(
+        &self,
+        ctx: &CallContext,
+        progress: &CallProgress,
+        may_ask: bool,
+        now: Tick,
+    ) -> Option<(BackendServer, ServerRoom)> {
+        let table = self.shared.servers.load();
+        let sample = rand::random();
+        let facts = ChoiceFacts { tried: &progress.tried, sample, now };
+        let room = |server: &BackendServer| self.shared.limits.room(&server.id, sample, now);
+        let candidates = || table.candidates(&ctx.service, ctx.model.as_ref());
+        let unlimited = candidates().filter(|server| room(server) == ServerRoom::Unlimited);
+        let limited = candidates().filter(|server| match room(server) {
+            ServerRoom::Own => true,
+            ServerRoom::Ask(_) => may_ask,
+            ServerRoom::Unlimited | ServerRoom::Full => false,
+        });
+        match choose_beside_limits(unlimited, limited, &facts) {
+            ServerChoice::Server(server) => Some((server.clone(), room(server))),
+            ServerChoice::Full | ServerChoice::NoCandidate => None,
+        }
+    }
+
+    /// The candidates for a request that have room for it below their limits.
     fn open_candidates<'a>(
         &'a self,
         table: &'a ServerTable,
@@ -420,7 +449,9 @@
         now: Tick,
     ) -> impl Iterator<Item = &'a BackendServer> {
         let servers = table.candidates(&ctx.service, ctx.model.as_ref());
-        servers.filter(move |server| self.shared.limits.allows(&server.id, now))
+        servers.filter(move |server| {
+            self.shared.limits.room(&server.id, rand::random(), now) != ServerRoom::Full
+        })
     }
 
     /// Whether a retry is possible: the route allows a further send, enough time remains, and some
