--- a/crates/limit/src/settings.rs
+++ b/crates/limit/src/settings.rs
@@ -17,8 +17,11 @@
     /// A process that becomes a sharer sends nothing for this long, in which the process that it
     /// replaces learns of the change.
     pub handover: Duration,
-    /// When a sharer that can't be of use is asked again, if it does not say.
+    /// When a sharer that can't be of use is asked again.
     pub ask_again: Duration,
+    /// When a process that did not answer is asked again, for any server: about the time in which the
+    /// others notice that it is down.
+    pub ask_silent_again: Duration,
     /// How far a sharer may run behind its pace and still make up for it.
     pub catch_up: Duration,
     /// A peer that knows other limits is told of those that have not changed for this long: later
@@ -37,6 +40,7 @@
             least_rate: 0.1,
             handover: Duration::from_secs(1),
             ask_again: Duration::from_millis(300),
+            ask_silent_again: Duration::from_millis(1_500),
             catch_up: Duration::from_millis(200),
             settled_after: Duration::from_millis(500),
             end_memory: Duration::from_secs(60),
--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -35,6 +35,14 @@
     pace: Option<RequestPace>,
 }
 
+impl LimitRecord {
+    fn note_ask_from(&mut self, node: &HostId, ask_from: Tick) {
+        for sharer in self.sharers.iter_mut().filter(|sharer| sharer.node == *node) {
+            sharer.ask_from = ask_from;
+        }
+    }
+}
+
 /// A process that shares the rate of a server.
 #[derive(Clone, Debug)]
 struct LimitSharer {
@@ -200,19 +208,20 @@
         }
     }
 
-    /// Records that a process was asked and did not grant the request. `wait` is when to ask it
-    /// again; `None` if it did not answer.
-    pub fn note_denied(
-        &mut self,
-        server: &HostId,
-        sharer: &HostId,
-        wait: Option<Duration>,
-        now: Tick,
-    ) {
-        let ask_from = now + wait.unwrap_or(self.settings.ask_again);
-        let sharers = self.records.get_mut(server).into_iter().flat_map(|r| &mut r.sharers);
-        for known in sharers.filter(|known| known.node == *sharer) {
-            known.ask_from = ask_from;
+    /// Records that a process did not grant a request to the server, and is not to be asked for
+    /// `wait`.
+    pub fn note_denied(&mut self, server: &HostId, sharer: &HostId, wait: Duration, now: Tick) {
+        if let Some(record) = self.records.get_mut(server) {
+            record.note_ask_from(sharer, now + wait);
+        }
+    }
+
+    /// Records that a process did not answer. It may be gone, so that it is not asked for any server
+    /// for a while.
+    pub fn note_silent(&mut self, sharer: &HostId, now: Tick) {
+        let ask_from = now + self.settings.ask_silent_again;
+        for record in self.records.values_mut() {
+            record.note_ask_from(sharer, ask_from);
         }
     }
 
--- a/crates/limit/tests/model/world.rs
+++ b/crates/limit/tests/model/world.rs
@@ -376,7 +376,7 @@
                     Message::Reply(ask, AskOutcome::Denied(wait)) => {
                         let sharer = self.processes[from].name.clone();
                         let tracker = &mut self.processes[own].tracker;
-                        tracker.note_denied(&self.names[ask.server], &sharer, Some(wait), now);
+                        tracker.note_denied(&self.names[ask.server], &sharer, wait, now);
                         if ask.denials < MAX_DENIALS {
                             self.send_request(own, ask.denials + 1);
                         }
--- a/crates/limit/tests/tracker.rs
+++ b/crates/limit/tests/tracker.rs
@@ -217,7 +217,7 @@
         assert_eq!(trackers[place].answer_ask(&server(), at(2_000)), AskOutcome::Granted);
         let outcome = trackers[place].answer_ask(&server(), at(2_000));
         let AskOutcome::Denied(wait) = outcome else { panic!("{outcome:?}") };
-        trackers[other].note_denied(&server(), &sharer, Some(wait), at(2_000));
+        trackers[other].note_denied(&server(), &sharer, wait, at(2_000));
         asked.push(sharer);
     }
     assert_eq!(asked.len(), 3);
@@ -236,3 +236,19 @@
     ended.note_answer(&server(), NamedLimit::Absent, at(10), at(20));
     assert_eq!(ended.answer_ask(&server(), at(30)), AskOutcome::Granted);
 }
+
+/// Each request waited anew for a process that was gone.
+#[test]
+fn a_silent_process_is_not_asked_again_for_a_while() {
+    let live = names(2);
+    let mut tracker = LimitTracker::new(LimitSettings::default());
+    tracker.set_processes(&HostId::new("other").unwrap(), live.clone(), at(0));
+    let second = HostId::new("i-2").unwrap();
+    for server in [&server(), &second] {
+        tracker.note_answer(server, rate(9.0), at(0), at(0));
+    }
+    tracker.note_silent(&live[0], at(100));
+    for (sample, server) in [(0, server()), (1, server()), (0, second.clone()), (1, second)] {
+        assert_eq!(tracker.room(&server, sample, at(200)), ServerRoom::Ask(live[1].clone()));
+    }
+}
--- a/crates/relay/src/limit_watch.rs
+++ b/crates/relay/src/limit_watch.rs
@@ -127,15 +127,16 @@
         let now = self.clock.now();
         // This process may have stood still since, and the reply with it.
         let is_late = now.since(asked_at) > ASK_TIMEOUT;
-        let wait = match outcome {
-            Some(AskOutcome::Granted) if !is_late => return true,
-            Some(AskOutcome::Denied(wait)) => Some(wait),
-            Some(AskOutcome::Granted) | None => None,
-        };
-        if outcome.is_none() {
-            info!(decision = "sharer-silent", %server, node = %sharer, "limits");
+        match outcome {
+            Some(AskOutcome::Granted) => return !is_late,
+            Some(AskOutcome::Denied(wait)) => {
+                self.tracker.lock().note_denied(server, sharer, wait, now);
+            }
+            None => {
+                info!(decision = "sharer-silent", %server, node = %sharer, "limits");
+                self.tracker.lock().note_silent(sharer, now);
+            }
         }
-        self.tracker.lock().note_denied(server, sharer, wait, now);
         false
     }
 
