Do not serve a history with a gap to processes that read from this one

Cause: a process that reads the server list from another one does not cache those pages.

Rows of members and owners are cached in the same way and were affected too.

--- a/crates/node/src/page_cache.rs
+++ b/crates/node/src/page_cache.rs
@@ -39,10 +39,17 @@
     end: WatchPosition,
 }
 
+/// The part of the history that the cached pages cover without a gap.
+#[derive(Clone, Copy, Debug)]
+struct CachedSpan {
+    start: WatchPosition,
+    end: WatchPosition,
+}
+
 #[derive(Debug)]
 struct CacheState<T> {
-    /// Position before the first page; `None` before the table was read.
-    start: Option<WatchPosition>,
+    /// Positions before the first page and after the last one; `None` before the table was read.
+    span: Option<CachedSpan>,
     pages: VecDeque<CachedPage<T>>,
     /// When the store last answered a watch; `None` since its last failure.
     last_answer_at: Option<Tick>,
@@ -59,29 +66,34 @@
 
 impl<T> Default for PageCache<T> {
     fn default() -> Self {
-        let state = CacheState { start: None, pages: VecDeque::new(), last_answer_at: None };
+        let state = CacheState { span: None, pages: VecDeque::new(), last_answer_at: None };
         Self { state: Mutex::new(state), updated: Notify::new() }
     }
 }
 
 impl<T: Clone> PageCache<T> {
-    /// Adds a page from the store. A snapshot replaces everything cached before.
-    pub fn insert(&self, page: &WatchPage<T>, now: Tick) {
+    /// Adds a page that the store returned for a watch from `after`. A snapshot replaces everything
+    /// cached before, and so does a page that does not continue the last one: this process read what
+    /// lies between from another process.
+    pub fn insert(&self, after: Option<WatchPosition>, page: &WatchPage<T>, now: Tick) {
         let mut state = self.state.lock();
         state.last_answer_at = Some(now);
-        if page.is_snapshot {
-            state.start = Some(page.position);
+        let start = after.filter(|_| !page.is_snapshot).unwrap_or(page.position);
+        let known = state.span.filter(|span| !page.is_snapshot && span.end == start);
+        if known.is_none() {
             state.pages.clear();
-        } else if page.changes.is_empty() {
-            if let Some(last) = state.pages.back_mut() {
-                last.end = last.end.max(page.position);
-            }
-        } else {
+        }
+        let mut span = known.unwrap_or(CachedSpan { start, end: start });
+        span.end = span.end.max(page.position);
+        if !page.is_snapshot && !page.changes.is_empty() {
             state.pages.push_back(CachedPage { changes: page.changes.clone(), end: page.position });
-            if state.pages.len() > MAX_PAGES {
-                state.start = state.pages.pop_front().map(|dropped| dropped.end);
+            if state.pages.len() > MAX_PAGES
+                && let Some(dropped) = state.pages.pop_front()
+            {
+                span.start = dropped.end;
             }
         }
+        state.span = Some(span);
         drop(state);
         self.updated.notify_waiters();
     }
@@ -102,16 +114,14 @@
         let state = self.state.lock();
         let age = state.last_answer_at.map(|at| now.since(at));
         // A reader of another era may know rows that this era does not have.
-        let covered = state.start.is_some_and(|start| start.era == after.era && after >= start);
-        if !covered {
-            return CacheLookup::Miss;
-        }
+        let is_covered = |span: &CachedSpan| span.start.era == after.era && after >= span.start;
+        let Some(span) = state.span.filter(is_covered) else { return CacheLookup::Miss };
         let Some(age) = age.filter(|age| *age < MAX_STALENESS) else {
             return CacheLookup::Unreachable;
         };
         let since = state.pages.iter().filter(|page| page.end > after);
         let changes: Vec<T> = since.flat_map(|page| page.changes.clone()).collect();
-        let end = state.pages.back().map_or(after, |page| page.end.max(after));
+        let end = span.end.max(after);
         if changes.is_empty() {
             return CacheLookup::UpToDate { position: end, age };
         }
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -140,14 +140,15 @@
         }
     }
 
-    /// Caches a page from the store, or marks the store as unreachable.
+    /// Caches a page that the store returned for a watch from `after`, or marks the store as unreachable.
     fn cache_page<T: Clone>(
         &self,
         cache: &PageCache<T>,
+        after: Option<WatchPosition>,
         page: Result<WatchPage<T>, WatchError>,
     ) -> Result<WatchPage<T>, WatchError> {
         match &page {
-            Ok(page) => cache.insert(page, self.clock.now()),
+            Ok(page) => cache.insert(after, page, self.clock.now()),
             Err(_) => cache.mark_unreachable(),
         }
         page
@@ -331,7 +332,7 @@
         }
         self.note_store_read("servers", after);
         let page = self.watch.watch_servers(after, short_poll).await;
-        self.cache_page(&self.caches.servers, page)
+        self.cache_page(&self.caches.servers, after, page)
     }
 
     async fn watch_rows(
@@ -342,7 +343,7 @@
             return Ok(page);
         }
         self.note_store_read("rows", after);
-        self.cache_page(&self.caches.rows, self.watch.watch_rows(after).await)
+        self.cache_page(&self.caches.rows, after, self.watch.watch_rows(after).await)
     }
 
     fn abandon_waiting(&self) {
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -53,10 +53,10 @@
 fn a_cache_returns_the_changes_since_a_position() {
     let cache = PageCache::default();
     assert_eq!(cache.lookup(at(5), START), CacheLookup::Miss);
-    cache.insert(&page(&["a"], 10, true), START);
-    cache.insert(&page(&["b"], 12, false), START);
-    cache.insert(&page(&[], 15, false), START);
-    cache.insert(&page(&["c"], 17, false), START);
+    cache.insert(None, &page(&["a"], 10, true), START);
+    cache.insert(Some(at(10)), &page(&["b"], 12, false), START);
+    cache.insert(Some(at(12)), &page(&[], 15, false), START);
+    cache.insert(Some(at(15)), &page(&["c"], 17, false), START);
     assert_eq!(cache.lookup(at(9), START), CacheLookup::Miss, "before the first page");
     let changes = |ids: &[&str]| {
         let age = Some(Duration::ZERO);
@@ -74,17 +74,32 @@
 #[test]
 fn a_snapshot_replaces_older_pages() {
     let cache = PageCache::default();
-    cache.insert(&page(&["a"], 10, true), START);
-    cache.insert(&page(&["b"], 12, false), START);
-    cache.insert(&page(&["a"], 30, true), START);
+    cache.insert(None, &page(&["a"], 10, true), START);
+    cache.insert(Some(at(10)), &page(&["b"], 12, false), START);
+    cache.insert(None, &page(&["a"], 30, true), START);
     assert_eq!(cache.lookup(at(12), START), CacheLookup::Miss);
     assert_eq!(cache.lookup(at(30), START), up_to_date(30));
 }
 
+/// A page that does not continue the last one leaves out what lies between.
+#[test]
+fn a_cache_covers_no_gap() {
+    let cache = PageCache::default();
+    cache.insert(None, &page(&["a"], 10, true), START);
+    cache.insert(Some(at(20)), &page(&["b"], 25, false), START);
+    assert_eq!(cache.lookup(at(10), START), CacheLookup::Miss);
+    let age = Some(Duration::ZERO);
+    let since = WatchPage { age, ..page(&["b"], 25, false) };
+    assert_eq!(cache.lookup(at(20), START), CacheLookup::Changes(since));
+    cache.insert(Some(at(30)), &page(&[], 30, false), START);
+    assert_eq!(cache.lookup(at(25), START), CacheLookup::Miss);
+    assert_eq!(cache.lookup(at(30), START), up_to_date(30));
+}
+
 #[test]
 fn a_cache_says_that_the_store_is_unreachable() {
     let cache = PageCache::default();
-    cache.insert(&page(&["a"], 10, true), START);
+    cache.insert(None, &page(&["a"], 10, true), START);
     let later = START + Duration::from_secs(3);
     assert_eq!(cache.lookup(at(10), later), CacheLookup::Unreachable);
     cache.mark_reachable(later);
@@ -96,9 +111,9 @@
 #[test]
 fn a_cache_is_bounded() {
     let cache = PageCache::default();
-    cache.insert(&page(&[], 1, true), START);
+    cache.insert(None, &page(&[], 1, true), START);
     for position in 2..1_000 {
-        cache.insert(&page(&["a"], position, false), START);
+        cache.insert(Some(at(position - 1)), &page(&["a"], position, false), START);
     }
     assert_eq!(cache.lookup(at(1), START), CacheLookup::Miss);
     assert!(matches!(cache.lookup(at(990), START), CacheLookup::Changes(_)));
@@ -158,6 +173,8 @@
     view: Arc<NodeView>,
     /// The view of the process that listens.
     served: Arc<NodeView>,
+    /// Position of the last inserted page.
+    inserted: parking_lot::Mutex<Option<WatchPosition>>,
     stop: CancellationToken,
 }
 
@@ -182,13 +199,14 @@
         let store = Arc::new(UnchangingStore::default());
         let own_caches = Arc::new(StoreCaches::default());
         let watch = SharedWatch::new(store.clone(), view.clone(), own_caches, clock.clone());
-        Self { store, caches, clock, watch, view, served, stop }
+        let inserted = parking_lot::Mutex::default();
+        Self { store, caches, clock, watch, view, served, inserted, stop }
     }
 
     fn insert(&self, changes: &[&str], position: u64, is_snapshot: bool) {
-        self.caches
-            .servers
-            .insert(&page(changes, position, is_snapshot), base::TickClock::now(&*self.clock));
+        let page = page(changes, position, is_snapshot);
+        let after = self.inserted.lock().replace(page.position).filter(|_| !is_snapshot);
+        self.caches.servers.insert(after, &page, base::TickClock::now(&*self.clock));
     }
 
     async fn query(&self, after: u64) -> WatchPage<ServerChange> {
@@ -244,8 +262,8 @@
         is_snapshot,
         age: None,
     };
-    rig.caches.rows.insert(&rows(&[], 10, true), now);
-    rig.caches.rows.insert(&rows(&["member/n1"], 11, false), now);
+    rig.caches.rows.insert(None, &rows(&[], 10, true), now);
+    rig.caches.rows.insert(Some(at(10)), &rows(&["member/n1"], 11, false), now);
     let page = rig.watch.watch_rows(Some(at(10))).await.unwrap();
     assert_eq!(without_age(page), rows(&["member/n1"], 11, false));
     assert_eq!(rig.store_calls(), 0);
@@ -424,3 +442,25 @@
     let now = base::TickClock::now(&*rig.clock);
     assert_eq!(rig.caches.servers.lookup(at(10), now), CacheLookup::Unreachable);
 }
+
+/// A process that reads from a watcher, and later from the store, has not seen what it got from the
+/// watcher as pages of its own. Its readers lost these changes: 16 of 103 processes did not list the
+/// head of a group for 18 s, and one of them gave the group's members away.
+#[tokio::test]
+async fn changes_that_came_from_a_watcher_are_not_passed_over() {
+    let rig = ReaderRig::start().await;
+    let caches = Arc::new(StoreCaches::default());
+    let watch =
+        SharedWatch::new(rig.store.clone(), rig.view.clone(), caches.clone(), rig.clock.clone());
+    let first = watch.watch_servers(None, false).await.unwrap();
+    rig.insert(&[], 1, true);
+    rig.insert(&["a"], 20, false);
+    let second = watch.watch_servers(Some(first.position), false).await.unwrap();
+    assert_eq!(second.changes, [dropped("a")]);
+    rig.view.set_busy_owner(true);
+    let third = watch.watch_servers(Some(second.position), false).await.unwrap();
+    assert!(third.changes.is_empty());
+    let now = base::TickClock::now(&*rig.clock);
+    assert_eq!(caches.servers.lookup(first.position, now), CacheLookup::Miss);
+    assert_eq!(caches.servers.lookup(second.position, now), up_to_date(20));
+}
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -387,7 +387,7 @@
 fn a_cache_does_not_answer_readers_of_another_era() {
     let cache = PageCache::default();
     let now = Tick(1_000);
-    cache.insert(&servers(vec![entry("a", 1, ServerStanding::Live)], at(1, 40), true), now);
+    cache.insert(None, &servers(vec![entry("a", 1, ServerStanding::Live)], at(1, 40), true), now);
     assert_eq!(cache.lookup(at(0, 40), now), CacheLookup::Miss);
     assert_eq!(cache.lookup(at(0, 90), now), CacheLookup::Miss);
     assert_eq!(cache.lookup(at(2, 40), now), CacheLookup::Miss);
