Make up for at most 100 ms behind a limit's pace

A request that came up to 200 ms late did not delay the next one, so that a window could begin late in one interval and end early in another.

--- a/crates/limit/src/settings.rs
+++ b/crates/limit/src/settings.rs
@@ -41,7 +41,7 @@
             handover: Duration::from_secs(1),
             ask_again: Duration::from_millis(300),
             ask_silent_again: Duration::from_millis(1_500),
-            catch_up: Duration::from_millis(200),
+            catch_up: Duration::from_millis(100),
             settled_after: Duration::from_millis(500),
             end_memory: Duration::from_secs(60),
         }
