Refuse a request whose time ran out while another process was asked

It was sent with next to no time: a slot for an answer that comes too late. Also bounds the time for which a process is not asked, as a message gives it, to a minute, and keeps one copy of the plain message of two tests. Read in the code, not seen in a play.

--- a/crates/limit/src/sharers.rs
+++ b/crates/limit/src/sharers.rs
@@ -6,8 +6,8 @@
     std::{cmp::Reverse, time::Duration},
 };
 
-/// Longest interval between two requests, for rates close to zero.
-const MAX_INTERVAL: Duration = Duration::from_secs(60);
+/// Longest interval between two requests of a sharer, and the longest time for which it is not asked.
+pub(crate) const MAX_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Selects the processes that share the rate of `server`, in the order of their ranks. All processes
 /// select the same ones as long as they agree on which are alive; a process that joins or leaves
--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -5,7 +5,7 @@
         notice::{AskOutcome, LimitChange, LimitNotice, NamedLimit},
         pace::RequestPace,
         settings::LimitSettings,
-        sharers::{select_sharers, sharer_interval},
+        sharers::{MAX_INTERVAL, select_sharers, sharer_interval},
     },
     base::{HostId, RatePerSecond, Tick},
     std::{
@@ -209,10 +209,10 @@
     }
 
     /// Records that a process did not grant a request to the server, and is not to be asked for
-    /// `wait`.
+    /// `wait`, a minute at most.
     pub fn note_denied(&mut self, server: &HostId, sharer: &HostId, wait: Duration, now: Tick) {
         if let Some(record) = self.records.get_mut(server) {
-            record.note_ask_from(sharer, now + wait);
+            record.note_ask_from(sharer, now + wait.min(MAX_INTERVAL));
         }
     }
 
--- a/crates/node/tests/limit_update.rs
+++ b/crates/node/tests/limit_update.rs
@@ -1,36 +1,17 @@
 //! News about limits of servers, as they travel between processes.
 
+#[path = "support/plain_message.rs"]
+mod plain_message;
+
 use {
-    base::{HostId, Incarnation, RatePerSecond, StoreEra},
+    base::{HostId, RatePerSecond},
     limit::LimitNotice,
-    node::{
-        ConfigStamp,
-        config_tracker::ConfigClaim,
-        peers::{
-            GossipMessage, LIMITS_PER_MESSAGE, LimitClaim, PeerHeartbeat, PeerSocket, PoisonClaim,
-        },
-    },
+    node::peers::{GossipMessage, LIMITS_PER_MESSAGE, LimitClaim, PeerSocket, PoisonClaim},
+    plain_message::plain_message,
     std::time::Duration,
     tokio::time::{sleep, timeout},
 };
 
-fn message(limits: Option<LimitClaim>) -> GossipMessage {
-    let stamp = ConfigStamp { version: u64::MAX, era: StoreEra(u64::MAX) };
-    GossipMessage {
-        own: PeerHeartbeat { incarnation: Incarnation(5), counter: u64::MAX, leaving: false },
-        forwarded: Vec::new(),
-        config_version: u64::MAX,
-        in_traffic: true,
-        stalled: Vec::new(),
-        broken: Vec::new(),
-        loads: Vec::new(),
-        leaving_servers: Vec::new(),
-        config: Some(ConfigClaim { stamp, age_ms: Some(900) }),
-        poison: Some(PoisonClaim::default()),
-        limits,
-    }
-}
-
 /// As many limits as a message may hold fit into a datagram, with the longest ids, and arrive.
 #[tokio::test]
 async fn the_largest_message_with_limits_arrives() {
@@ -40,7 +21,9 @@
         age: Duration::new(u64::MAX, 999_999_999),
     };
     let notices = (0..LIMITS_PER_MESSAGE).map(notice).collect();
-    let sent = message(Some(LimitClaim { digest: u64::MAX, notices, ..Default::default() }));
+    let claim = LimitClaim { digest: u64::MAX, notices, ..Default::default() };
+    let poison = Some(PoisonClaim::default());
+    let sent = GossipMessage { poison, limits: Some(claim), ..plain_message() };
     let receiver = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let address = receiver.address().unwrap();
     let sender = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
--- a/crates/node/tests/poison_update.rs
+++ b/crates/node/tests/poison_update.rs
@@ -1,13 +1,16 @@
 //! Updates about parts of prompts that crash servers, as they travel between processes.
 
+#[path = "support/plain_message.rs"]
+mod plain_message;
+
 use {
-    base::{HostId, Incarnation, RatePerSecond, StoreEra},
+    base::{HostId, RatePerSecond},
     limit::LimitNotice,
     node::{
-        ConfigStamp,
         config_tracker::ConfigClaim,
-        peers::{GossipMessage, LimitClaim, PeerHeartbeat, PeerSocket, PoisonClaim, split_update},
+        peers::{GossipMessage, LimitClaim, PeerSocket, PoisonClaim, split_update},
     },
+    plain_message::plain_message,
     poison::{CrashNotice, PartId, PoisonUpdate, RefusalNotice, SoundNotice},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -18,23 +21,6 @@
     },
 };
 
-fn plain_message() -> GossipMessage {
-    let stamp = ConfigStamp { version: u64::MAX, era: StoreEra(u64::MAX) };
-    GossipMessage {
-        own: PeerHeartbeat { incarnation: Incarnation(5), counter: u64::MAX, leaving: false },
-        forwarded: Vec::new(),
-        config_version: u64::MAX,
-        in_traffic: true,
-        stalled: Vec::new(),
-        broken: Vec::new(),
-        loads: Vec::new(),
-        leaving_servers: Vec::new(),
-        config: Some(ConfigClaim { stamp, age_ms: Some(900) }),
-        poison: None,
-        limits: None,
-    }
-}
-
 /// Every piece of the largest update that a process can have fits into a datagram and arrives.
 #[tokio::test]
 async fn large_update_arrives_in_pieces() {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -271,6 +271,10 @@
             };
             let now = self.shared.clock.now();
             let remaining = ctx.expires_at.since(now);
+            if remaining < MIN_REMAINING {
+                // It ran out while another process was asked.
+                return Err(self.final_refusal(ctx, progress));
+            }
             let wait = self.head_timeout(ctx, progress, &server, remaining);
             self.shared.metrics.note_send(ctx.kind, progress.sends > 0);
             let request = self.write_call(ctx, progress, &server, remaining);
