Move the choice of the next server out of the relay's service

Only a move: the functions are as they were, but for their visibility. The log line of a new limit is called limit-named, since the old word is that of the platform.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod limit_watch;
 mod loss;
 pub mod metrics;
+mod next_server;
 mod poison_watch;
 mod pump;
 pub mod request;
--- a/crates/relay/src/limit_watch.rs
+++ b/crates/relay/src/limit_watch.rs
@@ -218,6 +218,6 @@
     let LimitChange { server, before, after } = change;
     let text = |rate: &Option<RatePerSecond>| rate.map(|rate| rate.to_string());
     let (before, rate) = (text(before), text(after));
-    let decision = if rate.is_some() { "server-limited" } else { "limit-ended" };
+    let decision = if rate.is_some() { "limit-named" } else { "limit-ended" };
     info!(decision, %server, before, rate, source, "limits");
 }
