Log an identity of each request whose connection broke, and check for a crash there too

The record of the incident cannot tell whether the requests in flight at each crash of the plain service's servers were the same: request ids differ from attempt to attempt, and broken connections of requests without prompt parts were not checked for a crash at all.

Each request now has an identity: a digest of service, workspace, host, method, path with query, model, parts of the prompt and body, hashed as the body arrives. The crash-check line carries it, for every request. No decision uses it yet.

--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -20,12 +20,14 @@
 mod part;
 mod settings;
 mod sound_log;
+mod suspect;
 mod tracker;
 mod update;
 
 pub use crate::{
     part::{PartId, PromptParts},
     settings::{EvidenceThreshold, PoisonSettings},
+    suspect::{SuspectId, SuspectKind},
     tracker::{NewRefusal, PartsVerdict, PoisonTracker, RefusedPart},
     update::{CrashNotice, PoisonUpdate, RefusalNotice, SoundNotice},
 };
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -42,17 +42,15 @@
 /// Checks in the background whether a server to which the connection broke has crashed: then it
 /// refuses connections. A crash counts against the parts of the request.
 pub(crate) fn check_crash(shared: &Arc<RelayShared>, ctx: &CallContext, server: &BackendServer) {
-    if ctx.parts.shared().is_empty() {
-        return;
-    }
     let (id, parts, server) = (ctx.id.clone(), ctx.parts.clone(), server.clone());
+    let identity = ctx.identity;
     let shared = shared.clone();
     let broke_at = shared.clock.now();
     tokio::spawn(async move {
         let crashed = shared.poison.knows_crash(&server.id) || refuses_connections(&server).await;
         shared.metrics.note_crash_check(crashed);
-        info!(id = %id, decision = "crash-check", server = %server.id, crashed, parts = %parts,
-            "request");
+        info!(id = %id, decision = "crash-check", server = %server.id, crashed, %identity,
+            parts = %parts, "request");
         // A server that leaves ends connections too, and refuses new ones.
         if crashed && !server.counters.is_leaving() {
             shared.poison.note_crash(&server.id, &parts, broke_at);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,12 +12,14 @@
 //! groups. The relay reports servers at which requests stall, so that the owner probes them.
 
 mod buffered;
+mod caller_body;
 pub mod choose;
 pub mod codec;
 pub mod config;
 mod connect;
 mod crash;
 pub mod events;
+mod identity;
 mod limit_watch;
 mod loss;
 pub mod metrics;
@@ -38,6 +40,7 @@
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     connect::{CONNECT_LIMIT, ConnectError, connect_server},
+    identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     metrics::RelayMetrics,
     poison_watch::PoisonWatch,
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         buffered::collect_answer,
+        caller_body::read_body,
         codec::{BackendCall, RequestCodec, Verdict},
         config::{RelayConfig, RouteRule},
         crash::check_crash,
+        identity::IdentityHasher,
         pump::{RelayBody, StreamPump, full_body},
         request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
         send::{LiveAnswer, SendOutcome, send_call},
@@ -16,14 +18,14 @@
     base::{ServiceName, Tick, WorkspaceId},
     bytes::Bytes,
     http::{HeaderMap, Method, Request, Response, Uri},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::body::Incoming,
-    poison::{PartsVerdict, PromptParts, RefusedPart},
+    poison::{PartsVerdict, PromptParts, RefusedPart, SuspectId},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::{Instant, timeout, timeout_at},
+    tokio::time::{Instant, timeout_at},
     tracing::info,
 };
 
@@ -62,6 +64,7 @@
     workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
     pub(crate) parts: PromptParts,
+    pub(crate) identity: SuspectId,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -125,9 +128,10 @@
         self.shared.in_traffic.store(true, Ordering::Relaxed);
         let limit = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
         self.admit_parts(&caller.id, &caller.parts)?;
-        let body = read_body(body, config.limits.body_bytes, limit).await?;
         let service = pick_service(route)
             .ok_or(Refusal::until(RefusalKind::NoServer, DEFAULT_RETRY_AFTER))?;
+        let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
+        let body = read_body(body, config.limits.body_bytes, limit, &mut identity).await?;
         self.shared.budget.note_request(&service, began);
         Ok(CallContext {
             id: caller.id,
@@ -138,6 +142,7 @@
             workspace,
             model: caller.model,
             parts: caller.parts,
+            identity: identity.finish(),
             method: head.method,
             uri: head.uri,
             headers: head.headers,
@@ -493,15 +498,3 @@
     }
     positive.next_back().map(|split| split.service.clone())
 }
-
-async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
-    let collecting = timeout(wait, Limited::new(body, limit).collect());
-    match collecting.await {
-        Err(_) => Err(Refusal::new(RefusalKind::TimedOutUnsent)),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(RefusalKind::BodyTooLarge))
-        }
-        Ok(Err(_)) => Err(Refusal::new(RefusalKind::BadHead)),
-    }
-}
