Reproduce repeated requests of a plain service that crash its servers

One relay, a service of three servers that crash on one path and are back after 1.5 s, the same request ten times a second for 10 s beside 25 sound ones a second.

--- a/crates/relay/tests/support/crashing_servers.rs
+++ b/crates/relay/tests/support/crashing_servers.rs
@@ -1,4 +1,4 @@
-//! Servers that crash when they begin to write an answer on a certain part of a prompt.
+//! Servers that crash when they begin to answer certain requests.
 
 use {
     base::{FailureDomainId, HostId, ServiceName},
@@ -29,40 +29,67 @@
 const EVENTS: usize = 10;
 /// Time after which a crashed server is back, as a new incarnation.
 const BACK_AFTER: Duration = Duration::from_millis(1_500);
-/// Crashes from which on requests with the part count.
-pub(crate) const ALLOWED_CRASHES: usize = 5;
 /// Time after the last allowed crash from which on arrivals count.
 pub(crate) const SPREAD_TIME: Duration = Duration::from_secs(3);
 
-/// What the servers saw of requests with the bad part.
+/// What crashes the servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum CrashTrigger {
+    /// A part of a prompt. Answers are streams.
+    Part(&'static str),
+    /// A path. Answers are short and whole.
+    Path(&'static str),
+}
+
+impl CrashTrigger {
+    fn is_in(self, head: &str) -> bool {
+        match self {
+            Self::Part(bad) => head.lines().any(|line| {
+                line.strip_prefix("x-parts: ")
+                    .is_some_and(|parts| parts.split(',').any(|part| part.trim() == bad))
+            }),
+            Self::Path(bad) => head.split(' ').nth(1) == Some(bad),
+        }
+    }
+
+    /// Crashes from which on requests with it count.
+    pub(crate) fn allowed_crashes(self) -> usize {
+        match self {
+            Self::Part(_) => 5,
+            Self::Path(_) => 3,
+        }
+    }
+}
+
+/// What the servers saw of bad requests.
 #[derive(Debug, Default)]
-pub(crate) struct BadPartLog {
+pub(crate) struct CrashRecord {
     pub(crate) crashes: Vec<Instant>,
     pub(crate) arrivals: Vec<Instant>,
 }
 
-impl BadPartLog {
+impl CrashRecord {
     /// Requests that arrived later than [`SPREAD_TIME`] after the last allowed crash.
-    pub(crate) fn late_arrivals(&self) -> usize {
-        let Some(last) = self.crashes.get(ALLOWED_CRASHES - 1) else { return 0 };
+    pub(crate) fn late_arrivals(&self, trigger: CrashTrigger) -> usize {
+        let Some(last) = self.crashes.get(trigger.allowed_crashes() - 1) else { return 0 };
         self.arrivals.iter().filter(|at| at.duration_since(*last) > SPREAD_TIME).count()
     }
 }
 
 /// The servers of one service, which several relays may use.
 pub(crate) struct CrashingServers {
-    bad_part: &'static str,
-    pub(crate) log: Mutex<BadPartLog>,
+    pub(crate) trigger: CrashTrigger,
+    pub(crate) record: Mutex<CrashRecord>,
     servers: Mutex<BTreeMap<HostId, SocketAddr>>,
     started: AtomicUsize,
     relays: Mutex<Vec<Arc<RelayShared>>>,
 }
 
 impl CrashingServers {
-    pub(crate) async fn start(count: usize, bad_part: &'static str) -> Arc<Self> {
+    pub(crate) async fn start(count: usize, trigger: CrashTrigger) -> Arc<Self> {
         let servers = Arc::new(Self {
-            bad_part,
-            log: Mutex::default(),
+            trigger,
+            record: Mutex::default(),
             servers: Mutex::default(),
             started: AtomicUsize::new(0),
             relays: Mutex::default(),
@@ -150,26 +177,47 @@
         if head.is_empty() {
             return;
         }
-        let is_bad = head.lines().any(|line| {
-            line.strip_prefix("x-parts: ")
-                .is_some_and(|parts| parts.split(',').any(|part| part.trim() == self.bad_part))
-        });
+        let is_bad = self.trigger.is_in(&head);
         if is_bad {
-            self.log.lock().arrivals.push(Instant::now());
+            self.record.lock().arrivals.push(Instant::now());
         }
         sleep(PREFILL).await;
         let id = head.lines().find_map(|line| line.strip_prefix("x-id: ")).unwrap().trim();
+        match self.trigger {
+            CrashTrigger::Part(_) => self.write_stream(stream, id, is_bad.then_some(crash)).await,
+            CrashTrigger::Path(_) if is_bad => self.crash(crash),
+            CrashTrigger::Path(_) => {
+                let answer =
+                    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nok");
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+        let mut rest = [0; 64];
+        while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
+    }
+
+    fn crash(&self, crash: &CancellationToken) {
+        if !crash.is_cancelled() {
+            self.record.lock().crashes.push(Instant::now());
+        }
+        crash.cancel();
+    }
+
+    /// Writes a stream, or its beginning where the server crashes on it.
+    async fn write_stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        crash: Option<&CancellationToken>,
+    ) {
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n"
         );
         let _ = stream.write_all(head.as_bytes()).await;
-        if is_bad {
+        if let Some(crash) = crash {
             let _ = stream.write_all(b"8\r\nid: 1\nda\r\n").await;
-            if !crash.is_cancelled() {
-                self.log.lock().crashes.push(Instant::now());
-            }
-            crash.cancel();
+            self.crash(crash);
             return;
         }
         for number in 1..=EVENTS {
@@ -181,8 +229,6 @@
             }
         }
         let _ = stream.write_all(b"0\r\n\r\n").await;
-        let mut rest = [0; 64];
-        while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
     }
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -253,9 +253,15 @@
 
     /// Sends one request and reads until the connection is closed, or for 5 s at most.
     pub(crate) async fn ask(&self, extra: &str) -> String {
+        self.ask_path("/a/b", extra).await
+    }
+
+    /// The same for a path of its own.
+    pub(crate) async fn ask_path(&self, path: &str, extra: &str) -> String {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
-        let head =
-            format!("GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n{extra}connection: close\r\n\r\n");
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n{extra}connection: close\r\n\r\n"
+        );
         stream.write_all(head.as_bytes()).await.unwrap();
         let mut answer = Vec::new();
         let _ = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
