--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -98,7 +98,7 @@
         self.dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
         self.refused_parts.clear();
         for refusal in self.shared.poison.refusals() {
-            let labels = PartLabels { part: refusal.part.to_string() };
+            let labels = PartLabels { part: refusal.suspect.to_string() };
             self.refused_parts.get_or_create(&labels).set(refusal.left.as_secs_f64());
         }
         self.server_limits.clear();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{FailureDomainId, HostId, RegionId},
-    poison::PartId,
+    poison::SuspectId,
     relay::RetryLimits,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -163,8 +163,8 @@
     }
 
     /// The prompt parts that are never refused.
-    pub fn admitted_parts(&self) -> BTreeSet<PartId> {
-        self.admitted_parts.iter().map(|id| PartId::from_wire(id)).collect()
+    pub fn admitted_parts(&self) -> BTreeSet<SuspectId> {
+        self.admitted_parts.iter().map(|id| SuspectId::from_wire(id)).collect()
     }
 
     /// The address for gossip messages and connections from other processes.
--- a/crates/node/tests/poison_update.rs
+++ b/crates/node/tests/poison_update.rs
@@ -11,7 +11,7 @@
         peers::{GossipMessage, LimitClaim, PeerSocket, PoisonClaim, split_update},
     },
     plain_message::plain_message,
-    poison::{CrashNotice, PartId, PoisonUpdate, RefusalNotice, SoundNotice},
+    poison::{CrashNotice, PoisonUpdate, RefusalNotice, SoundNotice, SuspectId},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::time::Duration,
@@ -25,16 +25,17 @@
 #[tokio::test]
 async fn large_update_arrives_in_pieces() {
     let long = Duration::new(1 << 32, 999_999_999);
-    let part = |number: u64| PartId(u64::MAX - number);
+    let part = |number: u64| SuspectId::part(u64::MAX - number);
+    let request = |number: u64| SuspectId::request(u128::MAX - u128::from(number));
     let crash = |number: u64| CrashNotice {
         server: HostId::new("i".repeat(64)).unwrap(),
-        prompt: part(number),
-        parts: (0..16).map(part).collect(),
+        prompt: request(number),
+        suspects: (0..16).map(part).chain([request(number)]).collect(),
         age: long,
     };
-    let sound = |number: u64| SoundNotice { part: part(number), age: long };
+    let sound = |number: u64| SoundNotice { suspect: request(number), age: long };
     let refusal = |number: u64| RefusalNotice {
-        part: part(number),
+        suspect: request(number),
         age: long,
         left: long,
         term: long,
@@ -82,7 +83,7 @@
     let address = receiver.address().unwrap();
     let sender = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let mut message = plain_message();
-    let sound = SoundNotice { part: PartId(7), age: Duration::from_millis(5) };
+    let sound = SoundNotice { suspect: SuspectId::part(7), age: Duration::from_millis(5) };
     let update = PoisonUpdate { sound: vec![sound], ..Default::default() };
     message.poison = Some(PoisonClaim { digest: 9, update });
     let rate = Some(RatePerSecond(4.5));
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -5,7 +5,7 @@
         load_settings,
         reload::{ReloadOutcome, SettingsFile},
     },
-    poison::PartId,
+    poison::SuspectId,
     std::{
         fs,
         path::PathBuf,
@@ -94,7 +94,7 @@
     fs::write(&path, format!("{GOOD}admitted_parts: [\"91bd3f06\", e4402b7d]\n")).unwrap();
     let ReloadOutcome::Applied { needs_restart } = settings.reload() else { panic!("not taken") };
     assert!(needs_restart.is_empty(), "{needs_restart:?}");
-    let expected = [PartId(0x91bd_3f06), PartId(0xe440_2b7d)];
+    let expected = [SuspectId::part(0x91bd_3f06), SuspectId::part(0xe440_2b7d)];
     assert_eq!(settings.settings().admitted_parts(), expected.into());
     fs::remove_file(path).unwrap();
 }
--- a/crates/poison/src/crash_log.rs
+++ b/crates/poison/src/crash_log.rs
@@ -1,7 +1,10 @@
 //! Crashes of servers and the requests that were in flight there.
 
 use {
-    crate::{part::PartId, update::CrashNotice},
+    crate::{
+        suspect::{SuspectId, SuspectKind},
+        update::CrashNotice,
+    },
     base::{HostId, Tick},
     std::{
         collections::{BTreeSet, VecDeque},
@@ -18,8 +21,21 @@
 
 #[derive(Debug)]
 struct CrashedRequest {
-    prompt: PartId,
-    parts: Vec<PartId>,
+    prompt: SuspectId,
+    suspects: Vec<SuspectId>,
+}
+
+impl CrashedRequest {
+    /// The suspects that none of the refused `causes` of the crash clears.
+    fn sightings(&self, causes: &[SuspectId], at: Tick) -> Vec<CrashSighting> {
+        let suspects = self.suspects.iter().enumerate();
+        let counted = suspects
+            .filter(|(_, suspect)| causes.iter().all(|cause| !clears(*cause, self, **suspect)));
+        let prompt = self.prompt;
+        counted
+            .map(|(depth, suspect)| CrashSighting { suspect: *suspect, at, prompt, depth })
+            .collect()
+    }
 }
 
 /// The end of one incarnation of a server.
@@ -31,33 +47,20 @@
 }
 
 impl ServerCrash {
-    fn parts(&self) -> impl Iterator<Item = PartId> {
-        self.requests.iter().flat_map(|request| request.parts.iter().copied())
+    fn suspects(&self) -> impl Iterator<Item = SuspectId> {
+        self.requests.iter().flat_map(|request| request.suspects.iter().copied())
     }
 }
 
-/// A part of a request that a server had not begun to answer when it crashed.
+/// A suspect of a request that a server had not begun to answer when it crashed.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PartSighting {
-    pub(crate) part: PartId,
+pub(crate) struct CrashSighting {
+    pub(crate) suspect: SuspectId,
     /// When the server crashed.
     pub(crate) at: Tick,
-    /// The last part of the prompt.
-    pub(crate) prompt: PartId,
-    /// Position of the part among the shared parts of the prompt.
-    pub(crate) depth: usize,
-}
-
-/// The crashes that name a part.
-#[derive(Debug, Default)]
-pub(crate) struct PartEvidence {
-    /// Moments of the crashes, in order; crashes at the same moment count once.
-    pub(crate) moments: Vec<Tick>,
-    /// Moments of all unexplained crashes from the first to the last of these.
-    pub(crate) moments_of_all: usize,
-    /// Different prompts with the part.
-    pub(crate) prompts: usize,
-    /// Highest position of the part among the shared parts of a prompt.
+    /// Tells prompts apart.
+    pub(crate) prompt: SuspectId,
+    /// Position among the suspects of the request.
     pub(crate) depth: usize,
 }
 
@@ -74,7 +77,7 @@
 
     /// Adds a request of a crash at `at`; false if it was known.
     pub(crate) fn insert(&mut self, notice: &CrashNotice, at: Tick) -> bool {
-        let request = CrashedRequest { prompt: notice.prompt, parts: notice.parts.clone() };
+        let request = CrashedRequest { prompt: notice.prompt, suspects: notice.suspects.clone() };
         let is_same = |crash: &&mut ServerCrash| {
             crash.server == notice.server && crash.at.since(at).max(at.since(crash.at)) < SAME_CRASH
         };
@@ -86,7 +89,10 @@
             self.crashes.push_back(ServerCrash { server, at, requests: vec![request] });
             return true;
         };
-        let is_known = crash.requests.iter().any(|known| known.prompt == request.prompt);
+        let is_same = |known: &CrashedRequest| {
+            known.prompt == request.prompt && known.suspects == request.suspects
+        };
+        let is_known = crash.requests.iter().any(is_same);
         if is_known || crash.requests.len() >= MAX_REQUESTS {
             return false;
         }
@@ -99,10 +105,10 @@
         self.crashes.iter().any(|crash| crash.server == *server && now.since(crash.at) < SAME_CRASH)
     }
 
-    /// Requests of crashes within `recent` that no refused part explains, from the `from`-th on.
+    /// Requests of crashes within `recent` that no refused suspect explains, from the `from`-th on.
     pub(crate) fn unexplained(
         &self,
-        explains: impl Fn(PartId) -> bool,
+        explains: impl Fn(SuspectId) -> bool,
         from: usize,
         recent: Duration,
         now: Tick,
@@ -110,24 +116,24 @@
         let open = self
             .crashes
             .iter()
-            .filter(move |crash| now.since(crash.at) < recent && !crash.parts().any(&explains));
+            .filter(move |crash| now.since(crash.at) < recent && !crash.suspects().any(&explains));
         let notices = open.flat_map(move |crash| {
             crash.requests.iter().map(move |request| CrashNotice {
                 server: crash.server.clone(),
                 prompt: request.prompt,
-                parts: request.parts.clone(),
+                suspects: request.suspects.clone(),
                 age: now.since(crash.at),
             })
         });
         notices.skip(from)
     }
 
-    /// When the last of the crashes happened that name a part, if two or more do.
-    pub(crate) fn last_of_several(&self, part: PartId) -> Option<Tick> {
-        let named = self.crashes.iter().filter(|crash| crash.parts().any(|named| named == part));
-        let mut times = named.map(|crash| crash.at);
-        let first = times.next()?;
-        times.next().map(|second| times.fold(first.max(second), Tick::max))
+    /// When the crashes happened that name a suspect, in the order in which they became known.
+    pub(crate) fn times(&self, suspect: SuspectId) -> impl Iterator<Item = Tick> {
+        self.crashes
+            .iter()
+            .filter(move |crash| crash.suspects().any(|named| named == suspect))
+            .map(|crash| crash.at)
     }
 
     /// Drops the crashes before `limit`.
@@ -135,65 +141,27 @@
         self.crashes.retain(|crash| crash.at >= limit);
     }
 
-    /// The parts that crashes name.
-    pub(crate) fn parts(&self) -> BTreeSet<PartId> {
-        self.crashes.iter().flat_map(ServerCrash::parts).collect()
+    /// The suspects that crashes name.
+    pub(crate) fn suspects(&self) -> BTreeSet<SuspectId> {
+        self.crashes.iter().flat_map(ServerCrash::suspects).collect()
     }
 
-    /// Every unanswered request with a part in it. Leaves out the crashes that another part explains.
+    /// The suspects of every unanswered request at every crash. Leaves out those that a refused suspect
+    /// clears, because it explains the crash.
     pub(crate) fn sightings(
         &self,
-        explains: impl Fn(PartId) -> bool,
-    ) -> impl Iterator<Item = PartSighting> {
+        explains: impl Fn(SuspectId) -> bool,
+    ) -> impl Iterator<Item = CrashSighting> {
         self.crashes.iter().flat_map(move |crash| {
-            let causes: BTreeSet<PartId> = crash.parts().filter(|part| explains(*part)).collect();
-            let sightings = crash.requests.iter().flat_map(move |request| {
-                let parts = request.parts.iter().enumerate();
-                parts.map(move |(depth, part)| PartSighting {
-                    part: *part,
-                    at: crash.at,
-                    prompt: request.prompt,
-                    depth,
-                })
-            });
-            sightings.filter(move |sighting| causes.iter().all(|cause| *cause == sighting.part))
+            let causes: Vec<SuspectId> = crash.suspects().filter(|id| explains(*id)).collect();
+            crash.requests.iter().flat_map(move |request| request.sightings(&causes, crash.at))
         })
     }
 }
 
-impl PartEvidence {
-    /// Sums up the sightings of one part. `all_moments` are those of all unexplained crashes.
-    pub(crate) fn new(sightings: &[PartSighting], all_moments: &[Tick], moment: Duration) -> Self {
-        let moments = distinct_moments(sightings.iter().map(|sighting| sighting.at), moment);
-        let span = moments.first().zip(moments.last());
-        let within = |at: &&Tick| span.is_some_and(|(first, last)| (first..=last).contains(at));
-        let prompts: BTreeSet<PartId> = sightings.iter().map(|sighting| sighting.prompt).collect();
-        Self {
-            moments_of_all: all_moments.iter().filter(within).count(),
-            prompts: prompts.len(),
-            depth: sightings.iter().map(|sighting| sighting.depth).max().unwrap_or(0),
-            moments,
-        }
-    }
-
-    /// Time from the first to the last crash.
-    pub(crate) fn span(&self) -> Duration {
-        let span = self.moments.last().zip(self.moments.first());
-        span.map_or(Duration::ZERO, |(last, first)| last.since(*first))
-    }
-}
-
-/// Sorts moments and leaves out those less than `apart` after the one before.
-pub(crate) fn distinct_moments(moments: impl Iterator<Item = Tick>, apart: Duration) -> Vec<Tick> {
-    let mut moments: Vec<Tick> = moments.collect();
-    moments.sort_unstable();
-    let mut last: Option<Tick> = None;
-    moments.retain(|at| {
-        let counts = last.is_none_or(|last| at.since(last) >= apart);
-        if counts {
-            last = Some(*at);
-        }
-        counts
-    });
-    moments
+/// Whether a refused suspect clears a suspect of a request at the same crash. A refused request does
+/// not clear its own parts: they may be what crashes servers in it, and in others.
+fn clears(cause: SuspectId, request: &CrashedRequest, suspect: SuspectId) -> bool {
+    let is_own = cause.kind() == SuspectKind::Request && request.suspects.contains(&cause);
+    cause != suspect && !is_own
 }
--- a/crates/poison/src/settings.rs
+++ b/crates/poison/src/settings.rs
@@ -1,13 +1,13 @@
 //! Limits and times of the tracker.
 
-use {crate::crash_log::PartEvidence, std::time::Duration};
+use {crate::evidence::CrashEvidence, std::time::Duration};
 
-/// Evidence from which on a part counts as the cause of crashes.
+/// Evidence from which on a suspect counts as the cause of crashes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EvidenceThreshold {
-    /// Crashes at different moments that name the part.
+    /// Crashes at different moments that name the suspect.
     pub crashes: usize,
-    /// Different prompts with the part. Fewer than crashes where one request may be sent to two
+    /// Different prompts with the suspect. Fewer than crashes where one request may be sent to two
     /// servers.
     pub prompts: usize,
     /// Share of the crashes from the first to the last of these that name the part. A part that is
@@ -27,7 +27,7 @@
 }
 
 impl EvidenceThreshold {
-    pub(crate) fn is_met(&self, evidence: &PartEvidence) -> bool {
+    pub(crate) fn is_met(&self, evidence: &CrashEvidence) -> bool {
         let named = evidence.moments.len();
         named >= self.crashes
             && evidence.prompts >= self.prompts
@@ -51,7 +51,12 @@
     /// A part that was sound before its first crash is refused if one of these is met. It is not the
     /// cause unless the servers have changed.
     pub sound_before: Vec<EvidenceThreshold>,
-    /// Crashes from which on a part is refused although rarer parts were in flight at each of them.
+    /// A request that was never sound is refused if one of these is met. One that is repeated is one
+    /// prompt, and three servers do not end under it by chance at different moments.
+    pub unsound_request: Vec<EvidenceThreshold>,
+    /// A request that was sound before its first crash is refused if one of these is met.
+    pub sound_request: Vec<EvidenceThreshold>,
+    /// Crashes from which on a suspect is refused although rarer parts were in flight at each of them.
     pub max_ambiguous_crashes: usize,
     /// How long a sign that a part was sound counts before its first crash.
     pub sound_memory: Duration,
@@ -91,17 +96,20 @@
             prompts_per_crash: f64::INFINITY,
             ..EvidenceThreshold::default()
         };
+        let sound_before = EvidenceThreshold {
+            crashes: 6,
+            prompts: 5,
+            share: 0.5,
+            prompts_per_crash: f64::INFINITY,
+            span: Duration::from_millis(600),
+        };
         Self {
             never_sound: vec![few, several, common],
             without_baseline: vec![rare, common],
             baseline_after: Duration::from_secs(1),
-            sound_before: vec![EvidenceThreshold {
-                crashes: 6,
-                prompts: 5,
-                share: 0.5,
-                prompts_per_crash: f64::INFINITY,
-                span: Duration::from_millis(600),
-            }],
+            sound_before: vec![sound_before],
+            unsound_request: vec![EvidenceThreshold { crashes: 3, ..EvidenceThreshold::default() }],
+            sound_request: vec![EvidenceThreshold { prompts: 1, ..sound_before }],
             max_ambiguous_crashes: 8,
             sound_memory: Duration::from_secs(120),
             crash_memory: Duration::from_secs(600),
--- a/crates/poison/src/sound_log.rs
+++ b/crates/poison/src/sound_log.rs
@@ -1,32 +1,36 @@
-//! When parts were last sound.
+//! When suspects were last sound.
 
 use {
-    crate::part::PartId,
+    crate::suspect::SuspectId,
     base::Tick,
     std::{collections::HashMap, mem},
 };
 
-/// Parts in one generation of the log.
-const GENERATION_PARTS: usize = 4_096;
-
-/// When parts were last sound, bounded for callers that never repeat a part: two generations, of which
+/// When suspects were last sound, bounded for callers that never repeat one: two generations, of which
 /// the older one is dropped when the newer one is full.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SoundLog {
-    newer: HashMap<PartId, Tick>,
-    older: HashMap<PartId, Tick>,
+    /// Suspects in one generation.
+    capacity: usize,
+    newer: HashMap<SuspectId, Tick>,
+    older: HashMap<SuspectId, Tick>,
 }
 
 impl SoundLog {
-    pub(crate) fn note(&mut self, part: PartId, at: Tick) {
-        let latest = self.last(part).map_or(at, |known| known.max(at));
-        if self.newer.len() >= GENERATION_PARTS && !self.newer.contains_key(&part) {
+    /// Keeps the last `capacity` different suspects, and up to as many before them.
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self { capacity, newer: HashMap::new(), older: HashMap::new() }
+    }
+
+    pub(crate) fn note(&mut self, suspect: SuspectId, at: Tick) {
+        let latest = self.last(suspect).map_or(at, |known| known.max(at));
+        if self.newer.len() >= self.capacity && !self.newer.contains_key(&suspect) {
             self.older = mem::take(&mut self.newer);
         }
-        self.newer.insert(part, latest);
+        self.newer.insert(suspect, latest);
     }
 
-    pub(crate) fn last(&self, part: PartId) -> Option<Tick> {
-        self.newer.get(&part).or_else(|| self.older.get(&part)).copied()
+    pub(crate) fn last(&self, suspect: SuspectId) -> Option<Tick> {
+        self.newer.get(&suspect).or_else(|| self.older.get(&suspect)).copied()
     }
 }
--- a/crates/poison/src/suspect.rs
+++ b/crates/poison/src/suspect.rs
@@ -1,6 +1,7 @@
 //! What may crash servers.
 
 use {
+    crate::prompt::PromptParts,
     serde::{Deserialize, Serialize},
     std::{fmt, num::ParseIntError, str::FromStr},
     twox_hash::XxHash3_64,
@@ -54,6 +55,11 @@
         Self::part(number.unwrap_or_else(|| XxHash3_64::oneshot(text.as_bytes())))
     }
 
+    /// Folds the id into 64 bits, for checksums.
+    pub(crate) const fn folded(self) -> u64 {
+        (self.0 >> 64) as u64 ^ self.0 as u64
+    }
+
     /// What the id stands for.
     pub const fn kind(self) -> SuspectKind {
         if self.0 & REQUEST_BIT == 0 { SuspectKind::Part } else { SuspectKind::Request }
@@ -73,3 +79,46 @@
         u128::from_str_radix(text, 16).map(Self)
     }
 }
+
+/// What of one request may crash servers: the shared parts of its prompt, and the request itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestSuspects {
+    /// The shared parts in order, then the request.
+    all: Vec<SuspectId>,
+    request: SuspectId,
+    /// The last part of the prompt, or the request where it has no prompt.
+    prompt: SuspectId,
+}
+
+impl RequestSuspects {
+    /// The suspects of a request. `request` is its identity, which stays the same when a caller
+    /// repeats it.
+    pub fn new(parts: &PromptParts, request: SuspectId) -> Self {
+        let all = parts.shared().iter().copied().chain([request]).collect();
+        Self { all, request, prompt: parts.own().unwrap_or(request) }
+    }
+
+    /// All suspects: the shared parts of the prompt in order, then the request.
+    pub fn all(&self) -> &[SuspectId] {
+        &self.all
+    }
+
+    /// The request itself.
+    pub fn request(&self) -> SuspectId {
+        self.request
+    }
+
+    /// Tells prompts apart: the last part of the prompt, or the request where it has none.
+    pub fn prompt(&self) -> SuspectId {
+        self.prompt
+    }
+}
+
+impl fmt::Display for RequestSuspects {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for suspect in &self.all {
+            write!(f, "{suspect},")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/poison/src/tracker.rs
+++ b/crates/poison/src/tracker.rs
@@ -1,11 +1,13 @@
-//! Decides which parts are refused.
+//! Decides which suspects are refused.
 
 use {
     crate::{
-        crash_log::{CrashLog, PartEvidence, PartSighting, distinct_moments},
-        part::{PartId, PromptParts},
+        crash_log::{CrashLog, CrashSighting},
+        evidence::{CrashEvidence, distinct_moments},
+        refusal::{RefusalList, RefusedSuspect, SuspectRefusal, notice_of},
         settings::{EvidenceThreshold, PoisonSettings},
         sound_log::SoundLog,
+        suspect::{RequestSuspects, SuspectId, SuspectKind},
         update::{CrashNotice, PoisonUpdate, RefusalNotice, SoundNotice},
     },
     base::{HostId, Tick},
@@ -17,72 +19,41 @@
     },
 };
 
-/// What makes a part suspect, so that requests with it are not sent again.
-const SUSPECT: EvidenceThreshold = EvidenceThreshold {
+/// What makes a part likely to crash servers, so that requests with it are not sent again.
+const LIKELY_PART: EvidenceThreshold = EvidenceThreshold {
     crashes: 2,
     prompts: 2,
     share: 0.34,
     prompts_per_crash: 2.5,
     span: Duration::ZERO,
 };
-/// Requests at crashed servers that are repeated at a time, and sound parts of them. Both fit into one
-/// datagram.
+/// Requests at crashed servers that are repeated at a time, and sound suspects of them. Both fit into
+/// one datagram.
 const REPEATED_CRASHES: usize = 2;
-const REPEATED_PARTS: usize = 12;
+const REPEATED_SUSPECTS: usize = 12;
+/// Suspects of each kind that are known to be sound, at least.
+const SOUND_PARTS: usize = 4_096;
+const SOUND_REQUESTS: usize = 2_048;
+/// Time after which a server that crashed is taken to be back.
+const DOWN_TIME: Duration = Duration::from_secs(4);
 /// How long a crash is repeated; it counts for longer where it is known.
 const REPEATED_FOR: Duration = Duration::from_secs(120);
-/// Maximum number of refused parts. More of them at once are taken for a failure of the servers.
-const MAX_REFUSED: usize = 32;
-
-/// A part that is or was refused.
-#[derive(Clone, Copy, Debug)]
-struct PartRefusal {
-    since: Tick,
-    until: Tick,
-    term: Duration,
-    was_sound: bool,
-    /// See [`RefusalNotice::probe_rank`].
-    probe_rank: u64,
-    /// When this process sends one request with the part; `None` if another process does.
-    probe_at: Option<Tick>,
-}
-
-impl PartRefusal {
-    fn is_active(&self, now: Tick) -> bool {
-        self.until > now
-    }
-
-    /// Whether the refusal has ended but one crash renews it.
-    fn is_on_probation(&self, now: Tick) -> bool {
-        !self.is_active(now) && self.until + self.term > now
-    }
-}
-
-/// A refused part of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RefusedPart {
-    /// The part.
-    pub part: PartId,
-    /// How long it is still refused.
-    pub left: Duration,
-}
-
-/// What happens to a new request with the parts of its prompt.
+/// What happens to a new request with its suspects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartsVerdict {
+pub enum SuspectVerdict {
     /// It is sent.
     Admitted,
-    /// It is sent to see whether this refused part still crashes its server.
-    Probed(PartId),
+    /// It is sent to see whether this refused suspect still crashes its server.
+    Probed(SuspectId),
     /// It is refused.
-    Refused(RefusedPart),
+    Refused(RefusedSuspect),
 }
 
-/// A part that is refused from now on.
+/// A suspect that is refused from now on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewRefusal {
-    /// The part.
-    pub part: PartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Crashes that name it.
     pub crashes: usize,
     /// Different prompts that had it.
@@ -95,22 +66,50 @@
     pub has_other_crashes: bool,
 }
 
-/// What one process knows about crashes and parts.
+/// A request that may be the cause of crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestTrial {
+    /// When servers crashed under it.
+    crashes: Vec<Tick>,
+}
+
+impl RequestTrial {
+    /// Whether it may be sent to a server of a service with `healthy` servers. It may take down at most
+    /// half of the servers of a service at a time, and not the last one of several.
+    ///
+    /// `listed` also counts those that are not healthy.
+    pub fn may_be_sent(&self, healthy: usize, listed: usize, now: Tick) -> bool {
+        let down = self.crashes.iter().filter(|at| now.since(**at) < DOWN_TIME).count();
+        let most_down = ((healthy + down) / 2).max(1);
+        down < most_down && (healthy > 1 || listed == 1)
+    }
+
+    /// When the first of the servers that it crashed may be back.
+    pub fn wait(&self, now: Tick) -> Duration {
+        let waits = self.crashes.iter().map(|at| (*at + DOWN_TIME).since(now));
+        waits.filter(|wait| !wait.is_zero()).min().unwrap_or_default()
+    }
+}
+
+/// What one process knows about crashes and suspects.
 #[derive(Debug)]
 pub struct PoisonTracker {
     settings: PoisonSettings,
     /// A number that tells this process from others.
     probe_rank: u64,
     crashes: CrashLog,
-    sound: SoundLog,
-    /// When this process first saw any part to be sound.
+    /// When parts were sound, and when requests were: callers that never repeat a request must not
+    /// make parts forgotten.
+    sound_parts: SoundLog,
+    sound_requests: SoundLog,
+    /// When this process first saw any suspect to be sound.
     baseline_since: Option<Tick>,
-    refusals: BTreeMap<PartId, PartRefusal>,
-    /// Parts that an operator has excluded from refusal.
-    admitted: BTreeSet<PartId>,
-    /// Parts named by crashes, with the time at which some process has last told all others that they
+    refusals: RefusalList,
+    /// Suspects that an operator has excluded from refusal.
+    admitted: BTreeSet<SuspectId>,
+    /// Suspects named by crashes, with the time at which some process has last told all others that they
     /// are sound.
-    announced: BTreeMap<PartId, Tick>,
+    announced: BTreeMap<SuspectId, Tick>,
     update: PoisonUpdate,
     /// When the last crash became known that was not evaluated yet.
     unevaluated: Option<Tick>,
@@ -125,9 +124,10 @@
             settings,
             probe_rank,
             crashes: CrashLog::default(),
-            sound: SoundLog::default(),
+            sound_parts: SoundLog::new(SOUND_PARTS),
+            sound_requests: SoundLog::new(SOUND_REQUESTS),
             baseline_since: None,
-            refusals: BTreeMap::new(),
+            refusals: RefusalList::default(),
             admitted: BTreeSet::new(),
             announced: BTreeMap::new(),
             update: PoisonUpdate::default(),
@@ -136,13 +136,13 @@
         }
     }
 
-    /// Replaces the parts that are never refused. Ends refusals of them.
-    pub fn set_admitted(&mut self, admitted: BTreeSet<PartId>) {
-        self.refusals.retain(|part, _| !admitted.contains(part));
+    /// Replaces the suspects that are never refused. Ends refusals of them.
+    pub fn set_admitted(&mut self, admitted: BTreeSet<SuspectId>) {
+        self.refusals.retain(|suspect, _| !admitted.contains(&suspect));
         self.admitted = admitted;
     }
 
-    /// Whether no crash is known and no part refused.
+    /// Whether no crash is known and nothing refused.
     pub fn is_idle(&self) -> bool {
         self.crashes.is_empty() && self.refusals.is_empty()
     }
@@ -162,63 +162,77 @@
     }
 
     fn insert_crash(&mut self, notice: &CrashNotice, now: Tick) -> bool {
-        let is_new = !notice.parts.is_empty() && self.crashes.insert(notice, now.back(notice.age));
+        let is_new =
+            !notice.suspects.is_empty() && self.crashes.insert(notice, now.back(notice.age));
         if is_new {
             self.unevaluated = Some(now);
         }
         is_new
     }
 
-    /// Records that the parts of a request of this process are sound. Returns those of them that were
-    /// refused until now.
-    pub fn note_sound(&mut self, parts: &PromptParts, now: Tick) -> Vec<PartId> {
+    /// Records that the suspects of a request of this process are sound. Returns those of them that
+    /// were refused until now.
+    pub fn note_sound(&mut self, suspects: &RequestSuspects, now: Tick) -> Vec<SuspectId> {
         self.baseline_since.get_or_insert(now);
-        let freed = parts.shared().iter().filter(|part| self.learn_sound(**part, now, now));
+        let freed = suspects.all().iter().filter(|suspect| self.learn_sound(**suspect, now, now));
         let freed = freed.copied().collect();
-        for part in parts.shared() {
-            self.announce_if_sound(*part, now);
+        for suspect in suspects.all() {
+            self.announce_if_sound(*suspect, now);
         }
         freed
     }
 
     /// Returns whether this ends a refusal.
-    fn learn_sound(&mut self, part: PartId, at: Tick, now: Tick) -> bool {
-        self.sound.note(part, at);
-        let Some(refusal) = self.refusals.get(&part) else { return false };
-        if !self.contradicts(part, refusal.since, refusal.was_sound) {
+    fn learn_sound(&mut self, suspect: SuspectId, at: Tick, now: Tick) -> bool {
+        match suspect.kind() {
+            SuspectKind::Part => self.sound_parts.note(suspect, at),
+            SuspectKind::Request => self.sound_requests.note(suspect, at),
+        }
+        let Some(refusal) = self.refusals.get(suspect) else { return false };
+        if !self.contradicts(suspect, refusal.since, refusal.was_sound) {
             return false;
         }
-        let was_active = refusal.is_active(now);
-        self.refusals.remove(&part);
-        was_active
+        self.refusals.remove(suspect, now)
     }
 
-    /// Whether the part was sound after a refusal, or before it when the refusal did not take that
+    fn last_sound(&self, suspect: SuspectId) -> Option<Tick> {
+        match suspect.kind() {
+            SuspectKind::Part => self.sound_parts.last(suspect),
+            SuspectKind::Request => self.sound_requests.last(suspect),
+        }
+    }
+
+    /// Whether the suspect was sound after a refusal, or before it when the refusal did not take that
     /// into account.
-    fn contradicts(&self, part: PartId, since: Tick, was_sound: bool) -> bool {
+    fn contradicts(&self, suspect: SuspectId, since: Tick, was_sound: bool) -> bool {
         let limit = if was_sound { since } else { since.back(self.settings.sound_memory) };
-        self.sound.last(part).is_some_and(|at| at > limit)
+        self.last_sound(suspect).is_some_and(|at| at > limit)
     }
 
-    /// Tells the other processes that a part is sound if crashes name it and they may not know.
-    fn announce_if_sound(&mut self, part: PartId, now: Tick) {
-        let Some(at) = self.sound.last(part) else { return };
+    /// Tells the other processes that a suspect is sound if crashes name it and they may not know. One
+    /// crash is enough to hold back a request, see [`Self::trial`], while parts need several.
+    fn announce_if_sound(&mut self, suspect: SuspectId, now: Tick) {
+        let Some(at) = self.last_sound(suspect) else { return };
         if now.since(at) > self.settings.sound_memory {
             return;
         }
-        let Some(last) = self.crashes.last_of_several(part) else { return };
+        let needed = if suspect.kind() == SuspectKind::Request { 1 } else { 2 };
+        let times: Vec<Tick> = self.crashes.times(suspect).collect();
+        let Some(last) = times.iter().max().filter(|_| times.len() >= needed).copied() else {
+            return;
+        };
         // Told again after each crash, since processes may have been restarted.
-        if self.announced.get(&part).is_none_or(|announced| last > *announced) {
-            self.announced.insert(part, now);
-            self.update.sound.push(SoundNotice { part, age: now.since(at) });
+        if self.announced.get(&suspect).is_none_or(|announced| last > *announced) {
+            self.announced.insert(suspect, now);
+            self.update.sound.push(SoundNotice { suspect, age: now.since(at) });
         }
     }
 
     /// Tells the other processes which of the suspects are sound. Called a short random time after
     /// crashes were reported, so that one process answers for all.
     pub fn announce_sound(&mut self, now: Tick) {
-        for part in self.crashes.parts() {
-            self.announce_if_sound(part, now);
+        for suspect in self.crashes.suspects() {
+            self.announce_if_sound(suspect, now);
         }
     }
 
@@ -232,8 +246,8 @@
         }
         for notice in &update.sound {
             let at = now.back(notice.age);
-            any_new |= self.learn_sound(notice.part, at, now);
-            self.announced.insert(notice.part, now);
+            any_new |= self.learn_sound(notice.suspect, at, now);
+            self.announced.insert(notice.suspect, now);
         }
         for notice in &update.refused {
             any_new |= self.adopt_refusal(notice, now);
@@ -242,41 +256,31 @@
     }
 
     fn adopt_refusal(&mut self, notice: &RefusalNotice, now: Tick) -> bool {
+        let RefusalNotice { suspect, was_sound, probe_rank, .. } = *notice;
         let since = now.back(notice.age);
-        if self.contradicts(notice.part, since, notice.was_sound) {
-            if let Some(at) = self.sound.last(notice.part) {
-                self.update.sound.push(SoundNotice { part: notice.part, age: now.since(at) });
+        if self.contradicts(suspect, since, was_sound) {
+            if let Some(at) = self.last_sound(suspect) {
+                self.update.sound.push(SoundNotice { suspect, age: now.since(at) });
             }
             return false;
         }
-        let term = notice.term.min(self.settings.longest_refusal);
-        let until = now + notice.left.min(term);
-        if let Some(known) = self.refusals.get_mut(&notice.part)
-            && known.is_active(now)
-        {
-            if notice.probe_rank < known.probe_rank {
-                known.probe_rank = notice.probe_rank;
-                known.probe_at = None;
-            }
+        if self.refusals.is_active(suspect, now) {
+            self.refusals.yield_probe(suspect, probe_rank);
             return false;
         }
-        if self.admitted.contains(&notice.part) || !self.has_room(now) {
+        if self.admitted.contains(&suspect) {
             return false;
         }
-        let RefusalNotice { was_sound, probe_rank, .. } = *notice;
-        let refusal = PartRefusal { since, until, term, was_sound, probe_rank, probe_at: None };
-        self.refusals.insert(notice.part, refusal);
-        true
-    }
-
-    fn has_room(&self, now: Tick) -> bool {
-        self.refusals.values().filter(|refusal| refusal.is_active(now)).count() < MAX_REFUSED
+        let term = notice.term.min(self.settings.longest_refusal);
+        let until = now + notice.left.min(term);
+        let refusal = SuspectRefusal { since, until, term, was_sound, probe_rank, probe_at: None };
+        self.refusals.insert(suspect, refusal, now)
     }
 
-    /// Some of the crashes that are not explained, each time others, with the parts of them that are
-    /// sound. For processes that have missed them or were started since.
+    /// Some of the crashes that are not explained, each time others, with the suspects of them that
+    /// are sound. For processes that have missed them or were started since.
     pub fn evidence_to_repeat(&mut self, now: Tick) -> PoisonUpdate {
-        let explains = |part| self.refusals.contains_key(&part);
+        let explains = |suspect| self.refusals.contains(suspect);
         let next = |from| -> Vec<CrashNotice> {
             let notices = self.crashes.unexplained(explains, from, REPEATED_FOR, now);
             notices.take(REPEATED_CRASHES).collect()
@@ -287,26 +291,24 @@
             crashes = next(0);
         }
         self.repeated += crashes.len();
-        let parts: BTreeSet<PartId> =
-            crashes.iter().flat_map(|notice| notice.parts.iter().copied()).collect();
-        let notice_of = |part| {
-            let age = now.since(self.sound.last(part)?);
-            (age <= self.settings.sound_memory).then_some(SoundNotice { part, age })
+        let suspects: BTreeSet<SuspectId> =
+            crashes.iter().flat_map(|notice| notice.suspects.iter().copied()).collect();
+        let notice_of = |suspect| {
+            let age = now.since(self.last_sound(suspect)?);
+            (age <= self.settings.sound_memory).then_some(SoundNotice { suspect, age })
         };
-        let sound = parts.into_iter().filter_map(notice_of).take(REPEATED_PARTS).collect();
+        let sound = suspects.into_iter().filter_map(notice_of).take(REPEATED_SUSPECTS).collect();
         PoisonUpdate { crashes, sound, refused: Vec::new() }
     }
 
-    /// Decides on the parts that crashes name. Returns those that are refused from now on; the other
+    /// Decides on the suspects that crashes name. Returns those that are refused from now on; the other
     /// processes are told of them.
     pub fn evaluate(&mut self, now: Tick) -> Vec<NewRefusal> {
         let mut decided = Vec::new();
         let Some(known_at) = self.unevaluated else { return decided };
         self.expire(now);
-        // Each refused part explains crashes, so that the other parts in flight there are cleared.
-        while self.has_room(now)
-            && let Some(refusal) = self.next_refusal(now)
-        {
+        // Each refused suspect explains crashes, so that the others in flight there are cleared.
+        while let Some(refusal) = self.next_refusal(now) {
             self.refuse(&refusal, now);
             decided.push(refusal);
         }
@@ -319,93 +321,100 @@
     fn expire(&mut self, now: Tick) {
         self.crashes.expire(now.back(self.settings.crash_memory));
         self.refusals.retain(|_, refusal| refusal.is_active(now) || refusal.is_on_probation(now));
-        let named = self.crashes.parts();
-        self.announced.retain(|part, _| named.contains(part));
+        let named = self.crashes.suspects();
+        self.announced.retain(|suspect, _| named.contains(suspect));
     }
 
-    /// The part with the most crashes of those that are to be refused. Of two with equally many, the
-    /// later one in the prompts: fewer requests have it.
+    /// The suspect with the most crashes of those that are to be refused. Of two with equally many,
+    /// the later one in the requests: fewer requests have it.
     fn next_refusal(&self, now: Tick) -> Option<NewRefusal> {
-        let cases = self.evidence_by_part(now);
-        let candidates = cases.iter().filter(|(part, evidence)| {
-            self.meets_threshold(**part, evidence, now)
-                && !self.is_ambiguous(**part, evidence, &cases)
+        let cases = self.evidence_by_suspect(now);
+        let candidates = cases.iter().filter(|(suspect, evidence)| {
+            self.refusals.has_room(suspect.kind(), now)
+                && self.meets_threshold(**suspect, evidence, now)
+                && !self.is_ambiguous(**suspect, evidence, &cases)
         });
         let worst = candidates.max_by_key(|(_, evidence)| (evidence.moments.len(), evidence.depth));
-        let (part, evidence) = worst.map(|(part, evidence)| (*part, evidence))?;
-        let term = self.refusals.get(&part).map_or(self.settings.refusal, |known| known.term * 2);
+        let (suspect, evidence) = worst.map(|(suspect, evidence)| (*suspect, evidence))?;
+        let term = self.refusals.get(suspect).map_or(self.settings.refusal, |known| known.term * 2);
         Some(NewRefusal {
-            part,
+            suspect,
             crashes: evidence.moments.len(),
             prompts: evidence.prompts,
             term: term.min(self.settings.longest_refusal),
-            was_sound: self.was_sound(part, evidence),
+            was_sound: self.was_sound(suspect, evidence),
             has_other_crashes: evidence.moments_of_all > evidence.moments.len(),
         })
     }
 
-    /// Only crashes after this count against a part.
-    fn evidence_start(&self, part: PartId) -> Option<Tick> {
-        let ended = self.refusals.get(&part).map(|refusal| refusal.until);
-        self.sound.last(part).max(ended)
+    /// Only crashes after this count against a suspect.
+    fn evidence_start(&self, suspect: SuspectId) -> Option<Tick> {
+        let ended = self.refusals.get(suspect).map(|refusal| refusal.until);
+        self.last_sound(suspect).max(ended)
     }
 
-    fn evidence(&self, part: PartId, after: Option<Tick>) -> PartEvidence {
-        let all: Vec<PartSighting> = self.sightings().collect();
-        let counts = |sighting: &&PartSighting| {
-            sighting.part == part && after.is_none_or(|after| sighting.at > after)
+    fn evidence(&self, suspect: SuspectId) -> CrashEvidence {
+        let after = self.evidence_start(suspect);
+        let all: Vec<CrashSighting> = self.sightings().collect();
+        let counts = |sighting: &&CrashSighting| {
+            sighting.suspect == suspect && after.is_none_or(|after| sighting.at > after)
         };
-        let own: Vec<PartSighting> = all.iter().filter(counts).copied().collect();
-        PartEvidence::new(&own, &self.distinct_moments(&all), self.settings.moment)
+        let own: Vec<CrashSighting> = all.iter().filter(counts).copied().collect();
+        CrashEvidence::new(&own, &self.distinct_moments(&all), self.settings.moment)
     }
 
-    fn sightings(&self) -> impl Iterator<Item = PartSighting> {
-        self.crashes.sightings(|part| self.refusals.contains_key(&part))
+    fn sightings(&self) -> impl Iterator<Item = CrashSighting> {
+        self.crashes.sightings(|suspect| self.refusals.contains(suspect))
     }
 
-    fn distinct_moments(&self, sightings: &[PartSighting]) -> Vec<Tick> {
+    fn distinct_moments(&self, sightings: &[CrashSighting]) -> Vec<Tick> {
         distinct_moments(sightings.iter().map(|sighting| sighting.at), self.settings.moment)
     }
 
-    /// The evidence against all parts that may be refused.
-    fn evidence_by_part(&self, now: Tick) -> BTreeMap<PartId, PartEvidence> {
-        let all: Vec<PartSighting> = self.sightings().collect();
+    /// The evidence against all suspects that may be refused.
+    fn evidence_by_suspect(&self, now: Tick) -> BTreeMap<SuspectId, CrashEvidence> {
+        let all: Vec<CrashSighting> = self.sightings().collect();
         let all_moments = self.distinct_moments(&all);
-        let mut cases: BTreeMap<PartId, Vec<PartSighting>> = BTreeMap::new();
+        let mut cases: BTreeMap<SuspectId, Vec<CrashSighting>> = BTreeMap::new();
         for sighting in all {
-            cases.entry(sighting.part).or_default().push(sighting);
+            cases.entry(sighting.suspect).or_default().push(sighting);
         }
-        cases.retain(|part, sightings| {
-            let after = self.evidence_start(*part);
+        cases.retain(|suspect, sightings| {
+            let after = self.evidence_start(*suspect);
             sightings.retain(|sighting| after.is_none_or(|after| sighting.at > after));
-            let is_refused = self.refusals.get(part).is_some_and(|known| known.is_active(now));
-            !sightings.is_empty() && !is_refused && !self.admitted.contains(part)
+            let is_refused = self.refusals.is_active(*suspect, now);
+            !sightings.is_empty() && !is_refused && !self.admitted.contains(suspect)
         });
-        let sum_up =
-            |list: Vec<PartSighting>| PartEvidence::new(&list, &all_moments, self.settings.moment);
-        cases.into_iter().map(|(part, list)| (part, sum_up(list))).collect()
+        let sum_up = |list: Vec<CrashSighting>| {
+            CrashEvidence::new(&list, &all_moments, self.settings.moment)
+        };
+        cases.into_iter().map(|(suspect, list)| (suspect, sum_up(list))).collect()
     }
 
-    /// Whether the part was sound shortly before the first of the crashes.
-    fn was_sound(&self, part: PartId, evidence: &PartEvidence) -> bool {
-        let (Some(sound), Some(first)) = (self.sound.last(part), evidence.moments.first()) else {
+    /// Whether the suspect was sound shortly before the first of the crashes.
+    fn was_sound(&self, suspect: SuspectId, evidence: &CrashEvidence) -> bool {
+        let (Some(sound), Some(first)) = (self.last_sound(suspect), evidence.moments.first())
+        else {
             return false;
         };
         first.since(sound) <= self.settings.sound_memory
     }
 
-    fn meets_threshold(&self, part: PartId, evidence: &PartEvidence, now: Tick) -> bool {
+    fn meets_threshold(&self, suspect: SuspectId, evidence: &CrashEvidence, now: Tick) -> bool {
         let settings = &self.settings;
-        if self.refusals.get(&part).is_some_and(|refusal| refusal.is_on_probation(now)) {
+        if self.refusals.get(suspect).is_some_and(|refusal| refusal.is_on_probation(now)) {
             return !evidence.moments.is_empty();
         }
         let baseline_since = self.baseline_since;
         let has_baseline =
             baseline_since.is_some_and(|since| now.since(since) >= settings.baseline_after);
-        let bounds = match (self.was_sound(part, evidence), has_baseline) {
-            (true, _) => &settings.sound_before,
-            (false, true) => &settings.never_sound,
-            (false, false) => &settings.without_baseline,
+        let was_sound = self.was_sound(suspect, evidence);
+        let bounds = match (suspect.kind(), was_sound, has_baseline) {
+            (SuspectKind::Part, true, _) => &settings.sound_before,
+            (SuspectKind::Part, false, true) => &settings.never_sound,
+            (SuspectKind::Part, false, false) => &settings.without_baseline,
+            (SuspectKind::Request, true, _) => &settings.sound_request,
+            (SuspectKind::Request, false, _) => &settings.unsound_request,
         };
         bounds.iter().any(|bound| {
             let decisive = evidence.moments.get(bound.crashes.saturating_sub(1));
@@ -414,40 +423,46 @@
         })
     }
 
-    /// Whether parts that were never sound may have caused all of the crashes that name this one, which
-    /// was sound or is more frequent. More crashes will tell them apart; from a certain number of them
-    /// on that does not count.
+    /// Whether other suspects that were never sound may have caused all of the crashes that name this
+    /// one. More crashes will tell them apart; from a certain number of them on that does not count.
     fn is_ambiguous(
         &self,
-        part: PartId,
-        evidence: &PartEvidence,
-        cases: &BTreeMap<PartId, PartEvidence>,
+        suspect: SuspectId,
+        evidence: &CrashEvidence,
+        cases: &BTreeMap<SuspectId, CrashEvidence>,
     ) -> bool {
         if evidence.moments.len() >= self.settings.max_ambiguous_crashes {
             return false;
         }
-        let was_sound = self.was_sound(part, evidence);
-        let rarity = |known: &PartEvidence| (known.prompts, Reverse(known.depth));
-        let is_rival = |(other, known): &(&PartId, &PartEvidence)| {
-            **other != part
-                && known.moments.len() >= SUSPECT.crashes
-                && (was_sound || rarity(known) < rarity(evidence))
-                && !self.was_sound(**other, known)
-        };
-        let rivals: Vec<&PartEvidence> =
-            cases.iter().filter(is_rival).map(|(_, known)| known).collect();
+        let was_sound = self.was_sound(suspect, evidence);
+        let others = cases
+            .iter()
+            .filter(|(other, known)| **other != suspect && !self.was_sound(**other, known));
         let moment = self.settings.moment;
-        let is_same = |a: Tick, b: Tick| a.since(b).max(b.since(a)) < moment;
-        evidence.moments.iter().all(|at| {
-            rivals.iter().any(|rival| rival.moments.iter().any(|other| is_same(*at, *other)))
-        })
+        match suspect.kind() {
+            SuspectKind::Request => {
+                let mut requests = others.filter(|(other, _)| other.kind() == SuspectKind::Request);
+                requests
+                    .any(|(_, known)| evidence.moments.iter().all(|at| known.includes(*at, moment)))
+            }
+            SuspectKind::Part => {
+                let rarity = |known: &CrashEvidence| (known.prompts, Reverse(known.depth));
+                let rivals: Vec<&CrashEvidence> = others
+                    .filter(|(_, known)| known.moments.len() >= LIKELY_PART.crashes)
+                    .filter(|(_, known)| was_sound || rarity(known) < rarity(evidence))
+                    .map(|(_, known)| known)
+                    .collect();
+                let is_covered = |at: &Tick| rivals.iter().any(|known| known.includes(*at, moment));
+                evidence.moments.iter().all(is_covered)
+            }
+        }
     }
 
     fn refuse(&mut self, new: &NewRefusal, now: Tick) {
-        let NewRefusal { term, was_sound, has_other_crashes, .. } = *new;
+        let NewRefusal { suspect, term, was_sound, has_other_crashes, .. } = *new;
         let is_weak = was_sound || has_other_crashes;
         let probe = if is_weak { self.settings.early_probe } else { self.settings.probe_interval };
-        let refusal = PartRefusal {
+        let refusal = SuspectRefusal {
             since: now,
             until: now + term,
             term,
@@ -455,61 +470,64 @@
             probe_rank: self.probe_rank,
             probe_at: Some(now + probe),
         };
-        self.refusals.insert(new.part, refusal);
-        self.update.refused.push(notice_of(new.part, &refusal, now));
-    }
-
-    /// Decides on a new request. One with a single refused part may be sent as a probe, by one of all
-    /// processes at a time.
-    pub fn admit(&mut self, parts: &PromptParts, now: Tick) -> PartsVerdict {
-        let Some(refused) = self.refused(parts, now) else { return PartsVerdict::Admitted };
-        let is_active =
-            |part: &&PartId| self.refusals.get(part).is_some_and(|refusal| refusal.is_active(now));
-        let is_only_one = parts.shared().iter().filter(is_active).count() == 1;
-        if is_only_one && self.take_probe(refused.part, now) {
-            return PartsVerdict::Probed(refused.part);
+        self.refusals.insert(suspect, refusal, now);
+        self.update.refused.push(notice_of(suspect, &refusal, now));
+    }
+
+    /// Decides on a new request. One with a single refused suspect may be sent as a probe, by one of
+    /// all processes at a time.
+    pub fn admit(&mut self, suspects: &RequestSuspects, now: Tick) -> SuspectVerdict {
+        let Some(refused) = self.refused(suspects, now) else { return SuspectVerdict::Admitted };
+        let is_active = |suspect: &&SuspectId| self.refusals.is_active(**suspect, now);
+        let is_only_one = suspects.all().iter().filter(is_active).count() == 1;
+        if is_only_one && self.refusals.take_probe(refused.suspect, &self.settings, now) {
+            return SuspectVerdict::Probed(refused.suspect);
         }
-        PartsVerdict::Refused(refused)
+        SuspectVerdict::Refused(refused)
     }
 
-    fn take_probe(&mut self, part: PartId, now: Tick) -> bool {
-        let Some(refusal) = self.refusals.get_mut(&part) else { return false };
-        if refusal.probe_at.is_none_or(|at| at > now) {
-            return false;
-        }
-        let wait = self.settings.probe_interval.max(now.since(refusal.since) * 2);
-        refusal.probe_at = Some(now + wait);
-        true
+    /// The first refused suspect of a request, if any.
+    pub fn refused(&self, suspects: &RequestSuspects, now: Tick) -> Option<RefusedSuspect> {
+        self.refusals.first_of(suspects, now)
     }
 
-    /// The first refused part of a request, if any.
-    pub fn refused(&self, parts: &PromptParts, now: Tick) -> Option<RefusedPart> {
-        parts.shared().iter().find_map(|part| {
-            let refusal = self.refusals.get(part).filter(|refusal| refusal.is_active(now))?;
-            Some(RefusedPart { part: *part, left: refusal.until.since(now) })
+    /// Whether a part of a request is likely to have caused crashes, so that the request should not be
+    /// sent to another server after one crashed under it.
+    pub fn has_likely_part(&self, suspects: &RequestSuspects) -> bool {
+        let parts = suspects.all().iter().filter(|suspect| suspect.kind() == SuspectKind::Part);
+        parts.copied().any(|part| {
+            let evidence = self.evidence(part);
+            LIKELY_PART.is_met(&evidence) && !self.was_sound(part, &evidence)
         })
     }
 
-    /// Whether a request may be the cause of crashes, so that it should not be sent to another server
-    /// after one crashed under it.
-    pub fn is_suspect(&self, parts: &PromptParts) -> bool {
-        parts.shared().iter().any(|part| {
-            let evidence = self.evidence(*part, self.evidence_start(*part));
-            SUSPECT.is_met(&evidence) && !self.was_sound(*part, &evidence)
-        })
+    /// What a request that was never sound has cost: its crashes that nothing else explains. `None` if
+    /// there are none, or if it was sound shortly before them.
+    pub fn trial(&self, request: SuspectId) -> Option<RequestTrial> {
+        if self.crashes.is_empty() || self.admitted.contains(&request) {
+            return None;
+        }
+        let after = self.evidence_start(request);
+        let counts = |sighting: &CrashSighting| {
+            sighting.suspect == request && after.is_none_or(|after| sighting.at > after)
+        };
+        let crashes: Vec<Tick> =
+            self.sightings().filter(counts).map(|sighting| sighting.at).collect();
+        let first = *crashes.iter().min()?;
+        let sound = self.last_sound(request);
+        let was_sound = sound.is_some_and(|at| first.since(at) <= self.settings.sound_memory);
+        (!was_sound).then_some(RequestTrial { crashes })
     }
 
-    /// All refused parts.
+    /// All refused suspects.
     pub fn refusals(&self, now: Tick) -> Vec<RefusalNotice> {
-        let active = self.refusals.iter().filter(|(_, refusal)| refusal.is_active(now));
-        active.map(|(part, refusal)| notice_of(*part, refusal, now)).collect()
+        self.refusals.notices(now)
     }
 
-    /// A checksum of the refused parts, 0 if there are none. Processes that know the same ones have
+    /// A checksum of the refused suspects, 0 if there are none. Processes that know the same ones have
     /// the same.
     pub fn digest(&self, now: Tick) -> u64 {
-        let active = self.refusals.iter().filter(|(_, refusal)| refusal.is_active(now));
-        active.fold(0, |sum, (part, _)| sum ^ part.0.wrapping_add(1))
+        self.refusals.digest(now)
     }
 
     /// Removes and returns the update for the other processes.
@@ -517,14 +535,3 @@
         mem::take(&mut self.update)
     }
 }
-
-fn notice_of(part: PartId, refusal: &PartRefusal, now: Tick) -> RefusalNotice {
-    RefusalNotice {
-        part,
-        age: now.since(refusal.since),
-        left: refusal.until.since(now),
-        term: refusal.term,
-        was_sound: refusal.was_sound,
-        probe_rank: refusal.probe_rank,
-    }
-}
--- a/crates/poison/src/update.rs
+++ b/crates/poison/src/update.rs
@@ -1,45 +1,45 @@
 //! What processes tell each other.
 
-use {crate::part::PartId, base::HostId, std::time::Duration};
+use {crate::suspect::SuspectId, base::HostId, std::time::Duration};
 
 base::value_type!(
     /// A request that a server had not begun to answer when it crashed.
     pub struct CrashNotice {
         /// The server's incarnation.
         pub server: HostId,
-        /// The last part of the request's prompt.
-        pub prompt: PartId,
-        /// The shared parts of the request's prompt, in order.
-        pub parts: Vec<PartId>,
+        /// Tells prompts apart, see [`RequestSuspects::prompt`](crate::RequestSuspects::prompt).
+        pub prompt: SuspectId,
+        /// The suspects of the request, see [`RequestSuspects::all`](crate::RequestSuspects::all).
+        pub suspects: Vec<SuspectId>,
         /// Time since the crash.
         pub age: Duration,
     }
 );
 
 base::value_type!(
-    /// A part that is named by crashes but was sound.
+    /// A suspect that is named by crashes but was sound.
     pub struct SoundNotice {
-        /// The part.
-        pub part: PartId,
+        /// The suspect.
+        pub suspect: SuspectId,
         /// Time since it was last seen to be sound.
         pub age: Duration,
     }
 );
 
 base::value_type!(
-    /// A refused part.
+    /// A refused part or request.
     pub struct RefusalNotice {
-        /// The part.
-        pub part: PartId,
+        /// What is refused.
+        pub suspect: SuspectId,
         /// Time since the decision.
         pub age: Duration,
         /// How long it is still refused.
         pub left: Duration,
         /// How long it is refused in all.
         pub term: Duration,
-        /// Whether the part was known to have been sound before its crashes.
+        /// Whether it was known to have been sound before its crashes.
         pub was_sound: bool,
-        /// A number of the process that may try the part again: of those that decided at the same
+        /// A number of the process that may try it again: of those that decided at the same
         /// time, the one with the lowest.
         pub probe_rank: u64,
     }
@@ -51,9 +51,9 @@
     pub struct PoisonUpdate {
         /// Requests at crashed servers.
         pub crashes: Vec<CrashNotice>,
-        /// Parts that are sound.
+        /// Suspects that are sound.
         pub sound: Vec<SoundNotice>,
-        /// Refused parts.
+        /// Refused parts and requests.
         pub refused: Vec<RefusalNotice>,
     }
 );
--- a/crates/poison/tests/model/world.rs
+++ b/crates/poison/tests/model/world.rs
@@ -3,7 +3,8 @@
 use {
     base::{HostId, Tick},
     poison::{
-        CrashNotice, PartId, PartsVerdict, PoisonSettings, PoisonTracker, PoisonUpdate, PromptParts,
+        CrashNotice, PoisonSettings, PoisonTracker, PoisonUpdate, PromptParts, RequestSuspects,
+        SuspectId, SuspectVerdict,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -82,9 +83,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunReport {
     /// Crashes by each bad part, in order.
-    pub(crate) crashes: BTreeMap<PartId, Vec<Tick>>,
+    pub(crate) crashes: BTreeMap<SuspectId, Vec<Tick>>,
     /// Arrivals of requests with each bad part at servers.
-    pub(crate) arrivals: BTreeMap<PartId, Vec<Tick>>,
+    pub(crate) arrivals: BTreeMap<SuspectId, Vec<Tick>>,
     /// Sound requests that were refused for one of their parts.
     pub(crate) wrongly_refused: usize,
     /// Sound requests of the last seconds, and those that began at the first attempt.
@@ -95,7 +96,7 @@
 impl RunReport {
     /// Arrivals later than 3 s after the fifth crash, over all bad parts.
     pub(crate) fn late_arrivals(&self) -> usize {
-        let late = |part: &PartId, crashes: &Vec<Tick>| {
+        let late = |part: &SuspectId, crashes: &Vec<Tick>| {
             let Some(fifth) = crashes.get(4) else { return 0 };
             let limit = *fifth + Duration::from_secs(3);
             self.arrivals[part].iter().filter(|at| **at > limit).count()
@@ -113,7 +114,7 @@
 enum ModelEvent {
     SendSound,
     SendBad {
-        part: PartId,
+        part: SuspectId,
     },
     Begin {
         request: usize,
@@ -147,8 +148,8 @@
 
 struct ModelRequest {
     process: usize,
-    parts: PromptParts,
-    bad_part: Option<PartId>,
+    suspects: RequestSuspects,
+    bad_part: Option<SuspectId>,
     sends: u32,
     is_sound: bool,
     counts_late: bool,
@@ -214,7 +215,7 @@
         }
         self.schedule(Duration::ZERO, ModelEvent::SendSound);
         for (number, began) in self.settings.bad_parts.iter().enumerate() {
-            let part = PartId(BAD_PARTS + number as u64);
+            let part = SuspectId::part(BAD_PARTS + number as u64);
             self.report.arrivals.insert(part, Vec::new());
             self.report.crashes.insert(part, Vec::new());
             self.schedule(*began, ModelEvent::SendBad { part });
@@ -258,8 +259,8 @@
                 if self.servers[server].in_flight.contains(&request) {
                     self.requests[request].is_sound = true;
                     let process = self.requests[request].process;
-                    let parts = self.requests[request].parts.clone();
-                    self.trackers[process].note_sound(&parts, self.now);
+                    let suspects = self.requests[request].suspects.clone();
+                    self.trackers[process].note_sound(&suspects, self.now);
                     self.publish(process);
                 }
             }
@@ -323,34 +324,36 @@
         // A third of the prompts continue a session, a few of which are busy.
         let session = self.random.random_bool(0.3).then(|| {
             let session = self.random.random_range(0..40_u64) * self.random.random_range(0..40_u64);
-            PartId(1_000 + session)
+            SuspectId::part(1_000 + session)
         });
-        let shared: Vec<PartId> = [first].into_iter().chain(session).collect();
+        let shared: Vec<SuspectId> = [first].into_iter().chain(session).collect();
         self.send(&shared, None);
     }
 
     /// Few of the first parts are frequent.
-    fn first_part(&mut self) -> PartId {
+    fn first_part(&mut self) -> SuspectId {
         let sample: f64 = self.random.random();
-        PartId(1 + (sample * sample * self.settings.first_parts as f64) as u64)
+        SuspectId::part(1 + (sample * sample * self.settings.first_parts as f64) as u64)
     }
 
-    fn send(&mut self, shared: &[PartId], bad_part: Option<PartId>) {
+    fn send(&mut self, shared: &[SuspectId], bad_part: Option<SuspectId>) {
         let process = self.random.random_range(0..self.settings.processes);
-        let own = PartId(OWN_PARTS + self.requests.len() as u64);
+        let own = SuspectId::part(OWN_PARTS + self.requests.len() as u64);
         let parts = PromptParts::new(shared.iter().copied().chain([own]));
+        let identity = SuspectId::request(self.requests.len() as u128);
+        let suspects = RequestSuspects::new(&parts, identity);
         self.evaluate(process);
         let counts_late = bad_part.is_none()
             && self.now > Tick(0) + self.settings.span.mul_f64(0.75)
             && self.now < Tick(0) + self.settings.span.saturating_sub(Duration::from_secs(1));
         self.report.late_sound += usize::from(counts_late);
-        let verdict = self.trackers[process].admit(&parts, self.now);
-        if self.settings.tracks && matches!(verdict, PartsVerdict::Refused(_)) {
+        let verdict = self.trackers[process].admit(&suspects, self.now);
+        if self.settings.tracks && matches!(verdict, SuspectVerdict::Refused(_)) {
             self.report.wrongly_refused += usize::from(bad_part.is_none());
             return;
         }
         let request =
-            ModelRequest { process, parts, bad_part, sends: 0, is_sound: false, counts_late };
+            ModelRequest { process, suspects, bad_part, sends: 0, is_sound: false, counts_late };
         self.requests.push(request);
         self.dispatch(self.requests.len() - 1);
     }
@@ -396,14 +399,14 @@
         let id = HostId::new(format!("i-{server}")).unwrap();
         let broken = std::mem::take(&mut self.servers[server].in_flight);
         for request in &broken {
-            let ModelRequest { process, is_sound, ref parts, .. } = self.requests[*request];
+            let ModelRequest { process, is_sound, ref suspects, .. } = self.requests[*request];
             if is_sound || !self.settings.tracks {
                 continue;
             }
             let notice = CrashNotice {
                 server: id.clone(),
-                prompt: parts.own().unwrap(),
-                parts: parts.shared().to_vec(),
+                prompt: suspects.prompt(),
+                suspects: suspects.all().to_vec(),
                 age: Duration::ZERO,
             };
             self.trackers[process].note_crash(notice, self.now);
@@ -411,10 +414,11 @@
             self.announce_later(process);
         }
         for request in broken {
-            let ModelRequest { process, sends, is_sound, ref parts, .. } = self.requests[request];
+            let ModelRequest { process, sends, is_sound, ref suspects, .. } =
+                self.requests[request];
             let tracker = &self.trackers[process];
-            let may_be_cause = tracker.refused(parts, self.now).is_some()
-                || (!is_sound && tracker.is_suspect(parts));
+            let may_be_cause = tracker.refused(suspects, self.now).is_some()
+                || (!is_sound && tracker.has_likely_part(suspects));
             if sends < 2 && !(self.settings.tracks && may_be_cause) {
                 self.dispatch(request);
             }
--- a/crates/poison/tests/tracker.rs
+++ b/crates/poison/tests/tracker.rs
@@ -3,18 +3,18 @@
 use {
     base::{HostId, Tick},
     poison::{
-        CrashNotice, NewRefusal, PartId, PartsVerdict, PoisonSettings, PoisonTracker, PoisonUpdate,
-        PromptParts, RefusalNotice, SoundNotice,
+        CrashNotice, NewRefusal, PoisonSettings, PoisonTracker, PoisonUpdate, PromptParts,
+        RefusalNotice, RequestSuspects, SoundNotice, SuspectId, SuspectVerdict,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::time::Duration,
 };
 
-const COMMON: PartId = PartId(1);
-const BAD: PartId = PartId(2);
-const WORSE: PartId = PartId(3);
-const OTHER: PartId = PartId(4);
+const COMMON: SuspectId = SuspectId::part(1);
+const BAD: SuspectId = SuspectId::part(2);
+const WORSE: SuspectId = SuspectId::part(3);
+const OTHER: SuspectId = SuspectId::part(4);
 
 fn at(millis: u64) -> Tick {
     Tick(0) + Duration::from_millis(millis)
@@ -26,29 +26,30 @@
     tracker
 }
 
-fn prompt(shared: &[PartId], own: u64) -> PromptParts {
-    PromptParts::new(shared.iter().copied().chain([PartId(1_000 + own)]))
+fn prompt(shared: &[SuspectId], own: u64) -> RequestSuspects {
+    let parts = shared.iter().copied().chain([SuspectId::part(1_000 + own)]);
+    RequestSuspects::new(&PromptParts::new(parts), SuspectId::request(own.into()))
 }
 
-fn notice(server: u64, shared: &[PartId], own: u64) -> CrashNotice {
+fn notice(server: u64, shared: &[SuspectId], own: u64) -> CrashNotice {
     CrashNotice {
         server: HostId::new(format!("i-{server}")).unwrap(),
-        prompt: PartId(1_000 + own),
-        parts: shared.to_vec(),
+        prompt: SuspectId::part(1_000 + own),
+        suspects: shared.to_vec(),
         age: Duration::ZERO,
     }
 }
 
 /// Crashes `count` servers on a part, 100 ms apart, and returns the time after the objection window.
-fn crash_on(tracker: &mut PoisonTracker, parts: &[PartId], count: u64, from: u64) -> Tick {
+fn crash_on(tracker: &mut PoisonTracker, parts: &[SuspectId], count: u64, from: u64) -> Tick {
     for number in 0..count {
         tracker.note_crash(notice(from + number, parts, from + number), at(from + 100 * number));
     }
     at(from + 100 * count)
 }
 
-fn parts_of(refusals: &[NewRefusal]) -> Vec<PartId> {
-    refusals.iter().map(|refusal| refusal.part).collect()
+fn parts_of(refusals: &[NewRefusal]) -> Vec<SuspectId> {
+    refusals.iter().map(|refusal| refusal.suspect).collect()
 }
 
 /// A part that every prompt has was refused when two others crashed servers in turn: it was in flight
@@ -91,7 +92,7 @@
     }
     informed.announce_sound(at(5_220));
     let objection = informed.take_update();
-    assert!(objection.sound.iter().any(|notice| notice.part == COMMON), "{objection:?}");
+    assert!(objection.sound.iter().any(|notice| notice.suspect == COMMON), "{objection:?}");
     restarted.receive(&objection, at(5_230));
     assert_eq!(restarted.evaluate(at(5_300)), []);
 }
@@ -161,10 +162,10 @@
     second.receive(&update_of_first, now);
     let later = now + Duration::from_secs(61);
     let bad = prompt(&[BAD], 9);
-    assert_eq!(first.admit(&bad, later), PartsVerdict::Probed(BAD));
+    assert_eq!(first.admit(&bad, later), SuspectVerdict::Probed(BAD));
     let soon = later + Duration::from_secs(1);
-    assert!(matches!(first.admit(&bad, soon), PartsVerdict::Refused(_)), "one at a time");
-    assert!(matches!(second.admit(&bad, later), PartsVerdict::Refused(_)));
+    assert!(matches!(first.admit(&bad, soon), SuspectVerdict::Refused(_)), "one at a time");
+    assert!(matches!(second.admit(&bad, later), SuspectVerdict::Refused(_)));
     assert_eq!(first.note_sound(&prompt(&[BAD], 10), later + Duration::from_secs(1)), [BAD]);
     assert!(first.refused(&prompt(&[BAD], 9), later + Duration::from_secs(2)).is_none());
 }
@@ -179,8 +180,8 @@
     tracker.evaluate(now);
     let later = now + Duration::from_secs(70);
     let verdict = tracker.admit(&prompt(&[BAD, WORSE], 9), later);
-    assert!(matches!(verdict, PartsVerdict::Refused(_)), "{verdict:?}");
-    assert_eq!(tracker.admit(&prompt(&[WORSE], 9), later), PartsVerdict::Probed(WORSE));
+    assert!(matches!(verdict, SuspectVerdict::Refused(_)), "{verdict:?}");
+    assert_eq!(tracker.admit(&prompt(&[WORSE], 9), later), SuspectVerdict::Probed(WORSE));
 }
 
 /// After the end of a refusal one crash renews it, for longer.
@@ -214,7 +215,7 @@
 fn many_different_parts_are_forgotten() {
     let mut tracker = new_tracker(1);
     for number in 0..100_000_u64 {
-        tracker.note_sound(&prompt(&[PartId(1 << 40 | number)], number), at(number));
+        tracker.note_sound(&prompt(&[SuspectId::part(1 << 40 | number)], number), at(number));
     }
     tracker.note_sound(&prompt(&[COMMON], 1), at(100_000));
     let now = crash_on(&mut tracker, &[COMMON], 3, 100_100);
@@ -243,11 +244,12 @@
         _ => Duration::from_millis(random.random_range(0..5_000_000)),
     };
     for step in 0..5_000_u64 {
-        let part = PartId(random.random_range(0..200));
-        let mut crash = notice(random.random(), &[part, PartId(random.random())], random.random());
+        let part = SuspectId::part(random.random_range(0..200));
+        let mut crash =
+            notice(random.random(), &[part, SuspectId::part(random.random())], random.random());
         crash.age = span(&mut random);
         let refusal = RefusalNotice {
-            part: PartId(random.random()),
+            suspect: SuspectId::part(random.random()),
             age: span(&mut random),
             left: span(&mut random),
             term: span(&mut random),
@@ -256,7 +258,7 @@
         };
         let update = PoisonUpdate {
             crashes: vec![crash],
-            sound: vec![SoundNotice { part, age: span(&mut random) }],
+            sound: vec![SoundNotice { suspect: part, age: span(&mut random) }],
             refused: vec![refusal],
         };
         let now = at(1_000 * step);
@@ -292,3 +294,127 @@
     tracker.note_crash(notice(3, &[BAD, WORSE], 3), at(1_200));
     assert_eq!(parts_of(&tracker.evaluate(at(1_300))), [BAD]);
 }
+
+const BAD_REQUEST: SuspectId = SuspectId::request(1);
+const SOUND_REQUEST: SuspectId = SuspectId::request(2);
+
+/// A request without parts.
+fn plain(request: SuspectId) -> RequestSuspects {
+    RequestSuspects::new(&PromptParts::default(), request)
+}
+
+/// A crash of a server with these requests without parts in flight.
+fn plain_crash(tracker: &mut PoisonTracker, server: u64, requests: &[SuspectId], millis: u64) {
+    for request in requests {
+        let crash = CrashNotice { prompt: *request, ..notice(server, &[*request], 0) };
+        tracker.note_crash(crash, at(millis));
+    }
+}
+
+/// A request without parts could crash servers for as long as its caller repeated it.
+#[test]
+fn a_repeated_request_is_refused_after_three_crashes() {
+    let mut tracker = new_tracker(1);
+    plain_crash(&mut tracker, 1, &[BAD_REQUEST, SOUND_REQUEST], 1_000);
+    plain_crash(&mut tracker, 2, &[BAD_REQUEST], 1_100);
+    assert_eq!(tracker.evaluate(at(1_250)), []);
+    plain_crash(&mut tracker, 3, &[BAD_REQUEST], 1_300);
+    assert_eq!(parts_of(&tracker.evaluate(at(1_400))), [BAD_REQUEST]);
+    assert!(tracker.refused(&plain(BAD_REQUEST), at(1_400)).is_some());
+    assert!(tracker.refused(&plain(SOUND_REQUEST), at(1_400)).is_none());
+    assert_eq!(tracker.trial(SOUND_REQUEST), None, "the crash is explained");
+}
+
+/// Another process knows that a request is sound, which its caller repeats all the time.
+#[test]
+fn a_popular_sound_request_is_neither_refused_nor_tried() {
+    let mut informed = new_tracker(1);
+    let mut other = new_tracker(2);
+    informed.note_sound(&plain(SOUND_REQUEST), at(900));
+    for number in 0..5_u64 {
+        let now = 1_000 + 100 * number;
+        plain_crash(&mut other, number, &[SOUND_REQUEST], now);
+        informed.receive(&other.take_update(), at(now + 2));
+        informed.announce_sound(at(now + 30));
+        other.receive(&informed.take_update(), at(now + 32));
+        assert_eq!(other.trial(SOUND_REQUEST), None, "crash {number}");
+        assert_eq!(other.evaluate(at(now + 90)), [], "crash {number}");
+    }
+}
+
+/// Servers of one failure domain end at once, under copies of one request.
+#[test]
+fn a_lost_domain_refuses_no_request() {
+    let mut tracker = new_tracker(1);
+    for server in 0..9 {
+        plain_crash(&mut tracker, server, &[SOUND_REQUEST], 1_000 + server);
+    }
+    assert_eq!(tracker.evaluate(at(3_000)), []);
+}
+
+/// Two requests were in flight at the same crashes: neither is refused until a further crash tells
+/// them apart.
+#[test]
+fn requests_in_flight_at_the_same_crashes_are_told_apart() {
+    let mut tracker = new_tracker(1);
+    for server in 0..3 {
+        plain_crash(&mut tracker, server, &[BAD_REQUEST, SOUND_REQUEST], 1_000 + 100 * server);
+    }
+    assert_eq!(tracker.evaluate(at(1_400)), []);
+    plain_crash(&mut tracker, 4, &[BAD_REQUEST], 1_500);
+    assert_eq!(parts_of(&tracker.evaluate(at(1_600))), [BAD_REQUEST]);
+    assert_eq!(tracker.trial(SOUND_REQUEST), None);
+}
+
+/// A bad part was not found while each request with it was repeated until it was refused by itself.
+#[test]
+fn a_refused_request_does_not_clear_its_parts() {
+    let mut tracker = new_tracker(1);
+    let mut refused = Vec::new();
+    for request in 0..3_u64 {
+        for server in 0..3 {
+            let millis = 1_000 + 1_000 * request + 100 * server;
+            let suspects = [BAD, SuspectId::request(100 + u128::from(request))];
+            tracker.note_crash(notice(10 * request + server, &suspects, request), at(millis));
+            refused.extend(parts_of(&tracker.evaluate(at(millis + 90))));
+        }
+    }
+    assert!(refused.contains(&BAD), "{refused:?}");
+}
+
+/// A request that was never sound takes down at most half of the servers at a time.
+#[test]
+fn a_trial_leaves_half_of_the_servers() {
+    let mut tracker = new_tracker(1);
+    assert_eq!(tracker.trial(BAD_REQUEST), None, "no crash");
+    plain_crash(&mut tracker, 1, &[BAD_REQUEST], 1_000);
+    let trial = tracker.trial(BAD_REQUEST).unwrap();
+    assert!(!trial.may_be_sent(2, 3, at(1_100)), "one of three is down");
+    assert!(trial.may_be_sent(3, 4, at(1_100)), "one of four is down");
+    assert!(trial.may_be_sent(3, 3, at(4_900)), "the third one is back");
+    assert!(trial.may_be_sent(2, 2, at(5_100)), "the third one stays away");
+    assert!(!trial.may_be_sent(1, 3, at(5_100)), "the last one of several");
+    assert!(trial.may_be_sent(1, 1, at(5_100)), "the only one");
+    assert_eq!(trial.wait(at(1_100)), Duration::from_millis(3_900));
+    tracker.note_sound(&plain(BAD_REQUEST), at(5_200));
+    assert_eq!(tracker.trial(BAD_REQUEST), None, "sound since");
+}
+
+/// A caller that crashes servers with ever new requests does not fill the memory, and the requests
+/// that were refused last stay refused.
+#[test]
+fn many_refused_requests_are_bounded() {
+    let mut tracker = new_tracker(1);
+    for request in 0..10_000_u64 {
+        let id = SuspectId::request(1_000 + u128::from(request));
+        for server in 0..3 {
+            let millis = 1_000 + 300 * request + 100 * server;
+            plain_crash(&mut tracker, 10 * request + server, &[id], millis);
+        }
+        let now = at(1_300 + 300 * request);
+        tracker.evaluate(now);
+        tracker.take_update();
+        assert!(tracker.refused(&plain(id), now).is_some(), "request {request}");
+        assert!(tracker.refusals(now).len() <= 128);
+    }
+}
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -9,6 +9,7 @@
     },
     base::Tick,
     std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
     tracing::info,
 };
 
@@ -17,6 +18,10 @@
 /// events of a fully loaded model engine.
 pub(crate) const SOUND_AFTER: Duration = Duration::from_millis(250);
 
+/// How long a request waits for the outcome of a check. A server that crashed refuses the connection
+/// after one way there and back between failure domains; one that is cut off does not answer.
+const CHECK_WAIT: Duration = Duration::from_millis(50);
+
 /// The answer of one server to a request, as far as it bears on whether the request crashes servers.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AnswerProgress {
@@ -39,23 +44,31 @@
     }
 }
 
-/// Checks in the background whether a server to which the connection broke has crashed: then it
-/// refuses connections. A crash counts against the parts of the request.
-pub(crate) fn check_crash(shared: &Arc<RelayShared>, ctx: &CallContext, server: &BackendServer) {
-    let (id, parts, server) = (ctx.id.clone(), ctx.parts.clone(), server.clone());
-    let identity = ctx.identity;
+/// Checks whether a server to which the connection broke has crashed: then it refuses connections. A
+/// crash counts against the suspects of the request.
+///
+/// Returns when that is known, so that it counts for the next send, or after [`CHECK_WAIT`]; the check
+/// goes on then.
+pub(crate) async fn check_crash(
+    shared: &Arc<RelayShared>,
+    ctx: &CallContext,
+    server: &BackendServer,
+) {
+    let (id, suspects, server) = (ctx.id.clone(), ctx.suspects.clone(), server.clone());
     let shared = shared.clone();
     let broke_at = shared.clock.now();
-    tokio::spawn(async move {
+    let check = tokio::spawn(async move {
         let crashed = shared.poison.knows_crash(&server.id) || refuses_connections(&server).await;
         shared.metrics.note_crash_check(crashed);
-        info!(id = %id, decision = "crash-check", server = %server.id, crashed, %identity,
-            parts = %parts, "request");
+        info!(id = %id, decision = "crash-check", server = %server.id, crashed,
+            suspects = %suspects, "request");
         // A server that leaves ends connections too, and refuses new ones.
         if crashed && !server.counters.is_leaving() {
-            shared.poison.note_crash(&server.id, &parts, broke_at);
+            shared.poison.note_crash(&server.id, &suspects, broke_at);
         }
     });
+    // Without an outcome the request goes on as if the server had not crashed.
+    let _ = timeout(CHECK_WAIT, check).await;
 }
 
 async fn refuses_connections(server: &BackendServer) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod buffered;
 mod caller_body;
+mod caution;
 pub mod choose;
 pub mod codec;
 pub mod config;
--- a/crates/relay/src/poison_watch.rs
+++ b/crates/relay/src/poison_watch.rs
@@ -1,12 +1,12 @@
-//! Refuses requests with parts of prompts that crash servers.
+//! Refuses requests that crash servers, by themselves or by a part of their prompts.
 
 use {
     crate::server::ServerId,
     base::{SharedClock, Tick},
     parking_lot::Mutex,
     poison::{
-        CrashNotice, NewRefusal, PartId, PartsVerdict, PoisonSettings, PoisonTracker, PoisonUpdate,
-        PromptParts, RefusalNotice, RefusedPart,
+        CrashNotice, NewRefusal, PoisonSettings, PoisonTracker, PoisonUpdate, RefusalNotice,
+        RefusedSuspect, RequestSuspects, RequestTrial, SuspectId, SuspectVerdict,
     },
     std::{
         collections::BTreeSet,
@@ -20,11 +20,11 @@
     tracing::{info, warn},
 };
 
-/// Longest random delay before this process tells the others that a suspect part is sound. Shorter
+/// Longest random delay before this process tells the others that a suspect is sound. Shorter
 /// than the time that they wait for it, see [`PoisonSettings::objection_window`].
 const MAX_ANNOUNCE_DELAY: Duration = Duration::from_millis(40);
 
-/// What this process knows about parts of prompts that crash servers, shared by all requests.
+/// What this process knows about what crashes servers, shared by all requests.
 pub struct PoisonWatch {
     tracker: Mutex<PoisonTracker>,
     clock: SharedClock,
@@ -45,59 +45,60 @@
         })
     }
 
-    /// Replaces the parts that are never refused.
-    pub fn set_admitted(&self, admitted: BTreeSet<PartId>) {
+    /// Replaces the suspects that are never refused.
+    pub fn set_admitted(&self, admitted: BTreeSet<SuspectId>) {
         self.tracker.lock().set_admitted(admitted);
     }
 
-    /// The refused part of a request, if it has one.
-    pub(crate) fn refused(&self, parts: &PromptParts) -> Option<RefusedPart> {
-        if parts.shared().is_empty() {
-            return None;
-        }
+    /// The refused suspect of a request, if it has one.
+    pub(crate) fn refused(&self, suspects: &RequestSuspects) -> Option<RefusedSuspect> {
         self.evaluate();
-        self.tracker.lock().refused(parts, self.clock.now())
+        self.tracker.lock().refused(suspects, self.clock.now())
     }
 
-    /// Decides on a new request with these parts.
-    pub(crate) fn admit(&self, parts: &PromptParts) -> PartsVerdict {
-        if parts.shared().is_empty() {
-            return PartsVerdict::Admitted;
-        }
+    /// Decides on a new request with these suspects.
+    pub(crate) fn admit(&self, suspects: &RequestSuspects) -> SuspectVerdict {
         self.evaluate();
-        self.tracker.lock().admit(parts, self.clock.now())
+        self.tracker.lock().admit(suspects, self.clock.now())
     }
 
     /// Whether a request should not be sent to another server after one has crashed under it.
-    pub(crate) fn is_suspect(&self, parts: &PromptParts) -> bool {
+    pub(crate) fn has_likely_part(&self, suspects: &RequestSuspects) -> bool {
         let tracker = self.tracker.lock();
-        !tracker.is_idle() && tracker.is_suspect(parts)
+        !tracker.is_idle() && tracker.has_likely_part(suspects)
+    }
+
+    /// What a request that was never sound has cost, see [`PoisonTracker::trial`].
+    pub(crate) fn trial(&self, suspects: &RequestSuspects) -> Option<RequestTrial> {
+        self.tracker.lock().trial(suspects.request())
     }
 
     pub(crate) fn knows_crash(&self, server: &ServerId) -> bool {
         self.tracker.lock().knows_crash(server, self.clock.now())
     }
 
-    /// Records that an answer to a request with these parts went on past its beginning.
-    pub(crate) fn note_sound(&self, parts: &PromptParts) {
-        if parts.shared().is_empty() {
-            return;
-        }
-        let freed = self.tracker.lock().note_sound(parts, self.clock.now());
-        for part in freed {
-            info!(decision = "part-admitted", %part, why = "sound", "poison");
+    /// Records that an answer to a request went on past its beginning.
+    pub(crate) fn note_sound(&self, suspects: &RequestSuspects) {
+        let freed = self.tracker.lock().note_sound(suspects, self.clock.now());
+        for suspect in freed {
+            info!(decision = "suspect-admitted", kind = %suspect.kind(), %suspect, why = "sound",
+                "poison");
         }
         self.update.notify_one();
     }
 
-    /// Records that a server crashed at `at` before it had answered a request with these parts.
-    pub(crate) fn note_crash(self: &Arc<Self>, server: &ServerId, parts: &PromptParts, at: Tick) {
-        let Some(prompt) = parts.own() else { return };
+    /// Records that a server crashed at `at` before it had answered a request.
+    pub(crate) fn note_crash(
+        self: &Arc<Self>,
+        server: &ServerId,
+        suspects: &RequestSuspects,
+        at: Tick,
+    ) {
         let now = self.clock.now();
         let notice = CrashNotice {
             server: server.clone(),
-            prompt,
-            parts: parts.shared().to_vec(),
+            prompt: suspects.prompt(),
+            suspects: suspects.all().to_vec(),
             age: now.since(at),
         };
         if self.tracker.lock().note_crash(notice, now) {
@@ -121,13 +122,16 @@
     }
 
     fn log_changes(&self, before: &[RefusalNotice], after: &[RefusalNotice]) {
-        let has = |list: &[RefusalNotice], part| list.iter().any(|known| known.part == part);
-        for RefusalNotice { part, .. } in before.iter().filter(|known| !has(after, known.part)) {
-            info!(decision = "part-admitted", %part, why = "a peer knows that it is sound", "poison");
+        let has = |list: &[RefusalNotice], notice: &RefusalNotice| {
+            list.iter().any(|known| known.suspect == notice.suspect)
+        };
+        for RefusalNotice { suspect, .. } in before.iter().filter(|known| !has(after, known)) {
+            info!(decision = "suspect-admitted", kind = %suspect.kind(), %suspect,
+                why = "a peer knows that it is sound", "poison");
         }
-        for RefusalNotice { part, left, .. } in after.iter().filter(|new| !has(before, new.part)) {
-            warn!(decision = "part-refused", %part, for_s = left.as_secs(), why = "a peer",
-                "poison");
+        for RefusalNotice { suspect, left, .. } in after.iter().filter(|new| !has(before, new)) {
+            warn!(decision = "suspect-refused", kind = %suspect.kind(), %suspect,
+                for_s = left.as_secs(), why = "a peer", "poison");
         }
     }
 
@@ -146,15 +150,17 @@
         });
     }
 
-    /// Decides on the parts that crashes name.
+    /// Decides on the suspects that crashes name.
     pub fn evaluate(&self) {
         let refusals = self.tracker.lock().evaluate(self.clock.now());
         if refusals.is_empty() {
             return;
         }
-        for NewRefusal { part, crashes, prompts, term, was_sound, has_other_crashes } in refusals {
-            warn!(decision = "part-refused", %part, crashes, prompts, was_sound, has_other_crashes,
-                for_s = term.as_secs(), "poison");
+        for refusal in refusals {
+            let NewRefusal { suspect, crashes, prompts, term, was_sound, has_other_crashes } =
+                refusal;
+            warn!(decision = "suspect-refused", kind = %suspect.kind(), %suspect, crashes, prompts,
+                was_sound, has_other_crashes, for_s = term.as_secs(), "poison");
         }
         self.update.notify_one();
     }
@@ -175,12 +181,12 @@
         self.tracker.lock().evidence_to_repeat(self.clock.now())
     }
 
-    /// All refused parts.
+    /// All refused suspects.
     pub fn refusals(&self) -> Vec<RefusalNotice> {
         self.tracker.lock().refusals(self.clock.now())
     }
 
-    /// A checksum of the refused parts, see [`PoisonTracker::digest`].
+    /// A checksum of the refused suspects, see [`PoisonTracker::digest`].
     pub fn digest(&self) -> u64 {
         self.tracker.lock().digest(self.clock.now())
     }
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -198,7 +198,7 @@
             };
             if why.is_broken_connection() && !self.answered.is_sound() {
                 self.progress.crashes += 1;
-                check_crash(&self.service.shared, &self.ctx, &server);
+                check_crash(&self.service.shared, &self.ctx, &server).await;
             }
             let now = self.service.shared.clock.now();
             server.counters.note_failure(now, FAILURE_BACKOFF);
@@ -273,7 +273,13 @@
                 Ok(None) if !self.first_event_sent => {
                     return ForwardEnd::Broken(LossCause::NoEvent);
                 }
-                Ok(None) => return ForwardEnd::Whole,
+                Ok(None) => {
+                    // The end of the connection alone may also be that of the server.
+                    if answer.is_framed() {
+                        self.service.shared.poison.note_sound(&self.ctx.suspects);
+                    }
+                    return ForwardEnd::Whole;
+                }
                 Err(_) => {
                     let idle = idle.extend(clock.now());
                     if self.should_resume_elsewhere(answer, idle, event_timeout) {
@@ -296,7 +302,7 @@
             };
             idle = IdleTime::new(now);
             if self.answered.note_event(now) {
-                self.service.shared.poison.note_sound(&self.ctx.parts);
+                self.service.shared.poison.note_sound(&self.ctx.suspects);
             }
             answer.server.counters.note_progress(now);
             if !self.first_event_sent {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -2,7 +2,7 @@
 
 use {
     base::ModelName,
-    poison::PromptParts,
+    poison::{PromptParts, SuspectKind},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{fmt, time::Duration},
@@ -88,6 +88,10 @@
     AtLimit,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
     PoisonPart,
+    /// The request crashes the servers that run it, as it did before under other ids; it was not run.
+    PoisonRequest,
+    /// Servers crashed under the same request, and too few are left to try it now; it was not run.
+    OnTrial,
     /// The process is about to stop; the request was not run.
     Stopping,
     /// The request was sent to a server and failed, or its outcome is unknown.
@@ -99,6 +103,15 @@
     TimedOutUnsent,
 }
 
+impl From<SuspectKind> for RefusalKind {
+    fn from(kind: SuspectKind) -> Self {
+        match kind {
+            SuspectKind::Part => Self::PoisonPart,
+            SuspectKind::Request => Self::PoisonRequest,
+        }
+    }
+}
+
 impl RefusalKind {
     /// Whether the answer promises that the request has not run and never will.
     pub fn promises_not_run(self) -> bool {
@@ -109,6 +122,8 @@
                 | Self::NoServer
                 | Self::AtLimit
                 | Self::PoisonPart
+                | Self::PoisonRequest
+                | Self::OnTrial
                 | Self::Stopping
                 | Self::TimedOutUnsent
         )
@@ -131,6 +146,8 @@
             Self::NoServer => "no-server",
             Self::AtLimit => "at-limit",
             Self::PoisonPart => "poison-part",
+            Self::PoisonRequest => "poison-request",
+            Self::OnTrial => "on-trial",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
             Self::TimedOut => "timed-out",
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -35,6 +35,15 @@
     _in_flight: InFlight,
 }
 
+impl LiveAnswer {
+    /// Whether the head or the chunks say where the body ends, rather than the connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(http::header::CONTENT_LENGTH)
+            || headers.contains_key(http::header::TRANSFER_ENCODING)
+    }
+}
+
 /// Outcome of one send.
 pub(crate) enum SendOutcome {
     /// No byte of the request left this process.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -20,7 +20,7 @@
     http::{HeaderMap, Method, Request, Response, Uri},
     http_body_util::Full,
     hyper::body::Incoming,
-    poison::{PartsVerdict, PromptParts, RefusedPart, SuspectId},
+    poison::{RequestSuspects, SuspectVerdict},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -63,8 +63,7 @@
     pub(crate) service: ServiceName,
     workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
-    pub(crate) parts: PromptParts,
-    pub(crate) identity: SuspectId,
+    pub(crate) suspects: RequestSuspects,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -83,7 +82,7 @@
     /// Number of servers to which the request was sent.
     pub(crate) sends: u32,
     /// Whether a server may have run the request.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Servers whose connection broke before they had answered.
     pub(crate) crashes: u32,
     /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
@@ -127,11 +126,12 @@
         let (route, workspace) = find_route(&config, &caller, head.uri.path())?;
         self.shared.in_traffic.store(true, Ordering::Relaxed);
         let limit = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
-        self.admit_parts(&caller.id, &caller.parts)?;
         let service = pick_service(route)
             .ok_or(Refusal::until(RefusalKind::NoServer, DEFAULT_RETRY_AFTER))?;
         let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
         let body = read_body(body, config.limits.body_bytes, limit, &mut identity).await?;
+        let suspects = RequestSuspects::new(&caller.parts, identity.finish());
+        self.admit_suspects(&caller.id, &suspects)?;
         self.shared.budget.note_request(&service, began);
         Ok(CallContext {
             id: caller.id,
@@ -141,8 +141,7 @@
             service,
             workspace,
             model: caller.model,
-            parts: caller.parts,
-            identity: identity.finish(),
+            suspects,
             method: head.method,
             uri: head.uri,
             headers: head.headers,
@@ -152,17 +151,18 @@
         })
     }
 
-    /// Refuses a new request with a part that crashes servers, unless it is a probe.
-    fn admit_parts(&self, id: &RequestId, parts: &PromptParts) -> Result<(), Refusal> {
-        match self.shared.poison.admit(parts) {
-            PartsVerdict::Admitted => Ok(()),
-            PartsVerdict::Probed(part) => {
-                info!(id = %id, decision = "part-probed", %part, "request");
+    /// Refuses a new request that crashes servers, unless it is a probe.
+    fn admit_suspects(&self, id: &RequestId, suspects: &RequestSuspects) -> Result<(), Refusal> {
+        match self.shared.poison.admit(suspects) {
+            SuspectVerdict::Admitted => Ok(()),
+            SuspectVerdict::Probed(suspect) => {
+                info!(id = %id, decision = "suspect-probed", %suspect, "request");
                 Ok(())
             }
-            PartsVerdict::Refused(RefusedPart { part, left }) => {
-                info!(id = %id, decision = "part-refused", %part, left_s = left.as_secs(), "request");
-                Err(Refusal::until(RefusalKind::PoisonPart, left))
+            SuspectVerdict::Refused(refused) => {
+                info!(id = %id, decision = "suspect-refused", suspect = %refused.suspect,
+                    left_s = refused.left.as_secs(), "request");
+                Err(Refusal::until(refused.suspect.kind().into(), refused.left))
             }
         }
     }
@@ -226,8 +226,8 @@
                 Ok(response) => {
                     let now = self.shared.clock.now();
                     server.counters.note_success(now.since(began));
-                    if response.status().is_success() {
-                        self.shared.poison.note_sound(&ctx.parts);
+                    if !response.status().is_server_error() {
+                        self.shared.poison.note_sound(&ctx.suspects);
                     }
                     self.note_end(&ctx, "answered", response.status().as_u16());
                     return self.close_if_leaving(response.map(full_body));
@@ -239,7 +239,7 @@
                         "request");
                     if why.is_broken_connection() {
                         progress.crashes += 1;
-                        check_crash(&self.shared, &ctx, &server);
+                        check_crash(&self.shared, &ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
                         let refusal = self.final_refusal(&ctx, &progress);
@@ -262,7 +262,7 @@
             if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
                 return Err(self.final_refusal(ctx, progress));
             }
-            self.check_resend(ctx, progress)?;
+            self.check_suspects(ctx, progress)?;
             let Some(server) = self.next_server(ctx, progress).await else {
                 return Err(self.final_refusal(ctx, progress));
             };
@@ -316,7 +316,7 @@
                     info!(id = %ctx.id, decision = "lost", server = %server.id, %why, "request");
                     if why.is_broken_connection() {
                         progress.crashes += 1;
-                        check_crash(&self.shared, ctx, &server);
+                        check_crash(&self.shared, ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
                         return Err(self.final_refusal(ctx, progress));
@@ -326,25 +326,6 @@
         }
     }
 
-    /// Refuses to send a request again that may crash the next server too.
-    fn check_resend(&self, ctx: &CallContext, progress: &CallProgress) -> Result<(), Refusal> {
-        if progress.sends == 0 {
-            return Ok(());
-        }
-        let refused = self.shared.poison.refused(&ctx.parts);
-        let is_suspect = progress.crashes > 0 && self.shared.poison.is_suspect(&ctx.parts);
-        if refused.is_none() && !is_suspect {
-            return Ok(());
-        }
-        info!(id = %ctx.id, decision = "not-sent-again", parts = %ctx.parts, "request");
-        Err(match refused {
-            Some(refused) if !progress.may_have_run => {
-                Refusal::until(RefusalKind::PoisonPart, refused.left)
-            }
-            _ => self.final_refusal(ctx, progress),
-        })
-    }
-
     /// How long to wait for an answer head. Shorter than the remaining time if the request can be
     /// retried on another server.
     fn head_timeout(
@@ -387,7 +368,7 @@
 
     /// The refusal of a request that is not sent again. It tells the caller whether a server may
     /// have run the request.
-    fn final_refusal(&self, ctx: &CallContext, progress: &CallProgress) -> Refusal {
+    pub(crate) fn final_refusal(&self, ctx: &CallContext, progress: &CallProgress) -> Refusal {
         let now = self.shared.clock.now();
         let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
         let usual = match ctx.kind {
--- a/crates/relay/tests/identity.rs
+++ b/crates/relay/tests/identity.rs
@@ -3,7 +3,7 @@
 use {
     base::{ModelName, ServiceName, WorkspaceId},
     http::{Request, request},
-    poison::{PartId, PromptParts, SuspectId, SuspectKind},
+    poison::{PromptParts, SuspectId, SuspectKind},
     relay::{CallerHead, IdentityHasher, RequestId},
     std::time::Duration,
     yare::parameterized,
@@ -54,7 +54,7 @@
             key: None,
             deadline: Some(Duration::from_millis(self.deadline_ms)),
             model: self.model.map(|name| ModelName::new(name).unwrap()),
-            parts: PromptParts::new(self.parts.iter().map(|part| PartId(*part))),
+            parts: PromptParts::new(self.parts.iter().map(|part| SuspectId::part(*part))),
             last_event: None,
         };
         let service = ServiceName::new(self.service).unwrap();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -8,7 +8,7 @@
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
     http_body_util::Full,
     limit::NamedLimit,
-    poison::{PartId, PromptParts},
+    poison::{PromptParts, SuspectId},
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
         RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
@@ -152,7 +152,10 @@
                 .map(Duration::from_millis),
             model: None,
             parts: PromptParts::new(
-                get("x-parts").into_iter().flat_map(|text| text.split(',')).map(PartId::from_wire),
+                get("x-parts")
+                    .into_iter()
+                    .flat_map(|text| text.split(','))
+                    .map(SuspectId::from_wire),
             ),
             last_event: None,
         })
