--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -174,12 +174,12 @@
     }
 
     fn read_answer(&self, id: &RequestId, head: &response::Parts) -> AnswerFacts {
-        let echoed =
-            head.headers.get("x-id").is_some_and(|value| value.as_bytes() == id.0.as_bytes());
+        let echoed = head.headers.get("x-id").map(|value| value.as_bytes() == id.0.as_bytes());
         let verdict = match (echoed, head.headers.contains_key("x-not-run")) {
+            (Some(false), _) => Verdict::Foreign,
             (_, true) => Verdict::NotRun,
-            (true, false) => Verdict::Answered,
-            (false, false) => Verdict::Foreign,
+            (Some(true), false) => Verdict::Answered,
+            (None, false) => Verdict::Foreign,
         };
         let number = |name: &str| head.headers.get(name)?.to_str().ok()?.parse().ok();
         let leaving = head.headers.contains_key("x-leaving");
