Name refused requests in the metrics, and let operators admit them

gypsumfork_refused_suspect_seconds{kind,suspect} takes the place of gypsumfork_refused_part_seconds{part}; admitted_requests in the settings file lifts the refusal of a request by the id that stands in the logs, and is checked when the file is read. Tests: node settings.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -18,10 +18,11 @@
     },
 };
 
-/// Labels of a refused part of prompts.
+/// Labels of what is refused because it crashes servers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PartLabels {
-    part: String,
+struct SuspectLabels {
+    kind: String,
+    suspect: String,
 }
 
 /// Labels of a server with a limit.
@@ -38,7 +39,7 @@
     servers: Gauge,
     processes: Gauge,
     dropped: Gauge,
-    refused_parts: Family<PartLabels, Gauge<f64, AtomicU64>>,
+    refused_suspects: Family<SuspectLabels, Gauge<f64, AtomicU64>>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     own_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     view: Arc<NodeView>,
@@ -59,9 +60,9 @@
         registry.register("processes", "Processes with a row", processes.clone());
         let dropped = Gauge::default();
         registry.register("log_lines_dropped", "Lines over the budget", dropped.clone());
-        let refused_parts = Family::default();
-        let help = "Parts of prompts that are refused, with the time that is left, in seconds";
-        registry.register("refused_part_seconds", help, refused_parts.clone());
+        let refused_suspects = Family::default();
+        let help = "What is refused because it crashes servers, with the time left, in seconds";
+        registry.register("refused_suspect_seconds", help, refused_suspects.clone());
         let server_limits = Family::default();
         let help = "Requests per second that a server accepts from all processes together";
         registry.register("server_limit", help, server_limits.clone());
@@ -74,7 +75,7 @@
         Self {
             registry,
             dropped,
-            refused_parts,
+            refused_suspects,
             server_limits,
             own_limits,
             config_version,
@@ -96,10 +97,11 @@
         self.servers.set(self.shared.servers.load().all().count() as i64);
         self.processes.set(self.shared.processes.load(Ordering::Relaxed) as i64);
         self.dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
-        self.refused_parts.clear();
+        self.refused_suspects.clear();
         for refusal in self.shared.poison.refusals() {
-            let labels = PartLabels { part: refusal.suspect.to_string() };
-            self.refused_parts.get_or_create(&labels).set(refusal.left.as_secs_f64());
+            let kind = refusal.suspect.kind().to_string();
+            let labels = SuspectLabels { kind, suspect: refusal.suspect.to_string() };
+            self.refused_suspects.get_or_create(&labels).set(refusal.left.as_secs_f64());
         }
         self.server_limits.clear();
         self.own_limits.clear();
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -59,7 +59,7 @@
     }
 
     /// Reads the file again and applies the settings that can change at run time: the limit on
-    /// retries, the grace time and the admitted prompt parts. All others need a restart.
+    /// retries, the grace time, the admitted prompt parts and requests. All others need a restart.
     pub fn reload(&mut self) -> ReloadOutcome {
         self.changed = change_time(&self.path).ok();
         let loaded = match load_settings(&self.path) {
@@ -72,6 +72,7 @@
         self.in_force.retries = loaded.retries;
         self.in_force.grace_s = loaded.grace_s;
         self.in_force.admitted_parts.clone_from(&loaded.admitted_parts);
+        self.in_force.admitted_requests.clone_from(&loaded.admitted_requests);
         ReloadOutcome::Applied { needs_restart: self.in_force.differing_fields(&loaded) }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -134,7 +134,7 @@
     let budget = RetryBudget::new(settings.retry_limits(), clock.now());
     let shared = Arc::new(RelayShared::new(clock, budget, signs));
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
-    shared.poison.set_admitted(settings.admitted_parts());
+    shared.poison.set_admitted(settings.admitted());
     // Until it knows the others, this process must not take the rate of a server for its own.
     shared.limits.set_processes(&own.node, Vec::new());
     let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
@@ -251,7 +251,7 @@
             ReloadOutcome::Unchanged => info!(decision = "reload", changed = false, "process"),
             ReloadOutcome::Applied { needs_restart } => {
                 self.shared.budget.set_limits(file.settings().retry_limits());
-                self.shared.poison.set_admitted(file.settings().admitted_parts());
+                self.shared.poison.set_admitted(file.settings().admitted());
                 info!(decision = "reload", changed = true, needs_restart = ?needs_restart,
                     "process");
             }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{FailureDomainId, HostId, RegionId},
-    poison::SuspectId,
+    poison::{SuspectId, SuspectKind},
     relay::RetryLimits,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -121,6 +121,9 @@
     /// that no longer crashes servers.
     #[serde(default)]
     pub admitted_parts: Vec<SmolStr>,
+    /// Ids of requests that are never refused as ones that crash servers, as in the logs.
+    #[serde(default)]
+    pub admitted_requests: Vec<SmolStr>,
 }
 
 /// Default of `grace_s`, for platforms that kill a process 8 s after SIGTERM.
@@ -149,6 +152,7 @@
             ("grace_s", self.grace_s != other.grace_s),
             ("metrics_port", self.metrics_port != other.metrics_port),
             ("admitted_parts", self.admitted_parts != other.admitted_parts),
+            ("admitted_requests", self.admitted_requests != other.admitted_requests),
         ];
         differences.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
     }
@@ -162,9 +166,10 @@
         }
     }
 
-    /// The prompt parts that are never refused.
-    pub fn admitted_parts(&self) -> BTreeSet<SuspectId> {
-        self.admitted_parts.iter().map(|id| SuspectId::from_wire(id)).collect()
+    /// The prompt parts and requests that are never refused as ones that crash servers.
+    pub fn admitted(&self) -> BTreeSet<SuspectId> {
+        let parts = self.admitted_parts.iter().map(|id| SuspectId::from_wire(id));
+        parts.chain(self.admitted_requests.iter().filter_map(|id| read_request_id(id))).collect()
     }
 
     /// The address for gossip messages and connections from other processes.
@@ -192,5 +197,12 @@
     range(finite(settings.retries.slack), "repeats.slack", "must be 0 or more")?;
     range(settings.retries.window_s > 0.0, "repeats.window_s", "must be above 0")?;
     range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
+    let are_requests = settings.admitted_requests.iter().all(|id| read_request_id(id).is_some());
+    range(are_requests, "admitted_requests", "must be ids of requests: 32 hexadecimal digits")?;
     Ok(settings)
 }
+
+/// The id of a request, if the text is one.
+fn read_request_id(text: &str) -> Option<SuspectId> {
+    text.parse().ok().filter(|id: &SuspectId| id.kind() == SuspectKind::Request)
+}
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -90,12 +90,30 @@
 fn admitted_parts_apply_without_a_restart() {
     let path = file(GOOD);
     let mut settings = SettingsFile::open(path.clone()).unwrap();
-    assert!(settings.settings().admitted_parts().is_empty());
+    assert!(settings.settings().admitted().is_empty());
     fs::write(&path, format!("{GOOD}admitted_parts: [\"91bd3f06\", e4402b7d]\n")).unwrap();
     let ReloadOutcome::Applied { needs_restart } = settings.reload() else { panic!("not taken") };
     assert!(needs_restart.is_empty(), "{needs_restart:?}");
     let expected = [SuspectId::part(0x91bd_3f06), SuspectId::part(0xe440_2b7d)];
-    assert_eq!(settings.settings().admitted_parts(), expected.into());
+    assert_eq!(settings.settings().admitted(), expected.into());
+    fs::remove_file(path).unwrap();
+}
+
+/// An operator lifts the refusal of a request, whose id stands in the logs.
+#[test]
+fn admitted_requests_apply_without_a_restart() {
+    let path = file(GOOD);
+    let mut settings = SettingsFile::open(path.clone()).unwrap();
+    let request = SuspectId::request(0x91bd_3f06);
+    fs::write(&path, format!("{GOOD}admitted_requests: [\"{request}\"]\n")).unwrap();
+    let ReloadOutcome::Applied { needs_restart } = settings.reload() else { panic!("not taken") };
+    assert!(needs_restart.is_empty(), "{needs_restart:?}");
+    assert_eq!(settings.settings().admitted(), [request].into());
+    fs::write(&path, format!("{GOOD}admitted_requests: [\"91bd3f06\"]\n")).unwrap();
+    let ReloadOutcome::Refused { error } = settings.reload() else {
+        panic!("a part is no request")
+    };
+    assert!(error.to_string().contains("admitted_requests"), "{error}");
     fs::remove_file(path).unwrap();
 }
 
