--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -26,15 +26,19 @@
 mod sound_log;
 mod suspect;
 mod tracker;
+mod trial;
 mod turn;
 mod update;
+mod verdict;
 
 pub use crate::{
     prompt::PromptParts,
     refusal::RefusedSuspect,
     settings::{EvidenceThreshold, PoisonSettings},
     suspect::{RequestSuspects, SuspectId, SuspectKind},
-    tracker::{NewRefusal, PoisonTracker, RequestTrial, SuspectVerdict},
+    tracker::PoisonTracker,
+    trial::RequestTrial,
     turn::turn_giver,
     update::{CrashNotice, PoisonUpdate, RefusalNotice, SoundNotice},
+    verdict::{NewRefusal, SuspectVerdict},
 };
--- a/crates/poison/src/tracker.rs
+++ b/crates/poison/src/tracker.rs
@@ -8,8 +8,10 @@
         settings::{EvidenceThreshold, PoisonSettings},
         sound_log::SoundLog,
         suspect::{RequestSuspects, SuspectId, SuspectKind},
+        trial::RequestTrial,
         turn::TurnList,
         update::{CrashNotice, PoisonUpdate, RefusalNotice, SoundNotice},
+        verdict::{NewRefusal, SuspectVerdict},
     },
     base::{HostId, Tick},
     std::{
@@ -35,63 +37,8 @@
 /// Suspects of each kind that are known to be sound, at least.
 const SOUND_PARTS: usize = 4_096;
 const SOUND_REQUESTS: usize = 2_048;
-/// Time after which a server that crashed is taken to be back.
-const DOWN_TIME: Duration = Duration::from_secs(4);
 /// How long a crash is repeated; it counts for longer where it is known.
 const REPEATED_FOR: Duration = Duration::from_secs(120);
-/// What happens to a new request with its suspects.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SuspectVerdict {
-    /// It is sent.
-    Admitted,
-    /// It is sent to see whether this refused suspect still crashes its server.
-    Probed(SuspectId),
-    /// It is refused.
-    Refused(RefusedSuspect),
-}
-
-/// A suspect that is refused from now on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NewRefusal {
-    /// The suspect.
-    pub suspect: SuspectId,
-    /// Crashes that name it.
-    pub crashes: usize,
-    /// Different prompts that had it.
-    pub prompts: usize,
-    /// How long it is refused.
-    pub term: Duration,
-    /// Whether it was sound before these crashes.
-    pub was_sound: bool,
-    /// Whether there were crashes at the same time that do not name it.
-    pub has_other_crashes: bool,
-}
-
-/// A request that may be the cause of crashes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestTrial {
-    /// When servers crashed under it.
-    crashes: Vec<Tick>,
-}
-
-impl RequestTrial {
-    /// Whether it may be sent to a server of a service with `healthy` servers. It may take down at most
-    /// half of the servers of a service at a time, and not the last one of several.
-    ///
-    /// `listed` also counts those that are not healthy.
-    pub fn may_be_sent(&self, healthy: usize, listed: usize, now: Tick) -> bool {
-        let down = self.crashes.iter().filter(|at| now.since(**at) < DOWN_TIME).count();
-        let most_down = ((healthy + down) / 2).max(1);
-        down < most_down && (healthy > 1 || listed == 1)
-    }
-
-    /// When the first of the servers that it crashed may be back.
-    pub fn wait(&self, now: Tick) -> Duration {
-        let waits = self.crashes.iter().map(|at| (*at + DOWN_TIME).since(now));
-        waits.filter(|wait| !wait.is_zero()).min().unwrap_or_default()
-    }
-}
-
 /// What one process knows about crashes and suspects.
 #[derive(Debug)]
 pub struct PoisonTracker {
@@ -523,7 +470,7 @@
         let first = *crashes.iter().min()?;
         let sound = self.last_sound(request);
         let was_sound = sound.is_some_and(|at| first.since(at) <= self.settings.sound_memory);
-        (!was_sound).then_some(RequestTrial { crashes })
+        (!was_sound).then(|| RequestTrial::new(crashes))
     }
 
     /// Gives the turn at trying a request to a process, unless another one has it.
