Take a crash back when the server answers a later request

A process that is cut off from sound servers, and whose new connections are refused, takes each broken connection for a crash and tells everybody; with the trials of requests, sound ones that were in flight there would be held back at all processes for seconds. A crash is the end of one incarnation, so an answer of that incarnation to a request that was sent later refutes it. Each process drops such crashes by what it sees itself, and does not take them from others again.

Test: poison tracker, an_answer_refutes_an_earlier_crash (needs the new call; without the memory of answers its last but one check fails, as the crash comes back from the cut process).

--- a/crates/poison/src/crash_log.rs
+++ b/crates/poison/src/crash_log.rs
@@ -7,7 +7,7 @@
     },
     base::{HostId, Tick},
     std::{
-        collections::{BTreeSet, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
     },
 };
@@ -68,6 +68,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct CrashLog {
     crashes: VecDeque<ServerCrash>,
+    /// When servers that were said to have crashed were sent requests which they answered.
+    answered: BTreeMap<HostId, Tick>,
 }
 
 impl CrashLog {
@@ -75,8 +77,23 @@
         self.crashes.is_empty()
     }
 
-    /// Adds a request of a crash at `at`; false if it was known.
+    /// Drops the crashes of a server that has answered a request which was sent later: it had not
+    /// crashed, but was cut off from the process that said so. Returns whether there were any.
+    pub(crate) fn note_answer(&mut self, server: &HostId, sent_at: Tick) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| crash.server != *server || crash.at >= sent_at);
+        let is_refuted = self.crashes.len() < before;
+        if is_refuted || self.answered.contains_key(server) {
+            self.answered.insert(server.clone(), sent_at);
+        }
+        is_refuted
+    }
+
+    /// Adds a request of a crash at `at`; false if it was known, or if the server has answered since.
     pub(crate) fn insert(&mut self, notice: &CrashNotice, at: Tick) -> bool {
+        if self.answered.get(&notice.server).is_some_and(|answered| *answered > at) {
+            return false;
+        }
         let request = CrashedRequest { prompt: notice.prompt, suspects: notice.suspects.clone() };
         let is_same = |crash: &&mut ServerCrash| {
             crash.server == notice.server && crash.at.since(at).max(at.since(crash.at)) < SAME_CRASH
@@ -139,6 +156,7 @@
     /// Drops the crashes before `limit`.
     pub(crate) fn expire(&mut self, limit: Tick) {
         self.crashes.retain(|crash| crash.at >= limit);
+        self.answered.retain(|_, at| *at >= limit);
     }
 
     /// The suspects that crashes name.
--- a/crates/poison/src/tracker.rs
+++ b/crates/poison/src/tracker.rs
@@ -102,6 +102,12 @@
         self.crashes.has_recent(server, now)
     }
 
+    /// Records that a server answered a request that was sent at `sent_at`, which refutes crashes of it
+    /// before. Returns whether there were any.
+    pub fn note_answer(&mut self, server: &HostId, sent_at: Tick) -> bool {
+        self.crashes.note_answer(server, sent_at)
+    }
+
     /// Records a request of this process at a server that crashed. Returns whether it is new.
     pub fn note_crash(&mut self, notice: CrashNotice, now: Tick) -> bool {
         let is_new = self.insert_crash(&notice, now);
--- a/crates/poison/tests/tracker.rs
+++ b/crates/poison/tests/tracker.rs
@@ -447,3 +447,25 @@
     assert_ne!(turn_giver(BAD_REQUEST, &live), Some(&first));
     assert_eq!(turn_giver(BAD_REQUEST, &[]), None);
 }
+
+/// A process that was cut off from sound servers, whose new connections were refused, took them for
+/// crashed, and requests that had been in flight there were held back everywhere.
+#[test]
+fn an_answer_refutes_an_earlier_crash() {
+    let mut tracker = new_tracker(1);
+    let server = |number: u64| notice(number, &[], 0).server;
+    for number in 0..2 {
+        plain_crash(&mut tracker, number, &[SOUND_REQUEST], 1_000 + 100 * number);
+    }
+    let repeated = tracker.evidence_to_repeat(at(1_150));
+    assert_eq!(repeated.crashes.len(), 2);
+    assert!(!tracker.note_answer(&server(0), at(900)), "it was sent before");
+    assert!(tracker.note_answer(&server(0), at(1_200)));
+    assert!(tracker.trial(SOUND_REQUEST).is_some(), "one crash is left");
+    assert!(tracker.note_answer(&server(1), at(1_210)));
+    assert_eq!(tracker.trial(SOUND_REQUEST), None);
+    tracker.receive(&repeated, at(1_150));
+    assert_eq!(tracker.trial(SOUND_REQUEST), None, "the cut process says so again");
+    plain_crash(&mut tracker, 1, &[SOUND_REQUEST], 2_000);
+    assert!(tracker.trial(SOUND_REQUEST).is_some(), "a crash since");
+}
--- a/crates/relay/src/poison_watch.rs
+++ b/crates/relay/src/poison_watch.rs
@@ -138,6 +138,13 @@
         self.tracker.lock().knows_crash(server, self.clock.now())
     }
 
+    /// Records that a server answered a request that was sent at `sent_at`.
+    pub(crate) fn note_answer(&self, server: &ServerId, sent_at: Tick) {
+        if self.tracker.lock().note_answer(server, sent_at) {
+            info!(decision = "crash-refuted", %server, "poison");
+        }
+    }
+
     /// Records that an answer to a request went on past its beginning.
     pub(crate) fn note_sound(&self, suspects: &RequestSuspects) {
         let freed = self.tracker.lock().note_sound(suspects, self.clock.now());
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -100,6 +100,7 @@
         if let Some(report) = facts.load {
             server.counters.note_load(report, now);
         }
+        self.poison.note_answer(&server.id, sent_at);
         self.limits.note_answer(&server.id, facts.limit, sent_at, "request");
         if let Some(span) = facts.quiet {
             server.counters.note_quiet(now, span);
