Probe a refused request only after a minute, whatever else crashed

Soak broke the bound: four late copies of two requests each. The early probe is for weak evidence, and crashes beside those under one request counted as such; for a part they may, for one request that ended three servers they are no sign of coincidence.

--- a/crates/poison/src/tracker.rs
+++ b/crates/poison/src/tracker.rs
@@ -420,7 +420,8 @@
 
     fn refuse(&mut self, new: &NewRefusal, now: Tick) {
         let NewRefusal { suspect, term, was_sound, has_other_crashes, .. } = *new;
-        let is_weak = was_sound || has_other_crashes;
+        // Other crashes beside those under one request do not make its own a coincidence.
+        let is_weak = was_sound || (has_other_crashes && suspect.kind() == SuspectKind::Part);
         let probe = if is_weak { self.settings.early_probe } else { self.settings.probe_interval };
         let refusal = SuspectRefusal {
             since: now,
--- a/crates/poison/tests/tracker.rs
+++ b/crates/poison/tests/tracker.rs
@@ -469,3 +469,20 @@
     plain_crash(&mut tracker, 1, &[SOUND_REQUEST], 2_000);
     assert!(tracker.trial(SOUND_REQUEST).is_some(), "a crash since");
 }
+
+/// A request that crashed three servers while others crashed too was sent once more 1.2 s later, and
+/// crashed a fourth (soak seed 9000032).
+#[test]
+fn a_refused_request_is_not_probed_soon() {
+    let mut tracker = new_tracker(1);
+    for server in 0..3 {
+        plain_crash(&mut tracker, server, &[BAD_REQUEST], 1_000 + 200 * server);
+        plain_crash(&mut tracker, 10 + server, &[SOUND_REQUEST], 1_050 + 200 * server);
+    }
+    tracker.evaluate(at(1_600));
+    assert!(tracker.refused(&plain(BAD_REQUEST), at(1_600)).is_some());
+    let verdict = tracker.admit(&plain(BAD_REQUEST), at(3_000));
+    assert!(matches!(verdict, SuspectVerdict::Refused(_)), "{verdict:?}");
+    let probed = tracker.admit(&plain(BAD_REQUEST), at(62_000));
+    assert_eq!(probed, SuspectVerdict::Probed(BAD_REQUEST));
+}
