Give no address to two servers of one test

A port was closed again after it was chosen, and the system chose it once more for the next one. The addresses that were given out are kept now.

The collision itself is not provoked by a test: the system's choice cannot be.

--- a/crates/e2e/src/shape.rs
+++ b/crates/e2e/src/shape.rs
@@ -9,8 +9,12 @@
         settings::{DomainSettings, EngineSettings, ServiceSettings},
     },
     std::{
+        collections::BTreeSet,
         net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::{
+            Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
     },
 };
 
@@ -87,12 +91,16 @@
     IpAddr::V4(Ipv4Addr::new(127, high, low, node as u8 + 2))
 }
 
-/// A port on `ip` that is free for TCP and UDP.
+/// The addresses given out by this process. The system may choose a port again once it is closed.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
+/// A port on `ip` that is free for TCP and UDP, and was not given out before.
 fn free_address(ip: IpAddr) -> SocketAddr {
     loop {
         let listener = TcpListener::bind((ip, 0)).expect("a loopback address can be bound");
         let address = listener.local_addr().expect("a bound socket has an address");
-        if UdpSocket::bind(address).is_ok() {
+        let is_free = UdpSocket::bind(address).is_ok();
+        if is_free && GIVEN.lock().expect("no test panics while it holds it").insert(address) {
             return address;
         }
     }
