--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -222,7 +222,8 @@
                 },
             }
         }
-        info!(decision = "stopping", "process");
+        let signalled_at = self.shared.clock.now();
+        info!(decision = "stopping", requests = self.shared.work.len(), "process");
         self.shared.leaving.store(true, Ordering::Relaxed);
         let _ = phase.send(StopPhase::Leaving);
         let grace = file.settings().grace();
@@ -238,7 +239,9 @@
         tokio::join!(handover, sleep(leave_time));
         let _ = phase.send(StopPhase::Draining);
         if tokio::time::timeout_at(deadline, serving).await.is_err() {
-            warn!(decision = "stopped", unfinished = true, "process");
+            self.log_open_requests(signalled_at);
+            let requests = self.shared.work.len();
+            warn!(decision = "stopped", unfinished = true, requests, "process");
         } else {
             info!(decision = "stopped", unfinished = false, "process");
         }
@@ -246,6 +249,17 @@
         Ok(())
     }
 
+    /// Logs each request that the end of the process cuts.
+    fn log_open_requests(&self, signalled_at: Tick) {
+        let now = self.shared.clock.now();
+        for request in self.shared.work.snapshot() {
+            let took_ms = now.since(request.began).as_millis() as u64;
+            let after_signal_ms = request.began.since(signalled_at).as_millis() as u64;
+            warn!(id = %request.id, decision = "cut-by-stop", kind = request.kind,
+                stage = %request.stage, took_ms, after_signal_ms, "request");
+        }
+    }
+
     fn reload(&self, file: &mut SettingsFile) {
         match file.reload() {
             ReloadOutcome::Unchanged => info!(decision = "reload", changed = false, "process"),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod service;
 mod shared;
 pub mod standing;
+mod trace;
 
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -79,7 +79,7 @@
     }
 
     pub(crate) fn note_send(&self, kind: RequestKind, is_retry: bool) {
-        let labels = KindLabels { kind: kind_label(kind) };
+        let labels = KindLabels { kind: kind.label() };
         self.sends.get_or_create(&labels).inc();
         if is_retry {
             self.retries.get_or_create(&labels).inc();
@@ -92,16 +92,14 @@
     }
 
     pub(crate) fn note_first_event(&self, kind: RequestKind, wait: Duration) {
-        let labels = KindLabels { kind: kind_label(kind) };
+        let labels = KindLabels { kind: kind.label() };
         self.first_event.get_or_create(&labels).observe(wait.as_secs_f64());
     }
 
     /// Counts a request whose answer had begun when it ended. `outcome` becomes a metric label.
     pub(crate) fn note_end(&self, kind: RequestKind, outcome: &'static str, took: Duration) {
-        self.ends.get_or_create(&EndLabels { kind: kind_label(kind), outcome }).inc();
-        self.answer
-            .get_or_create(&KindLabels { kind: kind_label(kind) })
-            .observe(took.as_secs_f64());
+        self.ends.get_or_create(&EndLabels { kind: kind.label(), outcome }).inc();
+        self.answer.get_or_create(&KindLabels { kind: kind.label() }).observe(took.as_secs_f64());
     }
 
     /// Counts a refusal. `outcome` becomes a metric label. The kind is "any" because a request can
@@ -110,11 +108,3 @@
         self.ends.get_or_create(&EndLabels { kind: "any", outcome }).inc();
     }
 }
-
-fn kind_label(kind: RequestKind) -> &'static str {
-    match kind {
-        RequestKind::Safe => "safe",
-        RequestKind::Unsafe => "unsafe",
-        RequestKind::Stream { .. } => "stream",
-    }
-}
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -160,6 +160,7 @@
         let body = PieceBody { pieces: received, ended: false }.boxed_unsync();
         let response = service.close_if_leaving(Response::from_parts(head, body));
         let splitter = EventSplitter::new(None);
+        ctx.trace.start_streaming();
         let pump = Self {
             service,
             ctx,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -39,6 +39,15 @@
         matches!(self, Self::Safe | Self::Stream { resumable: true })
     }
 
+    /// Label of the kind in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Stream { .. } => "stream",
+        }
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -14,6 +14,7 @@
         server::{BackendServer, ServerId},
         shared::RelayShared,
         standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
+        trace::RequestTrace,
     },
     base::{ServiceName, Tick, WorkspaceId},
     bytes::Bytes,
@@ -72,6 +73,7 @@
     pub(crate) began: Tick,
     /// When the caller's deadline or the route's timeout runs out, whichever is earlier.
     pub(crate) expires_at: Tick,
+    pub(crate) trace: Arc<RequestTrace>,
 }
 
 /// State of one request that changes with each send.
@@ -104,13 +106,15 @@
             Ok(caller) => caller,
             Err(error) => {
                 info!(decision = "refused", why = %error, "request");
-                return self.refuse(None, Refusal::new(RefusalKind::BadHead), began);
+                return self.refuse(None, Refusal::new(RefusalKind::BadHead));
             }
         };
-        let id = caller.id.clone();
-        match self.clone().admit(head, caller, body, began).await {
+        let clock = self.shared.clock.clone();
+        let trace = RequestTrace::begin(&self.shared.work, clock, caller.id.clone(), began);
+        let trace = Arc::new(trace);
+        match self.clone().admit(head, caller, body, trace.clone()).await {
             Ok(ctx) => self.serve(ctx).await,
-            Err(refusal) => self.refuse(Some(&id), refusal, began),
+            Err(refusal) => self.refuse(Some(&trace), refusal),
         }
     }
 
@@ -120,10 +124,12 @@
         head: http::request::Parts,
         caller: CallerHead,
         body: Incoming,
-        began: Tick,
+        trace: Arc<RequestTrace>,
     ) -> Result<CallContext, Refusal> {
+        let began = trace.began;
         let config = self.admitting_config(&caller, head.uri.path()).await?;
         let (route, workspace) = find_route(&config, &caller, head.uri.path())?;
+        trace.set_kind(route.kind);
         self.shared.in_traffic.store(true, Ordering::Relaxed);
         let limit = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
         let service = pick_service(route)
@@ -148,6 +154,7 @@
             body,
             began,
             expires_at: began + limit,
+            trace,
         })
     }
 
@@ -201,13 +208,11 @@
     /// once it is complete.
     async fn serve(self: Arc<Self>, ctx: CallContext) -> Response<RelayBody> {
         let mut progress = CallProgress::default();
-        let began = ctx.began;
-        let id = ctx.id.clone();
         let streams = ctx.kind.is_stream();
         loop {
             let answer = match self.send_until_answered(&ctx, &mut progress).await {
                 Ok(answer) => answer,
-                Err(refusal) => return self.refuse(Some(&id), refusal, began),
+                Err(refusal) => return self.refuse(Some(&ctx.trace), refusal),
             };
             if streams && answer.head.status.is_success() {
                 return StreamPump::start(self, ctx, progress, answer);
@@ -225,7 +230,7 @@
             match collect_answer(&self.codec, &self.shared.buffers, answer, remaining).await {
                 Ok(response) => {
                     let now = self.shared.clock.now();
-                    server.counters.note_success(now.since(began));
+                    server.counters.note_success(now.since(ctx.began));
                     if !response.status().is_server_error() {
                         self.shared.poison.note_sound(&ctx.suspects);
                     }
@@ -243,7 +248,7 @@
                     }
                     if !ctx.kind.is_retryable() {
                         let refusal = self.final_refusal(&ctx, &progress);
-                        return self.refuse(Some(&id), refusal, began);
+                        return self.refuse(Some(&ctx.trace), refusal);
                     }
                 }
             }
@@ -390,18 +395,19 @@
         }
     }
 
-    fn refuse(&self, id: Option<&RequestId>, refusal: Refusal, began: Tick) -> Response<RelayBody> {
-        let took_ms = self.shared.clock.now().since(began).as_millis() as u64;
+    /// Builds the answer to a refused request; `trace` is `None` if its head could not be decoded.
+    fn refuse(&self, trace: Option<&RequestTrace>, refusal: Refusal) -> Response<RelayBody> {
         self.shared.metrics.note_refusal(refusal.kind.code());
-        match id {
-            Some(id) if refusal.kind.rests_on_config() => {
+        if let Some(trace) = trace {
+            let (id, took_ms) = (&trace.id, trace.took_ms());
+            if refusal.kind.rests_on_config() {
                 self.log_config_refusal(id, refusal.kind, took_ms);
-            }
-            Some(id) => {
+            } else {
                 info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms, "request");
             }
-            None => {}
+            trace.end();
         }
+        let id = trace.map(|trace| &trace.id);
         self.close_if_leaving(self.codec.refuse(id, &refusal).map(full_body))
     }
 
@@ -423,6 +429,7 @@
         self.shared.metrics.note_end(ctx.kind, outcome, took);
         let took_ms = took.as_millis() as u64;
         info!(id = %ctx.id, decision = "ended", outcome, status, took_ms, "request");
+        ctx.trace.end();
     }
 
     /// Adds `connection: close` to a response if this process is about to stop, so that the caller
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -18,6 +18,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize},
     },
+    stop::OpenWork,
     tokio::sync::{mpsc, watch},
     tracing::info,
 };
@@ -49,6 +50,8 @@
     pub in_traffic: AtomicBool,
     /// Whether answers ask callers to close their connections, because this process is about to stop.
     pub leaving: AtomicBool,
+    /// Requests that have begun and not ended.
+    pub work: Arc<OpenWork>,
     /// Metrics of requests and sends.
     pub metrics: RelayMetrics,
     /// Parts of prompts that crash servers.
@@ -74,6 +77,7 @@
             processes: AtomicUsize::new(1),
             in_traffic: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            work: Arc::default(),
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
             limits: LimitWatch::new(clock.clone()),
