Begin only work that a stopping process can finish, and answer the rest

Cause: a process took on work without asking whether it could still end it, and its end dropped what ran and told nobody. For 4 s after SIGTERM requests were served as ever, also streams of up to 8 s; 7.6 s after it the process returned. The class: a promise whose time the promiser does not have, and an end that is a dropped future.

Ruled out as its cause: streams broken by the handover (no stream-broken line before a cut), answers lost in closing (all cuts at one moment; two requests that no process had read are another matter).

Now a request is begun, sent again or resumed only if its own time limit ends before the last answers are due; otherwise it is refused as not run, to go elsewhere at once. The phases are types (crate stop), the steps are in node::stopping.

Relay stops: 17 cases.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -124,7 +124,7 @@
         let own = PeerHeartbeat {
             incarnation: self.own.incarnation,
             counter: self.round.load(Ordering::Relaxed),
-            leaving: self.shared.leaving.load(Ordering::Relaxed),
+            leaving: self.shared.stop.is_stopping(),
         };
         let config = self.view.config_claim();
         GossipMessage {
@@ -147,7 +147,7 @@
     /// neither while it is about to stop.
     fn refresh_processes(&self) {
         let now = self.shared.clock.now();
-        let is_leaving = self.shared.leaving.load(Ordering::Relaxed);
+        let is_leaving = self.shared.stop.is_stopping();
         let live: Vec<HostId> = self.view.with(|state| {
             let live = state.members.live_members(now).map(|(node, _)| node);
             live.filter(|node| !is_leaving || **node != self.own.node).cloned().collect()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod http;
 pub mod logs;
 pub mod members;
+mod membership;
 mod metrics;
 pub mod owners;
 pub mod page_cache;
@@ -34,6 +35,7 @@
 mod server_list;
 pub mod settings;
 pub mod share;
+mod stopping;
 pub mod store_reads;
 pub mod view;
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,19 +11,18 @@
         peers::PeerSocket,
         ports::{AddressCodec, EngineAccess, PlatformWatch},
         reload::{CHECK_INTERVAL, ReloadOutcome, SettingsFile},
-        rows::{MemberRow, RowName, RowOwner},
+        rows::RowOwner,
         settings::NodeSettings,
         share::{SharedWatch, StoreCaches, serve_caches},
+        stopping::StoppedTasks,
         view::NodeView,
     },
-    base::{BootClock, Incarnation, SharedClock, Tick},
+    base::{BootClock, Incarnation, SharedClock},
     bytes::Bytes,
     http::{Response, StatusCode},
     http_body_util::Full,
-    infra::{TableStore, Transaction},
-    relay::{
-        RelayService, RelayShared, RequestCodec, RetryBudget, ServerSign, StopPhase, serve_callers,
-    },
+    infra::TableStore,
+    relay::{RelayService, RelayShared, RequestCodec, RetryBudget, ServerSign, serve_callers},
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -32,32 +31,17 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::Duration,
     },
+    stop::{PlannedStop, StopSettings},
     tokio::{
         net::TcpListener,
         signal::unix::{SignalKind, signal},
-        sync::{mpsc, watch},
-        time::{sleep, timeout},
+        sync::mpsc,
     },
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
 
-/// Time from SIGTERM until the port for callers is closed; longer than callers cache addresses.
-/// Limited to [`MAX_LEAVE_SHARE`] of the grace time, so that the last requests can still finish
-/// within it.
-const LEAVE_TIME: Duration = Duration::from_millis(4_000);
-/// Largest share of the grace time that [`LEAVE_TIME`] may take.
-const MAX_LEAVE_SHARE: f64 = 0.5;
-/// How long before the end of the grace time the process exits even with unfinished requests.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Pause before this process checks again whether it is ready to register, or repeats a failed
-/// write of its member row.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Time after a write of the member row until the row watch must have shown it; then the store has
-/// lost the row.
-const REWRITE_DELAY: Duration = Duration::from_millis(2_500);
 /// Queue length for the control loop's updates about group heads. Updates are dropped while the
 /// queue is full, because newer ones follow.
 const HEAD_UPDATE_QUEUE: usize = 16;
@@ -101,7 +85,7 @@
 
 /// State shared by the tasks of a process.
 pub(crate) struct NodeRuntime {
-    settings: NodeSettings,
+    pub(crate) settings: NodeSettings,
     pub(crate) own: RowOwner,
     pub(crate) shared: Arc<RelayShared>,
     pub(crate) view: Arc<NodeView>,
@@ -162,12 +146,12 @@
     {
         let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
         let mut reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+        let planned = PlannedStop::new(self.shared.stop.clone());
         let stop = CancellationToken::new();
-        let (phase, phases) = watch::channel(StopPhase::Running);
         let listen = &self.settings.listen;
         let callers = bind(listen.callers).await?;
         let service = Arc::new(RelayService::new(ports.requests, self.shared.clone()));
-        let serving = tokio::spawn(serve_callers(callers, service, phases));
+        let serving = tokio::spawn(serve_callers(callers, service));
         self.serve_http(listen.ready, self.readiness_responder(ports.addresses.clone()), &stop)
             .await?;
         self.serve_http(listen.addresses, self.address_responder(ports.addresses), &stop).await?;
@@ -222,44 +206,13 @@
                 },
             }
         }
-        let signalled_at = self.shared.clock.now();
-        info!(decision = "stopping", requests = self.shared.work.len(), "process");
-        self.shared.leaving.store(true, Ordering::Relaxed);
-        let _ = phase.send(StopPhase::Leaving);
-        let grace = file.settings().grace();
-        let leave_time = LEAVE_TIME.min(grace.mul_f64(MAX_LEAVE_SHARE));
-        let deadline = tokio::time::Instant::now() + grace.saturating_sub(GRACE_MARGIN);
-        joining.abort();
-        control_stop.cancel();
-        self.send_to_all(&self.message());
-        let deregister_member = self.deregister_member(&*ports.table);
-        let handover = async {
-            let _ = timeout(leave_time, async { tokio::join!(deregister_member, control) }).await;
-        };
-        tokio::join!(handover, sleep(leave_time));
-        let _ = phase.send(StopPhase::Draining);
-        if tokio::time::timeout_at(deadline, serving).await.is_err() {
-            self.log_open_requests(signalled_at);
-            let requests = self.shared.work.len();
-            warn!(decision = "stopped", unfinished = true, requests, "process");
-        } else {
-            info!(decision = "stopped", unfinished = false, "process");
-        }
+        let settings = StopSettings::within(file.settings().grace());
+        let tasks = StoppedTasks { serving, joining, control, control_stop };
+        self.stop_in_order(planned, &settings, tasks, &*ports.table).await;
         stop.cancel();
         Ok(())
     }
 
-    /// Logs each request that the end of the process cuts.
-    fn log_open_requests(&self, signalled_at: Tick) {
-        let now = self.shared.clock.now();
-        for request in self.shared.work.snapshot() {
-            let took_ms = now.since(request.began).as_millis() as u64;
-            let after_signal_ms = request.began.since(signalled_at).as_millis() as u64;
-            warn!(id = %request.id, decision = "cut-by-stop", kind = request.kind,
-                stage = %request.stage, took_ms, after_signal_ms, "request");
-        }
-    }
-
     fn reload(&self, file: &mut SettingsFile) {
         match file.reload() {
             ReloadOutcome::Unchanged => info!(decision = "reload", changed = false, "process"),
@@ -292,7 +245,7 @@
             if !codec.is_readiness_probe(request.uri()) {
                 return empty(StatusCode::NOT_FOUND);
             }
-            let leaving = runtime.shared.leaving.load(Ordering::Relaxed);
+            let leaving = runtime.shared.stop.is_stopping();
             let ready = !leaving && runtime.view.with(|state| state.is_ready());
             empty(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         })
@@ -317,48 +270,6 @@
         let metrics = NodeMetrics::new(self.view.clone(), self.shared.clone());
         Arc::new(move |_| Response::new(Full::new(Bytes::from(metrics.render()))))
     }
-
-    /// Writes this process's member row once it can serve requests, and again whenever the store has
-    /// lost it.
-    async fn register_member<T: TableStore>(
-        self: Arc<Self>,
-        table: Arc<T>,
-        stop: CancellationToken,
-    ) {
-        let row = MemberRow {
-            incarnation: self.own.incarnation,
-            peers: self.settings.peer_address(),
-            callers: self.settings.listen.callers,
-            failure_domain: self.settings.failure_domain.clone(),
-        };
-        let value = serde_json::to_string(&row).expect("a row of plain values always serializes");
-        let key = RowName::Member(self.own.node.clone()).key();
-        let mut written_at: Option<Tick> = None;
-        while !stop.is_cancelled() {
-            let now = self.shared.clock.now();
-            let is_due = self
-                .view
-                .with(|state| state.is_ready() && !state.members.has_own_row(self.own.incarnation));
-            if is_due && written_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY) {
-                let transaction = Transaction::default().put(key.clone(), value.clone());
-                match table.commit(transaction).await {
-                    Ok(_) => {
-                        info!(decision = "row-written", again = written_at.is_some(), "state");
-                        written_at = Some(now);
-                    }
-                    Err(error) => warn!(why = %error, "failed to write the member row"),
-                }
-            }
-            sleep(REGISTER_RETRY_DELAY).await;
-        }
-    }
-
-    async fn deregister_member<T: TableStore>(&self, table: &T) {
-        let key = RowName::Member(self.own.node.clone()).key();
-        if let Err(error) = table.commit(Transaction::default().delete(key)).await {
-            warn!(why = %error, "failed to delete the member row");
-        }
-    }
 }
 
 type HttpResponder =
--- /dev/null
+++ b/crates/node/src/stopping.rs
@@ -0,0 +1,129 @@
+//! The steps of a planned stop, from SIGTERM to the end of the process.
+
+use {
+    crate::run::NodeRuntime,
+    base::Tick,
+    infra::TableStore,
+    std::time::Duration,
+    stop::{Draining, Ending, Leaving, PlannedStop, Running, StopSettings, WorkCounts},
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, sleep_until, timeout, timeout_at},
+    },
+    tokio_util::sync::CancellationToken,
+    tracing::{info, warn},
+};
+
+/// The tasks that a stop ends or waits for.
+pub(crate) struct StoppedTasks {
+    /// Serves callers until all their connections have ended.
+    pub(crate) serving: JoinHandle<()>,
+    /// Writes the member row.
+    pub(crate) joining: JoinHandle<()>,
+    /// Owns fabric domains until `control_stop` is cancelled and they are handed over.
+    pub(crate) control: JoinHandle<()>,
+    pub(crate) control_stop: CancellationToken,
+}
+
+/// When the steps of a stop are due.
+struct StopDeadlines {
+    signalled_at: Tick,
+    port_closes: Instant,
+    answers_due: Instant,
+    exit: Instant,
+}
+
+impl StopDeadlines {
+    fn new(settings: &StopSettings, signalled_at: Tick) -> Self {
+        let now = Instant::now();
+        Self {
+            signalled_at,
+            port_closes: now + settings.port_closes_after,
+            answers_due: now + settings.answers_due_after,
+            exit: now + settings.exits_after,
+        }
+    }
+}
+
+impl NodeRuntime {
+    /// Stops the process: callers and peers go elsewhere, what has begun ends, and what has not ended
+    /// shortly before the kill is told so.
+    pub(crate) async fn stop_in_order<T: TableStore>(
+        &self,
+        planned: PlannedStop<Running>,
+        settings: &StopSettings,
+        tasks: StoppedTasks,
+        table: &T,
+    ) {
+        let StoppedTasks { mut serving, joining, control, control_stop } = tasks;
+        let signalled_at = self.shared.clock.now();
+        let deadlines = StopDeadlines::new(settings, signalled_at);
+        let ended_before = self.shared.work.ended();
+        let leaving = planned.leave(settings, signalled_at);
+        let grace_ms = settings.grace.as_millis() as u64;
+        info!(decision = "stopping", requests = self.shared.work.len(), grace_ms, "process");
+        joining.abort();
+        control_stop.cancel();
+        self.send_to_all(&self.message());
+        let draining = self.leave(leaving, settings, &deadlines, control, table).await;
+        self.drain(draining, &deadlines, &mut serving).await;
+        self.log_end(&deadlines, self.shared.work.ended() - ended_before);
+    }
+
+    /// Hands over what this process owns while callers learn of other processes.
+    async fn leave<T: TableStore>(
+        &self,
+        leaving: PlannedStop<Leaving>,
+        settings: &StopSettings,
+        deadlines: &StopDeadlines,
+        control: JoinHandle<()>,
+        table: &T,
+    ) -> PlannedStop<Draining> {
+        let handover = async {
+            let work = async { tokio::join!(self.deregister_member(table), control) };
+            if timeout(settings.port_closes_after, work).await.is_err() {
+                warn!(decision = "handover-incomplete", "process");
+            }
+        };
+        tokio::join!(handover, sleep_until(deadlines.port_closes));
+        leaving.drain()
+    }
+
+    /// Waits until all requests have ended, and ends the others when their answers are due.
+    async fn drain(
+        &self,
+        draining: PlannedStop<Draining>,
+        deadlines: &StopDeadlines,
+        serving: &mut JoinHandle<()>,
+    ) {
+        if timeout_at(deadlines.answers_due, &mut *serving).await.is_ok() {
+            return;
+        }
+        let _ending: PlannedStop<Ending> = draining.end();
+        // The connections end once the last answers are written.
+        if timeout_at(deadlines.exit, serving).await.is_err() {
+            self.log_open_requests(deadlines.signalled_at);
+        }
+    }
+
+    /// Logs each request that has no end, although its answer is overdue.
+    fn log_open_requests(&self, signalled_at: Tick) {
+        let now = self.shared.clock.now();
+        let millis = |span: Duration| span.as_millis() as u64;
+        for request in self.shared.work.snapshot() {
+            warn!(id = %request.id, decision = "open-at-exit", kind = request.kind,
+                stage = %request.stage, took_ms = millis(now.since(request.began)),
+                after_signal_ms = millis(request.began.since(signalled_at)), "request");
+        }
+    }
+
+    fn log_end(&self, deadlines: &StopDeadlines, ended: WorkCounts) {
+        let took_ms = self.shared.clock.now().since(deadlines.signalled_at).as_millis() as u64;
+        let open = self.shared.work.len();
+        let WorkCounts { whole, refused, unknown, cut, abandoned } = ended;
+        info!(
+            decision = "stopped",
+            took_ms, whole, refused, unknown, cut, abandoned, open, "process"
+        );
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod service;
 mod shared;
 pub mod standing;
+mod stopping;
 mod trace;
 
 pub use crate::{
@@ -49,7 +50,7 @@
     poison_watch::{PoisonWatch, TurnQuestion},
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
     retry::{RetryBudget, RetryLimits},
-    serve::{StopPhase, serve_callers},
+    serve::serve_callers,
     server::{BackendServer, ServerCounters, ServerId, ServerLoad, ServerTable},
     service::RelayService,
     shared::{RelayShared, ServerSign},
--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -30,12 +30,14 @@
     ) -> bool {
         let table = self.shared.servers.load();
         let now = self.shared.clock.now();
-        self.open_candidates(&table, ctx, now).any(|other| {
-            other.id != server.id
-                && !progress.tried.contains(&other.id)
-                && other.counters.accepts(now)
-                && !other.counters.in_backoff(now)
-        })
+        let mut others = self.open_candidates(&table, ctx, now);
+        self.can_finish(ctx)
+            && others.any(|other| {
+                other.id != server.id
+                    && !progress.tried.contains(&other.id)
+                    && other.counters.accepts(now)
+                    && !other.counters.in_backoff(now)
+            })
     }
 
     /// The server for the next send, or `None` if the route allows no further send, no server can
@@ -112,14 +114,15 @@
             .filter(move |server| self.shared.limits.room(&server.id, 0, now) != ServerRoom::Full)
     }
 
-    /// Whether a retry is possible: the route allows a further send, enough time remains, and some
-    /// server is neither tried nor in back-off.
+    /// Whether a retry is possible: the route allows a further send, enough time remains, also until
+    /// this process ends, and some server is neither tried nor in back-off.
     /// Does not consult the retry budget.
     pub(crate) fn has_retry_target(&self, ctx: &CallContext, progress: &CallProgress) -> bool {
         let table = self.shared.servers.load();
         let now = self.shared.clock.now();
         let mut servers = self.open_candidates(&table, ctx, now);
         progress.sends < ctx.attempts
+            && self.can_finish(ctx)
             && ctx.expires_at.since(now) >= MIN_REMAINING
             && servers.any(|server| {
                 let counters = &server.counters;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -17,13 +17,14 @@
     hyper::body::{Body, Frame},
     snafu::Snafu,
     std::{
-        pin::Pin,
+        pin::{Pin, pin},
         sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
+    stop::WorkEnd,
     tokio::{sync::mpsc, time::timeout},
-    tracing::info,
+    tracing::{info, warn},
 };
 
 /// The body of an answer to a caller.
@@ -107,6 +108,8 @@
     Broken(LossCause),
     /// The caller's deadline or the route's timeout has passed.
     OutOfTime,
+    /// This process ends before the stream does.
+    Stopping,
 }
 
 /// How long a stream has had no event. A span in which this process itself was stopped counts as at
@@ -184,15 +187,19 @@
             let why = match end {
                 ForwardEnd::Whole => {
                     let _ = self.pieces.send(Piece::End).await;
-                    self.service.note_end(&self.ctx, "whole stream", 200);
+                    self.service.note_end(&self.ctx, WorkEnd::Whole, "whole stream", 200);
                     return;
                 }
                 ForwardEnd::CallerLeft => {
-                    self.service.note_end(&self.ctx, "caller left", 0);
+                    self.service.note_end(&self.ctx, WorkEnd::Abandoned, "caller left", 0);
                     return;
                 }
                 ForwardEnd::OutOfTime => {
-                    self.service.note_end(&self.ctx, "cut: out of time", 0);
+                    self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: out of time", 0);
+                    return;
+                }
+                ForwardEnd::Stopping => {
+                    self.note_stopped();
                     return;
                 }
                 ForwardEnd::Broken(why) => why,
@@ -219,17 +226,21 @@
     /// that fails, logs the end of the request and returns `None`.
     async fn resume(&mut self) -> Option<Box<LiveAnswer>> {
         if self.ctx.kind() != (RequestKind::Stream { resumable: true }) {
-            self.service.note_end(&self.ctx, "cut: not resumable", 0);
+            self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumable", 0);
             return None;
         }
         if self.first_event_sent && self.splitter.last_id().is_none() {
-            self.service.note_end(&self.ctx, "cut: events without ids", 0);
+            self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: events without ids", 0);
             return None;
         }
         self.progress.last_event = self.splitter.last_id();
         let resumed = tokio::select! {
             () = self.pieces.closed() => {
-                self.service.note_end(&self.ctx, "caller left", 0);
+                self.service.note_end(&self.ctx, WorkEnd::Abandoned, "caller left", 0);
+                return None;
+            }
+            () = self.service.ending() => {
+                self.note_stopped();
                 return None;
             }
             resumed = self.service.send_until_answered(&self.ctx, &mut self.progress) => resumed,
@@ -238,21 +249,33 @@
             Ok(answer) if answer.head.status.is_success() => Some(answer),
             Ok(answer) => {
                 let status = answer.head.status.as_u16();
-                self.service.note_end(&self.ctx, "cut: resume failed", status);
+                self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: resume failed", status);
                 None
             }
             Err(refusal) => {
                 let why = refusal.kind.code();
                 info!(id = %self.ctx.id, decision = "not-resumed", why, "request");
-                self.service.note_end(&self.ctx, "cut: not resumed", 0);
+                self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumed", 0);
                 None
             }
         }
     }
 
+    fn note_stopped(&self) {
+        let shared = &self.service.shared;
+        let took_ms = self.ctx.trace.took_ms();
+        let after = self.splitter.last_id().unwrap_or(0);
+        warn!(id = %self.ctx.id, decision = "cut-by-stop", kind = self.ctx.kind().label(), took_ms,
+            after, since_signal_ms = shared.stop.since_signal(shared.clock.now())
+                .map(|span| span.as_millis() as u64), "request");
+        self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: stopping", 0);
+    }
+
     /// Forwards events from one server until its answer ends or fails.
     async fn forward(&mut self, answer: &mut LiveAnswer) -> ForwardEnd {
         let clock = self.service.shared.clock.clone();
+        let service = self.service.clone();
+        let mut ending = pin!(service.ending());
         let mut idle = IdleTime::new(clock.now());
         loop {
             let remaining = self.ctx.expires_at.since(clock.now());
@@ -263,6 +286,7 @@
                 if self.first_event_sent { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
             let frame = tokio::select! {
                 () = self.pieces.closed() => return ForwardEnd::CallerLeft,
+                () = &mut ending => return ForwardEnd::Stopping,
                 frame = timeout(STALL_THRESHOLD.min(remaining), answer.body.frame()) => frame,
             };
             let frame = match frame {
@@ -312,8 +336,12 @@
                 answer.server.counters.note_success(wait);
                 self.service.shared.metrics.note_first_event(self.ctx.kind(), wait);
             }
-            if self.pieces.send(Piece::Events(events)).await.is_err() {
-                return ForwardEnd::CallerLeft;
+            tokio::select! {
+                biased;
+                sent = self.pieces.send(Piece::Events(events)) => if sent.is_err() {
+                    return ForwardEnd::CallerLeft;
+                },
+                () = &mut ending => return ForwardEnd::Stopping,
             }
         }
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -101,8 +101,10 @@
     PoisonRequest,
     /// Servers crashed under the same request, and too few are left to try it now; it was not run.
     OnTrial,
-    /// The process is about to stop; the request was not run.
+    /// The process is about to stop and the request may last longer; it was not run.
     Stopping,
+    /// The process had to stop while a server may have been running the request.
+    CutShort,
     /// The request was sent to a server and failed, or its outcome is unknown.
     Failed,
     /// The time ran out after the request was sent to a server, which may have run it.
@@ -138,6 +140,11 @@
         )
     }
 
+    /// Whether a server may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Failed | Self::TimedOut | Self::CutShort)
+    }
+
     /// Whether a newer configuration could have admitted the request.
     pub fn rests_on_config(self) -> bool {
         matches!(self, Self::UnknownKey | Self::NoRoute | Self::ConfigInDoubt)
@@ -158,6 +165,7 @@
             Self::PoisonRequest => "poison-request",
             Self::OnTrial => "on-trial",
             Self::Stopping => "stopping",
+            Self::CutShort => "cut-short",
             Self::Failed => "failed",
             Self::TimedOut => "timed-out",
             Self::TimedOutUnsent => "timed-out-unsent",
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,10 +5,8 @@
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::watch,
-    },
+    stop::StopPhase,
+    tokio::net::{TcpListener, TcpStream},
     tracing::{debug, warn},
 };
 
@@ -20,33 +18,19 @@
 /// first, so that no request arrives at a connection that the server has just closed.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
 
-/// Phases of the shutdown of a process, in order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StopPhase {
-    /// Serves without restrictions.
-    Running,
-    /// Serves, and asks callers to connect to another process.
-    Leaving,
-    /// Accepts no new connections, closes idle ones and finishes requests that are running.
-    Draining,
-}
-
 /// Accepts callers until the phase is [`StopPhase::Draining`], and returns once all connections
 /// have ended.
-pub async fn serve_callers<C: RequestCodec>(
-    listener: TcpListener,
-    service: Arc<RelayService<C>>,
-    mut phase: watch::Receiver<StopPhase>,
-) {
+pub async fn serve_callers<C: RequestCodec>(listener: TcpListener, service: Arc<RelayService<C>>) {
+    let stop = service.shared.stop.clone();
     let tracker = tokio_util::task::TaskTracker::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_until_draining(&mut phase) => break,
+            () = stop.reached(StopPhase::Draining) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                tracker.spawn(serve_connection(stream, service.clone(), phase.clone()));
+                tracker.spawn(serve_connection(stream, service.clone()));
             }
             Err(error) => {
                 warn!(%error, "failed to accept a connection");
@@ -61,11 +45,8 @@
 
 /// Serves one connection until it ends. In the phase [`StopPhase::Draining`] it ends after the
 /// request that is running.
-async fn serve_connection<C: RequestCodec>(
-    stream: TcpStream,
-    service: Arc<RelayService<C>>,
-    mut phase: watch::Receiver<StopPhase>,
-) {
+async fn serve_connection<C: RequestCodec>(stream: TcpStream, service: Arc<RelayService<C>>) {
+    let stop = service.shared.stop.clone();
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "failed to disable Nagle's algorithm on a caller's connection");
         return;
@@ -84,7 +65,7 @@
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = wait_until_draining(&mut phase) => {
+        () = stop.reached(StopPhase::Draining) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -93,8 +74,3 @@
         debug!(%error, "a caller's connection failed");
     }
 }
-
-/// Returns when the phase is [`StopPhase::Draining`] or when its sender was dropped.
-async fn wait_until_draining(phase: &mut watch::Receiver<StopPhase>) {
-    let _ = phase.wait_for(|phase| *phase == StopPhase::Draining).await;
-}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -26,6 +26,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
+    stop::WorkEnd,
     tokio::time::{Instant, timeout_at},
     tracing::info,
 };
@@ -85,6 +86,8 @@
     pub(crate) sends: u32,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
+    /// Whether a send has begun whose outcome is not known.
+    pub(crate) is_sending: bool,
     /// Servers whose connection broke before they had answered.
     pub(crate) crashes: u32,
     /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
@@ -112,7 +115,12 @@
         let clock = self.shared.clock.clone();
         let trace = RequestTrace::begin(&self.shared.work, clock, caller.id.clone(), began);
         let trace = Arc::new(trace);
-        match self.clone().admit(head, caller, body, trace.clone()).await {
+        let admitted = tokio::select! {
+            biased;
+            admitted = self.clone().admit(head, caller, body, trace.clone()) => admitted,
+            () = self.ending() => Err(self.stop_refusal()),
+        };
+        match admitted {
             Ok(ctx) => self.serve(ctx).await,
             Err(refusal) => self.refuse(Some(&trace), refusal),
         }
@@ -136,6 +144,11 @@
             .ok_or(Refusal::until(RefusalKind::NoServer, DEFAULT_RETRY_AFTER))?;
         let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
         let body = read_body(body, config.limits.body_bytes, limit, &mut identity).await?;
+        let expires_at = began + limit;
+        // After the body: closing a connection with unread bytes can lose the answer.
+        if !self.shared.stop.covers(expires_at) {
+            return Err(self.stop_refusal());
+        }
         let suspects = RequestSuspects::new(&caller.parts, identity.finish());
         self.admit_suspects(&caller.id, &suspects)?;
         self.shared.budget.note_request(&service, began);
@@ -153,7 +166,7 @@
             headers: head.headers,
             body,
             began,
-            expires_at: began + limit,
+            expires_at,
             trace,
         })
     }
@@ -208,17 +221,32 @@
     /// once it is complete.
     async fn serve(self: Arc<Self>, ctx: CallContext) -> Response<RelayBody> {
         let mut progress = CallProgress::default();
+        let served = tokio::select! {
+            biased;
+            served = self.fetch_answer(&ctx, &mut progress) => served,
+            () = self.ending() => Err(self.cut_short(&progress)),
+        };
+        match served {
+            Ok(FetchedAnswer::Whole(response)) => self.close_if_leaving(response.map(full_body)),
+            Ok(FetchedAnswer::Stream(answer)) => StreamPump::start(self, ctx, progress, answer),
+            Err(refusal) => self.refuse(Some(&ctx.trace), refusal),
+        }
+    }
+
+    /// Sends a request until there is an answer to pass on.
+    async fn fetch_answer(
+        &self,
+        ctx: &CallContext,
+        progress: &mut CallProgress,
+    ) -> Result<FetchedAnswer, Refusal> {
         let streams = ctx.kind.is_stream();
         loop {
-            let answer = match self.send_until_answered(&ctx, &mut progress).await {
-                Ok(answer) => answer,
-                Err(refusal) => return self.refuse(Some(&ctx.trace), refusal),
-            };
+            let answer = self.send_until_answered(ctx, progress).await?;
             if streams && answer.head.status.is_success() {
-                return StreamPump::start(self, ctx, progress, answer);
+                return Ok(FetchedAnswer::Stream(answer));
             }
             let failed = answer.head.status.is_server_error();
-            if failed && ctx.kind.is_retryable() && self.has_retry_target(&ctx, &progress) {
+            if failed && ctx.kind.is_retryable() && self.has_retry_target(ctx, progress) {
                 let status = answer.head.status.as_u16();
                 info!(id = %ctx.id, decision = "again", server = %answer.server.id, status,
                     why = "server failed", "request");
@@ -234,8 +262,9 @@
                     if !response.status().is_server_error() {
                         self.shared.poison.note_sound(&ctx.suspects);
                     }
-                    self.note_end(&ctx, "answered", response.status().as_u16());
-                    return self.close_if_leaving(response.map(full_body));
+                    let status = response.status().as_u16();
+                    self.note_end(ctx, WorkEnd::Whole, "answered", status);
+                    return Ok(FetchedAnswer::Whole(response));
                 }
                 Err(why) => {
                     progress.may_have_run = true;
@@ -244,11 +273,10 @@
                         "request");
                     if why.is_broken_connection() {
                         progress.crashes += 1;
-                        check_crash(&self.shared, &ctx, &server).await;
+                        check_crash(&self.shared, ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
-                        let refusal = self.final_refusal(&ctx, &progress);
-                        return self.refuse(Some(&ctx.trace), refusal);
+                        return Err(self.final_refusal(ctx, progress));
                     }
                 }
             }
@@ -267,6 +295,9 @@
             if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
                 return Err(self.final_refusal(ctx, progress));
             }
+            if !self.can_finish(ctx) {
+                return Err(self.cut_short(progress));
+            }
             self.check_suspects(ctx, progress).await?;
             let Some(server) = self.next_server(ctx, progress).await else {
                 return Err(self.final_refusal(ctx, progress));
@@ -284,7 +315,10 @@
                 load = server.counters.load(now), send = progress.sends + 1,
                 left_ms = remaining.as_millis() as u64, "request");
             let sent_at = self.shared.clock.now();
-            match send_call(&self.codec, &ctx.id, &server, request, wait).await {
+            progress.is_sending = true;
+            let outcome = send_call(&self.codec, &ctx.id, &server, request, wait).await;
+            progress.is_sending = false;
+            match outcome {
                 SendOutcome::Answer(answer, facts) => {
                     progress.note_send(&server);
                     progress.may_have_run = true;
@@ -403,9 +437,16 @@
             if refusal.kind.rests_on_config() {
                 self.log_config_refusal(id, refusal.kind, took_ms);
             } else {
-                info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms, "request");
+                let stop_left = self.shared.stop.time_left(self.shared.clock.now());
+                let stop_left_ms = stop_left.map(|left| left.as_millis() as u64);
+                info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms,
+                    stop_left_ms, "request");
             }
-            trace.end();
+            trace.end(if refusal.kind.may_have_run() {
+                WorkEnd::Unknown
+            } else {
+                WorkEnd::Refused
+            });
         }
         let id = trace.map(|trace| &trace.id);
         self.close_if_leaving(self.codec.refuse(id, &refusal).map(full_body))
@@ -424,18 +465,24 @@
     /// Counts and logs the end of a request whose answer has begun. `outcome` is a metric label and
     /// a log value. `status` is 0 for a stream that ended early, unless a server answered the request
     /// to resume it with an error status.
-    pub(crate) fn note_end(&self, ctx: &CallContext, outcome: &'static str, status: u16) {
+    pub(crate) fn note_end(
+        &self,
+        ctx: &CallContext,
+        end: WorkEnd,
+        outcome: &'static str,
+        status: u16,
+    ) {
         let took = self.shared.clock.now().since(ctx.began);
         self.shared.metrics.note_end(ctx.kind, outcome, took);
         let took_ms = took.as_millis() as u64;
         info!(id = %ctx.id, decision = "ended", outcome, status, took_ms, "request");
-        ctx.trace.end();
+        ctx.trace.end(end);
     }
 
     /// Adds `connection: close` to a response if this process is about to stop, so that the caller
     /// opens its next connection to another process.
     pub(crate) fn close_if_leaving<B>(&self, mut response: Response<B>) -> Response<B> {
-        if self.shared.leaving.load(Ordering::Relaxed) {
+        if self.shared.stop.is_stopping() {
             let close = http::HeaderValue::from_static("close");
             response.headers_mut().insert(http::header::CONNECTION, close);
         }
@@ -453,6 +500,14 @@
     }
 }
 
+/// What a request is answered with.
+enum FetchedAnswer {
+    /// A complete answer.
+    Whole(Response<Full<Bytes>>),
+    /// A stream that has begun.
+    Stream(Box<LiveAnswer>),
+}
+
 impl CallProgress {
     fn note_send(&mut self, server: &BackendServer) {
         self.tried.push(server.id.clone());
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -18,7 +18,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize},
     },
-    stop::OpenWork,
+    stop::{OpenWork, StopWatch},
     tokio::sync::{mpsc, watch},
     tracing::info,
 };
@@ -48,8 +48,8 @@
     /// the route requires one, a known key. The node also sets it when a peer says so, and at a
     /// start that is not the first. Never reset.
     pub in_traffic: AtomicBool,
-    /// Whether answers ask callers to close their connections, because this process is about to stop.
-    pub leaving: AtomicBool,
+    /// Whether and how this process is about to stop.
+    pub stop: StopWatch,
     /// Requests that have begun and not ended.
     pub work: Arc<OpenWork>,
     /// Metrics of requests and sends.
@@ -76,7 +76,7 @@
             budget,
             processes: AtomicUsize::new(1),
             in_traffic: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            stop: StopWatch::default(),
             work: Arc::default(),
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -3,11 +3,8 @@
 use {
     crate::request::{RequestId, RequestKind},
     base::{SharedClock, Tick},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    stop::{OpenWork, WorkGuard},
+    std::sync::Arc,
+    stop::{OpenWork, WorkEnd, WorkGuard},
     tracing::info,
 };
 
@@ -18,7 +15,6 @@
     pub(crate) began: Tick,
     clock: SharedClock,
     guard: WorkGuard,
-    ended: AtomicBool,
 }
 
 impl RequestTrace {
@@ -29,7 +25,7 @@
         began: Tick,
     ) -> Self {
         let guard = work.begin(id.0.clone(), began);
-        Self { id, began, clock, guard, ended: AtomicBool::new(false) }
+        Self { id, began, clock, guard }
     }
 
     pub(crate) fn set_kind(&self, kind: RequestKind) {
@@ -46,16 +42,13 @@
     }
 
     /// Records that the request's last line was logged.
-    pub(crate) fn end(&self) {
-        self.ended.store(true, Ordering::Relaxed);
+    pub(crate) fn end(&self, end: WorkEnd) {
+        self.guard.end(end);
     }
 }
 
 impl Drop for RequestTrace {
     fn drop(&mut self) {
-        if self.ended.load(Ordering::Relaxed) {
-            return;
-        }
         let Some(request) = self.guard.request() else { return };
         info!(id = %self.id, decision = "dropped", kind = request.kind, stage = %request.stage,
             took_ms = self.took_ms(), "request");
--- a/crates/relay/tests/outcomes.rs
+++ b/crates/relay/tests/outcomes.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    relay::{RequestKind, StopPhase},
+    relay::RequestKind,
     std::{sync::atomic::Ordering, time::Duration},
     support::{Behavior, ScriptedServer, TestRelay},
     tokio::time::sleep,
@@ -197,10 +197,10 @@
 async fn a_planned_stop_finishes_what_runs_and_takes_no_more() {
     let server = ScriptedServer::start(COMPLETE).await;
     let relay = TestRelay::start(RequestKind::Safe, &[&server]).await;
-    relay.shared.leaving.store(true, Ordering::Relaxed);
+    let leaving = relay.stop(Duration::from_secs(5));
     let answer = relay.ask(KEY).await;
     assert!(answer.contains("connection: close"), "{answer}");
-    relay.phase.send(StopPhase::Draining).unwrap();
+    leaving.drain();
     sleep(Duration::from_millis(100)).await;
     assert!(tokio::net::TcpStream::connect(relay.address).await.is_err());
 }
--- /dev/null
+++ b/crates/relay/tests/stops.rs
@@ -0,0 +1,154 @@
+//! Requests around a planned stop.
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod support;
+
+use {
+    relay::RequestKind,
+    std::time::Duration,
+    support::{Behavior, ScriptedServer, TestRelay},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::sleep,
+    },
+    yare::parameterized,
+};
+
+const KEY: &str = "x-key: k\r\n";
+const COMPLETE: Behavior =
+    Behavior::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok");
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\
+     transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+/// Is reset 50 ms after its first event.
+const BROKEN_STREAM: Behavior = Behavior::SendAndReset(STREAM_HEAD);
+const ENDLESS_STREAM: Behavior =
+    Behavior::Endless(STREAM_HEAD, "4\r\n: x\n\r\n", Duration::from_millis(20));
+const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
+const ONCE: RequestKind = RequestKind::Stream { resumable: false };
+/// Shorter than the timeout of the route, 3 s.
+const SHORT_REST: Duration = Duration::from_millis(400);
+
+/// A stopping process took on work that could outlast it, and cut it at its end.
+#[parameterized(
+    safe = { RequestKind::Safe },
+    not_idempotent = { RequestKind::Unsafe },
+    stream = { RESUMABLE },
+    stream_once = { ONCE },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_that_may_outlast_the_process_is_refused_unsent(kind: RequestKind) {
+    let server = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(kind, &[&server]).await;
+    let _leaving = relay.stop(SHORT_REST);
+    let answer = relay.ask(KEY).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.contains("x-retry-ms: 0"), "another process can take it at once: {answer}");
+    assert!(answer.ends_with("stopping"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+#[parameterized(
+    safe = { RequestKind::Safe },
+    not_idempotent = { RequestKind::Unsafe },
+    stream = { RESUMABLE },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_that_ends_before_the_process_is_served(kind: RequestKind) {
+    let server = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(kind, &[&server]).await;
+    let _leaving = relay.stop(SHORT_REST);
+    let answer = relay.ask(&format!("{KEY}x-deadline: 250\r\n")).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// The end of a process dropped the requests that still ran, and told nobody.
+#[parameterized(
+    safe = { RequestKind::Safe },
+    not_idempotent = { RequestKind::Unsafe },
+    stream = { RESUMABLE },
+    stream_once = { ONCE },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_that_still_runs_at_the_end_is_told_that_it_may_have_run(kind: RequestKind) {
+    let server = ScriptedServer::start(Behavior::Hang).await;
+    let relay = TestRelay::start(kind, &[&server]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(150)).await;
+        let draining = relay.stop(Duration::from_secs(5)).drain();
+        sleep(Duration::from_millis(50)).await;
+        draining.end();
+    };
+    let (answer, ()) = tokio::join!(asked, stopped);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(answer.ends_with("cut-short"), "{answer}");
+}
+
+#[parameterized(stream = { RESUMABLE }, stream_once = { ONCE })]
+#[test_macro(tokio::test)]
+async fn a_stream_that_still_runs_at_the_end_does_not_look_whole(kind: RequestKind) {
+    let server = ScriptedServer::start(ENDLESS_STREAM).await;
+    let relay = TestRelay::start(kind, &[&server]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(150)).await;
+        relay.stop(Duration::from_secs(5)).drain().end();
+    };
+    let (answer, ()) = tokio::join!(asked, stopped);
+    assert!(answer.contains("data: a"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(relay.shared.work.ended().cut, 1);
+}
+
+/// A body that is still arriving at the end was never sent on.
+#[tokio::test]
+async fn a_request_without_its_whole_body_at_the_end_is_told_that_it_did_not_run() {
+    let server = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&server]).await;
+    let mut caller = TcpStream::connect(relay.address).await.unwrap();
+    let head = "POST /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-key: k\r\n\
+                transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    relay.stop(Duration::from_secs(5)).drain().end();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(server.count(), 0);
+}
+
+/// A request that runs on past the end of the grace time is not sent to a second server.
+#[parameterized(safe = { RequestKind::Safe }, stream = { RESUMABLE })]
+#[test_macro(tokio::test)]
+async fn a_retry_that_may_outlast_the_process_is_not_made(kind: RequestKind) {
+    let broken = Behavior::Paced(&["HTTP/1.1 200 OK\r\nx-id: other\r\n\r\n"], SHORT_REST);
+    let first = ScriptedServer::start(broken).await;
+    let second = ScriptedServer::start(broken).await;
+    let relay = TestRelay::start(kind, &[&first, &second]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(100)).await;
+        relay.stop(Duration::from_secs(1))
+    };
+    let (answer, _leaving) = tokio::join!(asked, stopped);
+    assert_eq!(first.count() + second.count(), 1);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
+
+/// Its caller goes on at another process, which has the time for the rest.
+#[tokio::test]
+async fn a_broken_stream_that_may_outlast_the_process_is_not_resumed() {
+    let first = ScriptedServer::start(BROKEN_STREAM).await;
+    let second = ScriptedServer::start(BROKEN_STREAM).await;
+    let relay = TestRelay::start(RESUMABLE, &[&first, &second]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(20)).await;
+        relay.stop(SHORT_REST)
+    };
+    let (answer, _leaving) = tokio::join!(asked, stopped);
+    assert!(answer.contains("data: a") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(first.count() + second.count(), 1);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -12,8 +12,8 @@
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
         RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
-        RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit, StopPhase,
-        Verdict, WorkspaceRule, serve_callers,
+        RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit, Verdict,
+        WorkspaceRule, serve_callers,
     },
     socket2::SockRef,
     std::{
@@ -25,10 +25,11 @@
         },
         time::Duration,
     },
+    stop::{Leaving, PlannedStop, StopSettings},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        sync::{mpsc, watch},
+        sync::mpsc,
         time::{sleep, timeout},
     },
 };
@@ -213,7 +214,6 @@
 /// A relay that serves callers on loopback.
 pub(crate) struct TestRelay {
     pub(crate) address: SocketAddr,
-    pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) shared: Arc<RelayShared>,
     signs: tokio::sync::Mutex<mpsc::Receiver<ServerSign>>,
 }
@@ -248,10 +248,16 @@
         let shared = Arc::new(shared);
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (phase, phases) = watch::channel(StopPhase::Running);
         let service = Arc::new(RelayService::new(TestCodec, shared.clone()));
-        tokio::spawn(serve_callers(listener, service, phases));
-        Self { address, phase, shared, signs: tokio::sync::Mutex::new(received_signs) }
+        tokio::spawn(serve_callers(listener, service));
+        Self { address, shared, signs: tokio::sync::Mutex::new(received_signs) }
+    }
+
+    /// Tells the relay to stop, with its last answers due after a time.
+    pub(crate) fn stop(&self, answers_due_after: Duration) -> PlannedStop<Leaving> {
+        let settings = StopSettings { answers_due_after, ..StopSettings::default() };
+        let now = self.shared.clock.now();
+        PlannedStop::new(self.shared.stop.clone()).leave(&settings, now)
     }
 
     /// Sends one request and reads until the connection is closed, or for 5 s at most.
--- a/crates/stop/src/open_work.rs
+++ b/crates/stop/src/open_work.rs
@@ -1,10 +1,10 @@
-//! Requests that have begun and not ended.
+//! Requests that have begun and not ended, and how the others ended.
 
 use {
     base::Tick,
     parking_lot::Mutex,
     smol_str::SmolStr,
-    std::{collections::BTreeMap, fmt, sync::Arc},
+    std::{collections::BTreeMap, fmt, ops::Sub, sync::Arc},
 };
 
 /// How far the answer to a request has come.
@@ -25,6 +25,50 @@
     }
 }
 
+/// How a request ended, as far as its caller can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkEnd {
+    /// With the whole answer of a server.
+    Whole,
+    /// With an answer that it did not run, or that it is not allowed.
+    Refused,
+    /// With an answer that leaves open whether it ran.
+    Unknown,
+    /// In the middle of its answer.
+    Cut,
+    /// The caller left before its end.
+    Abandoned,
+}
+
+/// Numbers of requests by their ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkCounts {
+    /// See [`WorkEnd::Whole`].
+    pub whole: u64,
+    /// See [`WorkEnd::Refused`].
+    pub refused: u64,
+    /// See [`WorkEnd::Unknown`].
+    pub unknown: u64,
+    /// See [`WorkEnd::Cut`].
+    pub cut: u64,
+    /// See [`WorkEnd::Abandoned`].
+    pub abandoned: u64,
+}
+
+impl Sub for WorkCounts {
+    type Output = Self;
+
+    fn sub(self, earlier: Self) -> Self {
+        Self {
+            whole: self.whole - earlier.whole,
+            refused: self.refused - earlier.refused,
+            unknown: self.unknown - earlier.unknown,
+            cut: self.cut - earlier.cut,
+            abandoned: self.abandoned - earlier.abandoned,
+        }
+    }
+}
+
 /// A request that has begun and not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenRequest {
@@ -38,7 +82,7 @@
     pub stage: WorkStage,
 }
 
-/// The open requests of a process.
+/// The requests of a process.
 #[derive(Debug, Default)]
 pub struct OpenWork {
     table: Mutex<WorkTable>,
@@ -48,6 +92,7 @@
 struct WorkTable {
     requests: BTreeMap<u64, OpenRequest>,
     next_key: u64,
+    ended: WorkCounts,
 }
 
 impl OpenWork {
@@ -75,6 +120,16 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// Number of open requests of a kind.
+    pub fn count(&self, kind: &str) -> usize {
+        self.table.lock().requests.values().filter(|request| request.kind == kind).count()
+    }
+
+    /// How many requests have ended in which way.
+    pub fn ended(&self) -> WorkCounts {
+        self.table.lock().ended
+    }
 }
 
 /// Keeps a request in [`OpenWork`] until it is dropped.
@@ -95,7 +150,23 @@
         self.update(|request| request.stage = WorkStage::Streaming);
     }
 
-    /// A copy of the request.
+    /// Ends the request; the first end counts.
+    pub fn end(&self, end: WorkEnd) {
+        let mut table = self.work.table.lock();
+        if table.requests.remove(&self.key).is_none() {
+            return;
+        }
+        let ended = &mut table.ended;
+        *match end {
+            WorkEnd::Whole => &mut ended.whole,
+            WorkEnd::Refused => &mut ended.refused,
+            WorkEnd::Unknown => &mut ended.unknown,
+            WorkEnd::Cut => &mut ended.cut,
+            WorkEnd::Abandoned => &mut ended.abandoned,
+        } += 1;
+    }
+
+    /// A copy of the request; `None` once it has ended.
     pub fn request(&self) -> Option<OpenRequest> {
         self.work.table.lock().requests.get(&self.key).cloned()
     }
@@ -109,6 +180,6 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.work.table.lock().requests.remove(&self.key);
+        self.end(WorkEnd::Abandoned);
     }
 }
