--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -18,6 +18,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize},
     },
+    stop::{OpenWork, StopWatch},
     tokio::sync::{mpsc, watch},
     tracing::info,
 };
@@ -47,8 +48,10 @@
     /// the route requires one, a known key. The node also sets it when a peer says so, and at a
     /// start that is not the first. Never reset.
     pub in_traffic: AtomicBool,
-    /// Whether answers ask callers to close their connections, because this process is about to stop.
-    pub leaving: AtomicBool,
+    /// Whether and how this process is about to stop.
+    pub stop: StopWatch,
+    /// Requests that have begun and not ended.
+    pub work: Arc<OpenWork>,
     /// Metrics of requests and sends.
     pub metrics: RelayMetrics,
     /// Parts of prompts that crash servers.
@@ -73,7 +76,8 @@
             budget,
             processes: AtomicUsize::new(1),
             in_traffic: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            stop: StopWatch::default(),
+            work: Arc::default(),
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
             limits: LimitWatch::new(clock.clone()),
