Show that a stop gives up requests whose server is slow

A head timeout that was set for a retry runs out after SIGTERM, when no retry is allowed any more: the send counts as lost and the caller gets 502 with most of its time left.

--- a/crates/relay/tests/stops.rs
+++ b/crates/relay/tests/stops.rs
@@ -10,7 +10,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::sleep,
+        time::{sleep, timeout},
     },
     yare::parameterized,
 };
@@ -20,14 +20,25 @@
     Behavior::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok");
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\
      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+const WHOLE_STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\n\
+     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+     f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 /// Is reset 50 ms after its first event.
 const BROKEN_STREAM: Behavior = Behavior::SendAndReset(STREAM_HEAD);
 const ENDLESS_STREAM: Behavior =
     Behavior::Endless(STREAM_HEAD, "4\r\n: x\n\r\n", Duration::from_millis(20));
 const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
 const ONCE: RequestKind = RequestKind::Stream { resumable: false };
+/// Later than the head timeout of a request that may be sent again.
+const LATE_ANSWER: Behavior = Behavior::Paced(
+    &["HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok"],
+    Duration::from_millis(1_800),
+);
+const LATE_STREAM: Behavior = Behavior::Paced(&[WHOLE_STREAM], Duration::from_millis(1_800));
 /// Shorter than the timeout of the route, 3 s.
 const SHORT_REST: Duration = Duration::from_millis(400);
+/// Much sooner than any timeout.
+const PROMPTLY: Duration = Duration::from_secs(1);
 
 /// A stopping process took on work that could outlast it, and cut it at its end.
 #[parameterized(
@@ -50,17 +61,22 @@
 }
 
 #[parameterized(
-    safe = { RequestKind::Safe },
-    not_idempotent = { RequestKind::Unsafe },
-    stream = { RESUMABLE },
+    safe = { RequestKind::Safe, COMPLETE, "ok" },
+    not_idempotent = { RequestKind::Unsafe, COMPLETE, "ok" },
+    stream = { RESUMABLE, Behavior::Send(WHOLE_STREAM), "0\r\n\r\n" },
+    stream_once = { ONCE, Behavior::Send(WHOLE_STREAM), "0\r\n\r\n" },
 )]
 #[test_macro(tokio::test)]
-async fn a_request_that_ends_before_the_process_is_served(kind: RequestKind) {
-    let server = ScriptedServer::start(COMPLETE).await;
+async fn a_request_that_ends_before_the_process_is_served(
+    kind: RequestKind,
+    behavior: Behavior,
+    end: &str,
+) {
+    let server = ScriptedServer::start(behavior).await;
     let relay = TestRelay::start(kind, &[&server]).await;
     let _leaving = relay.stop(SHORT_REST);
     let answer = relay.ask(&format!("{KEY}x-deadline: 250\r\n")).await;
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(end), "{answer}");
 }
 
 /// The end of a process dropped the requests that still ran, and told nobody.
@@ -91,7 +107,7 @@
 async fn a_stream_that_still_runs_at_the_end_does_not_look_whole(kind: RequestKind) {
     let server = ScriptedServer::start(ENDLESS_STREAM).await;
     let relay = TestRelay::start(kind, &[&server]).await;
-    let asked = async { relay.ask(KEY).await };
+    let asked = async { timeout(PROMPTLY, relay.ask(KEY)).await.unwrap() };
     let stopped = async {
         sleep(Duration::from_millis(150)).await;
         relay.stop(Duration::from_secs(5)).drain().end();
@@ -114,8 +130,8 @@
     sleep(Duration::from_millis(100)).await;
     relay.stop(Duration::from_secs(5)).drain().end();
     let mut answer = String::new();
-    caller.read_to_string(&mut answer).await.unwrap();
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    timeout(PROMPTLY, caller.read_to_string(&mut answer)).await.unwrap().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("stopping"), "{answer}");
     assert_eq!(server.count(), 0);
 }
 
@@ -152,3 +168,23 @@
     assert!(answer.contains("data: a") && !answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(first.count() + second.count(), 1);
 }
+
+/// A stop ended requests whose server was slow: they were given up for a retry that was not allowed.
+#[parameterized(
+    safe = { RequestKind::Safe, LATE_ANSWER },
+    stream = { RESUMABLE, LATE_STREAM },
+)]
+#[test_macro(tokio::test)]
+async fn a_slow_server_is_waited_for_when_no_retry_is_possible(kind: RequestKind, late: Behavior) {
+    let first = ScriptedServer::start(late).await;
+    let second = ScriptedServer::start(late).await;
+    let relay = TestRelay::start(kind, &[&first, &second]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(100)).await;
+        relay.stop(Duration::from_millis(2_500))
+    };
+    let (answer, _leaving) = tokio::join!(asked, stopped);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(first.count() + second.count(), 1);
+}
