Wait for a slow server when a stop allows no retry

Callers saw 502 with seconds left: a safe request or a resumable stream that was waiting for the head of its answer at SIGTERM was given up at the time-out that makes room for a retry, and then refused because the rest of the grace time did not cover one (a_slow_server_is_waited_for_when_no_retry_is_possible failed for both kinds). Whether the request can move is asked when that time-out runs out, not when the send begins.

Beside it, in the same function: a request that had no connection yet at the end was told that it may have run (a_request_without_a_connection_at_the_end_is_told_that_it_did_not_run fails when the mark is set before the connection), and a stop that began while another process was asked for a limit did not keep the request from being sent.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -17,8 +17,13 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::time::Duration,
-    tokio::time::timeout,
+    std::{
+        future::Future,
+        pin::pin,
+        sync::atomic::{AtomicBool, Ordering},
+        time::Duration,
+    },
+    tokio::time::{error::Elapsed, timeout},
     tokio_util::task::AbortOnDropHandle,
 };
 
@@ -56,13 +61,25 @@
     Answer(Box<LiveAnswer>, AnswerFacts),
 }
 
-/// Sends a request and waits at most `wait` for the head of the answer.
+/// How long to wait for the head of an answer.
+pub(crate) struct HeadWait<F> {
+    /// Time after which another server is the better choice.
+    pub(crate) patience: Duration,
+    /// Time after which no answer counts; longer than `patience` or equal.
+    pub(crate) total: Duration,
+    /// Asked once the patience is over: whether the request can go to another server.
+    pub(crate) may_move: F,
+}
+
+/// Sends a request and waits for the head of the answer. Sets `is_sent` before the first byte of
+/// the request leaves this process.
 pub(crate) async fn send_call<C: RequestCodec>(
     codec: &C,
     id: &RequestId,
     server: &BackendServer,
     request: Request<Full<Bytes>>,
-    wait: Duration,
+    wait: HeadWait<impl Fn() -> bool>,
+    is_sent: &AtomicBool,
 ) -> SendOutcome {
     let stream = match connect_server(server.address).await {
         Ok(stream) => stream,
@@ -78,7 +95,9 @@
         // Its errors also reach the sender or the body, which report them.
         let _ = connection.await;
     }));
-    let answer = match timeout(wait, sender.send_request(request)).await {
+    is_sent.store(true, Ordering::Relaxed);
+    let sending = sender.send_request(request);
+    let answer = match wait_for_head(sending, wait).await {
         Err(_) => return SendOutcome::Lost(LossCause::NoAnswer),
         Ok(Err(_)) => return SendOutcome::Lost(LossCause::ConnectionBroke),
         Ok(Ok(answer)) => answer,
@@ -95,3 +114,16 @@
         }
     }
 }
+
+async fn wait_for_head<T>(
+    sending: impl Future<Output = T>,
+    wait: HeadWait<impl Fn() -> bool>,
+) -> Result<T, Elapsed> {
+    let mut sending = pin!(sending);
+    match timeout(wait.patience, sending.as_mut()).await {
+        Err(_) if !(wait.may_move)() => {
+            timeout(wait.total.saturating_sub(wait.patience), sending).await
+        }
+        outcome => outcome,
+    }
+}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -10,7 +10,7 @@
         identity::IdentityHasher,
         pump::{RelayBody, StreamPump, full_body},
         request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
-        send::{LiveAnswer, SendOutcome, send_call},
+        send::{HeadWait, LiveAnswer, SendOutcome, send_call},
         server::{BackendServer, ServerId},
         shared::RelayShared,
         standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
@@ -23,7 +23,10 @@
     hyper::body::Incoming,
     poison::{RequestSuspects, SuspectVerdict},
     std::{
-        sync::{Arc, atomic::Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     stop::WorkEnd,
@@ -86,8 +89,8 @@
     pub(crate) sends: u32,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
-    /// Whether a send has begun whose outcome is not known.
-    pub(crate) is_sending: bool,
+    /// Whether a request has left this process and its outcome is not known.
+    pub(crate) is_sending: AtomicBool,
     /// Servers whose connection broke before they had answered.
     pub(crate) crashes: u32,
     /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
@@ -308,16 +311,24 @@
                 // It ran out while another process was asked.
                 return Err(self.final_refusal(ctx, progress));
             }
-            let wait = self.head_timeout(ctx, progress, &server, remaining);
+            if !self.can_finish(ctx) {
+                // The stop began while another process was asked.
+                return Err(self.cut_short(progress));
+            }
+            let wait = HeadWait {
+                patience: self.head_timeout(ctx, progress, &server, remaining),
+                total: remaining,
+                may_move: || self.can_finish(ctx),
+            };
             self.shared.metrics.note_send(ctx.kind, progress.sends > 0);
             let request = self.write_call(ctx, progress, &server, remaining);
             info!(id = %ctx.id, decision = "sent", route = %ctx.route, server = %server.id,
                 load = server.counters.load(now), send = progress.sends + 1,
                 left_ms = remaining.as_millis() as u64, "request");
             let sent_at = self.shared.clock.now();
-            progress.is_sending = true;
-            let outcome = send_call(&self.codec, &ctx.id, &server, request, wait).await;
-            progress.is_sending = false;
+            let is_sent = &progress.is_sending;
+            let outcome = send_call(&self.codec, &ctx.id, &server, request, wait, is_sent).await;
+            progress.is_sending.store(false, Ordering::Relaxed);
             match outcome {
                 SendOutcome::Answer(answer, facts) => {
                     progress.note_send(&server);
--- a/crates/relay/src/stopping.rs
+++ b/crates/relay/src/stopping.rs
@@ -6,7 +6,7 @@
         request::{Refusal, RefusalKind},
         service::{CallContext, CallProgress, RelayService},
     },
-    std::time::Duration,
+    std::{sync::atomic::Ordering, time::Duration},
     stop::StopPhase,
 };
 
@@ -30,7 +30,7 @@
 
     /// The refusal of a request that this process can't finish.
     pub(crate) fn cut_short(&self, progress: &CallProgress) -> Refusal {
-        if progress.may_have_run || progress.is_sending {
+        if progress.may_have_run || progress.is_sending.load(Ordering::Relaxed) {
             Refusal::new(RefusalKind::CutShort)
         } else {
             self.stop_refusal()
--- a/crates/relay/tests/stops.rs
+++ b/crates/relay/tests/stops.rs
@@ -6,7 +6,7 @@
 use {
     relay::RequestKind,
     std::time::Duration,
-    support::{Behavior, ScriptedServer, TestRelay},
+    support::{Behavior, ScriptedServer, TestRelay, unresponsive_address},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -188,3 +188,17 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(first.count() + second.count(), 1);
 }
+
+/// A request that had no connection yet when the process ended was told that it may have run.
+#[tokio::test]
+async fn a_request_without_a_connection_at_the_end_is_told_that_it_did_not_run() {
+    let (address, _filled) = unresponsive_address().await;
+    let relay = TestRelay::start_with(RequestKind::Unsafe, 1, vec![address]).await;
+    let asked = async { timeout(PROMPTLY, relay.ask(KEY)).await.unwrap() };
+    let stopped = async {
+        sleep(Duration::from_millis(100)).await;
+        relay.stop(Duration::from_secs(5)).drain().end();
+    };
+    let (answer, ()) = tokio::join!(asked, stopped);
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.ends_with("stopping"), "{answer}");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,7 +15,7 @@
         RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit, Verdict,
         WorkspaceRule, serve_callers,
     },
-    socket2::SockRef,
+    socket2::{Domain, SockRef, Socket, Type},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -312,3 +312,22 @@
     let workspace = WorkspaceRule { name: WorkspaceId::new("w").unwrap(), keys: vec!["k".into()] };
     RelayConfig::new(1, vec![("h".into(), rule)], vec![workspace], CallerLimits::default())
 }
+
+/// An address that accepts no connection and refuses none: the queue of its listener is full. Holds
+/// as long as the returned sockets.
+pub(crate) async fn unresponsive_address() -> (SocketAddr, Vec<Socket>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(1).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let mut sockets = vec![listener];
+    for _ in 0..4 {
+        let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        filler.set_nonblocking(true).unwrap();
+        // The connection is made in the background, as far as there is room.
+        let _ = filler.connect(&address.into());
+        sockets.push(filler);
+    }
+    sleep(Duration::from_millis(50)).await;
+    (address, sockets)
+}
