Give a complete answer where a stream has not begun at the end

A stream whose head arrived as the last answers were given began and was broken off at once; its caller can have a complete 502 then. A stream whose end and the end of the process come together no longer counts as cut by chance.

The tests of a stop cover the pump and retries: a failed answer, a resume under way, a caller that does not read.

--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -17,6 +17,7 @@
     hyper::body::{Body, Frame},
     snafu::Snafu,
     std::{
+        future::Future,
         pin::{Pin, pin},
         sync::Arc,
         task::{Context, Poll},
@@ -186,7 +187,6 @@
             drop(answer);
             let why = match end {
                 ForwardEnd::Whole => {
-                    let _ = self.pieces.send(Piece::End).await;
                     self.service.note_end(&self.ctx, WorkEnd::Whole, "whole stream", 200);
                     return;
                 }
@@ -285,9 +285,11 @@
             let event_timeout =
                 if self.first_event_sent { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
             let frame = tokio::select! {
+                biased;
                 () = self.pieces.closed() => return ForwardEnd::CallerLeft,
-                () = &mut ending => return ForwardEnd::Stopping,
+                // First, so that a stream that is whole does not count as cut.
                 frame = timeout(STALL_THRESHOLD.min(remaining), answer.body.frame()) => frame,
+                () = &mut ending => return ForwardEnd::Stopping,
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
@@ -303,7 +305,8 @@
                     if answer.is_framed() {
                         self.service.shared.poison.note_sound(&self.ctx.suspects);
                     }
-                    return ForwardEnd::Whole;
+                    let passed_on = self.pass_on(Piece::End, ending.as_mut()).await;
+                    return passed_on.err().unwrap_or(ForwardEnd::Whole);
                 }
                 Err(_) => {
                     let idle = idle.extend(clock.now());
@@ -336,16 +339,31 @@
                 answer.server.counters.note_success(wait);
                 self.service.shared.metrics.note_first_event(self.ctx.kind(), wait);
             }
-            tokio::select! {
-                biased;
-                sent = self.pieces.send(Piece::Events(events)) => if sent.is_err() {
-                    return ForwardEnd::CallerLeft;
-                },
-                () = &mut ending => return ForwardEnd::Stopping,
+            if let Err(end) = self.pass_on(Piece::Events(events), ending.as_mut()).await {
+                return end;
             }
         }
     }
 
+    /// Passes a piece on to the caller's connection once there is room for it. Fails with the reason
+    /// for which forwarding ends if the caller leaves or does not read in time.
+    async fn pass_on(
+        &self,
+        piece: Piece,
+        ending: Pin<&mut impl Future<Output = ()>>,
+    ) -> Result<(), ForwardEnd> {
+        let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
+        tokio::select! {
+            biased;
+            sent = timeout(remaining, self.pieces.send(piece)) => match sent {
+                Ok(Ok(())) => Ok(()),
+                Ok(Err(_)) => Err(ForwardEnd::CallerLeft),
+                Err(_) => Err(ForwardEnd::OutOfTime),
+            },
+            () = ending => Err(ForwardEnd::Stopping),
+        }
+    }
+
     /// Whether the stream should move to another server after `idle` without an event, where
     /// `limit` is the timeout that applies to the next event. Also reports a stall if the server
     /// makes no progress on any request of this process.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -29,7 +29,7 @@
         },
         time::Duration,
     },
-    stop::WorkEnd,
+    stop::{StopPhase, WorkEnd},
     tokio::time::{Instant, timeout_at},
     tracing::info,
 };
@@ -231,6 +231,11 @@
         };
         match served {
             Ok(FetchedAnswer::Whole(response)) => self.close_if_leaving(response.map(full_body)),
+            // No event has been passed on, so that the caller can still get a complete answer.
+            Ok(FetchedAnswer::Stream(_)) if self.shared.stop.phase() == StopPhase::Ending => {
+                let refusal = self.cut_short(&progress);
+                self.refuse(Some(&ctx.trace), refusal)
+            }
             Ok(FetchedAnswer::Stream(answer)) => StreamPump::start(self, ctx, progress, answer),
             Err(refusal) => self.refuse(Some(&ctx.trace), refusal),
         }
--- a/crates/relay/tests/stops.rs
+++ b/crates/relay/tests/stops.rs
@@ -9,7 +9,7 @@
     support::{Behavior, ScriptedServer, TestRelay, unresponsive_address},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         time::{sleep, timeout},
     },
     yare::parameterized,
@@ -35,6 +35,10 @@
     Duration::from_millis(1_800),
 );
 const LATE_STREAM: Behavior = Behavior::Paced(&[WHOLE_STREAM], Duration::from_millis(1_800));
+const LATE_FAILURE: Behavior = Behavior::Paced(
+    &["HTTP/1.1 500 Failed\r\nx-id: r1\r\ncontent-length: 4\r\n\r\noops"],
+    Duration::from_millis(200),
+);
 /// Shorter than the timeout of the route, 3 s.
 const SHORT_REST: Duration = Duration::from_millis(400);
 /// Much sooner than any timeout.
@@ -202,3 +206,59 @@
     let (answer, ()) = tokio::join!(asked, stopped);
     assert!(answer.starts_with("HTTP/1.1 503") && answer.ends_with("stopping"), "{answer}");
 }
+
+/// The answer of a failing server is passed on where a retry may outlast the process.
+#[tokio::test]
+async fn a_failed_answer_is_passed_on_when_no_retry_is_possible() {
+    let first = ScriptedServer::start(LATE_FAILURE).await;
+    let second = ScriptedServer::start(LATE_FAILURE).await;
+    let relay = TestRelay::start(RequestKind::Safe, &[&first, &second]).await;
+    let asked = async { relay.ask(KEY).await };
+    let stopped = async {
+        sleep(Duration::from_millis(50)).await;
+        relay.stop(Duration::from_secs(1))
+    };
+    let (answer, _leaving) = tokio::join!(asked, stopped);
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+    assert_eq!(first.count() + second.count(), 1);
+}
+
+/// A stream whose next server does not answer is cut when the process ends.
+#[tokio::test]
+async fn a_stream_that_is_being_resumed_at_the_end_is_cut() {
+    let first = ScriptedServer::start(BROKEN_STREAM).await;
+    let second = ScriptedServer::start(BROKEN_STREAM).await;
+    let relay = TestRelay::start(RESUMABLE, &[&first, &second]).await;
+    let (address, _filled) = unresponsive_address().await;
+    let asked = async { timeout(PROMPTLY, relay.ask(KEY)).await.unwrap() };
+    let stopped = async {
+        sleep(Duration::from_millis(20)).await;
+        relay.replace_servers(vec![address]);
+        sleep(Duration::from_millis(150)).await;
+        relay.stop(Duration::from_secs(5)).drain().end();
+    };
+    let (answer, ()) = tokio::join!(asked, stopped);
+    assert!(answer.contains("data: a") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(relay.shared.work.ended().cut, 1);
+}
+
+/// A caller that does not read kept its stream open past the end.
+#[tokio::test]
+async fn a_stream_whose_caller_does_not_read_is_cut_at_the_end() {
+    let event = format!("id: 2\ndata: {}\n\n", "b".repeat(60_000));
+    let filler: &'static str = format!("{:x}\r\n{event}\r\n", event.len()).leak();
+    let server =
+        ScriptedServer::start(Behavior::Endless(STREAM_HEAD, filler, Duration::ZERO)).await;
+    let relay = TestRelay::start(RESUMABLE, &[&server]).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut caller = socket.connect(relay.address).await.unwrap();
+    let head = format!("GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n{KEY}\r\n");
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(relay.shared.work.len(), 1, "the stream is still open");
+    relay.stop(Duration::from_secs(5)).drain().end();
+    sleep(Duration::from_millis(500)).await;
+    assert!(relay.shared.work.is_empty(), "{:?}", relay.shared.work.snapshot());
+    assert_eq!(relay.shared.work.ended().cut, 1);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -234,17 +234,9 @@
         let retry_limits =
             RetryLimits { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
         let (signs, received_signs) = mpsc::channel(8);
-        let servers = servers.into_iter().enumerate().map(|(index, address)| BackendServer {
-            id: HostId::new(format!("s{index}")).unwrap(),
-            address,
-            failure_domain: FailureDomainId::new("z").unwrap(),
-            model: None,
-            counters: Arc::default(),
-        });
-        let table = ServerTable::new(BTreeMap::from([(service.clone(), servers.collect())]));
         let shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), signs);
         shared.config.store(Some(Arc::new(config(kind, attempts, service))));
-        shared.servers.store(Arc::new(table));
+        shared.servers.store(Arc::new(server_table("s", servers)));
         let shared = Arc::new(shared);
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -253,6 +245,11 @@
         Self { address, shared, signs: tokio::sync::Mutex::new(received_signs) }
     }
 
+    /// Replaces the list of servers by ones with new ids.
+    pub(crate) fn replace_servers(&self, addresses: Vec<SocketAddr>) {
+        self.shared.servers.store(Arc::new(server_table("t", addresses)));
+    }
+
     /// Tells the relay to stop, with its last answers due after a time.
     pub(crate) fn stop(&self, answers_due_after: Duration) -> PlannedStop<Leaving> {
         let settings = StopSettings { answers_due_after, ..StopSettings::default() };
@@ -299,6 +296,19 @@
     }
 }
 
+/// Servers of the only service; their ids begin with `prefix`.
+fn server_table(prefix: &str, addresses: Vec<SocketAddr>) -> ServerTable {
+    let servers = addresses.into_iter().enumerate().map(|(index, address)| BackendServer {
+        id: HostId::new(format!("{prefix}{index}")).unwrap(),
+        address,
+        failure_domain: FailureDomainId::new("z").unwrap(),
+        model: None,
+        counters: Arc::default(),
+    });
+    let service = ServiceName::new("s").unwrap();
+    ServerTable::new(BTreeMap::from([(service, servers.collect())]))
+}
+
 fn config(kind: RequestKind, attempts: u32, service: ServiceName) -> RelayConfig {
     let rule = RouteRule {
         name: "r".into(),
