--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -39,6 +39,8 @@
     CutFromList,
     /// The engine runs and is listed, but the owner can't reach it.
     CutFromOwner,
+    /// The host list shows the engine as leaving; it still takes connections.
+    Draining,
     /// The engine finishes its requests before it ends; it is neither listed nor reachable.
     Leaving,
     /// The same, but the host list, which was out of date, shows the host as staying until its entry
@@ -88,6 +90,8 @@
     /// Hosts that owners never see, as if they were delisted before the first read of the list.
     unknown_to_owner: BTreeSet<HostId>,
     violations: Vec<String>,
+    /// Orders that cut running requests, as `time: order`.
+    cuts: Vec<String>,
     random: Pcg64Mcg,
     /// Probability that an order is delivered 2 to 12 s late, with the outcome unknown to the
     /// owner.
@@ -116,6 +120,7 @@
             became_ready: BTreeSet::new(),
             unknown_to_owner: BTreeSet::new(),
             violations: Vec::new(),
+            cuts: Vec::new(),
             random: Pcg64Mcg::seed_from_u64(0),
             late_order_probability: 0.0,
             max_concurrent_loads: 0,
@@ -157,6 +162,22 @@
         self.hosts.get_mut(host).unwrap().engine.join_time = Some(time);
     }
 
+    /// Lets the group that `head` heads run requests for `span`.
+    pub(crate) fn run_requests(&mut self, head: &HostId, span: Duration) {
+        let until = self.now + span;
+        self.hosts.get_mut(head).unwrap().engine.run_requests(until);
+    }
+
+    /// Replaces the models of the configuration.
+    pub(crate) fn set_models(&mut self, models: Vec<StagedModel>) {
+        self.models = models;
+    }
+
+    /// Orders that cut running requests.
+    pub(crate) fn cuts(&self) -> &[String] {
+        &self.cuts
+    }
+
     pub(crate) fn stage_all(&mut self, model: &str) {
         for host in self.hosts.values_mut() {
             host.engine.staged = Some(ModelName::new(model).unwrap());
@@ -292,6 +313,15 @@
         self.deliver(&StagedOrder { host: head, address: address(), command: open }, Term(1));
     }
 
+    /// Orders the head of the serving group to leave it; the rig must record a cut.
+    pub(crate) fn plant_leave(&mut self) {
+        let head = self.member_of_serving(0);
+        let (group, epoch) = self.hosts[&head].engine.group().expect("a serving group");
+        let command = StagedCommand::Leave { group, epoch };
+        let order = StagedOrder { host: head, address: address(), command };
+        self.deliver(&order, Term(1 << 30));
+    }
+
     /// Orders a member of an open group into another one; the rig must record a violation.
     pub(crate) fn plant_join_elsewhere(&mut self, member: &HostId) {
         let command = StagedCommand::Join {
@@ -358,7 +388,7 @@
             .map(|(id, host)| StagedHost {
                 host: id.clone(),
                 address: address(),
-                leaving: false,
+                leaving: matches!(host.condition, HostCondition::Draining | HostCondition::Leaving),
                 listed: is_listed(host, self.now),
                 may_leave_unseen: host.condition == HostCondition::LeavingUnseen,
             })
@@ -369,8 +399,10 @@
         let hosts = self.listed_hosts();
         self.planner.apply_host_list(&hosts, self.now);
         for (id, host) in &mut self.hosts {
-            let writes =
-                matches!(host.condition, HostCondition::Healthy | HostCondition::CutFromOwner);
+            let writes = matches!(
+                host.condition,
+                HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner
+            );
             let state = host.engine.reported_state();
             if writes && host.pending_listing.as_ref().is_none_or(|(_, pending)| *pending != state)
             {
@@ -396,7 +428,7 @@
                 continue;
             }
             match host.condition {
-                HostCondition::Healthy | HostCondition::CutFromList => {
+                HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromList => {
                     host.last_probe = self.now;
                     let state = states[host.answered_by.as_ref().unwrap_or(id)].clone();
                     self.planner.observe(id, ObservationSource::Engine, self.now, state);
@@ -418,7 +450,7 @@
         self.sent_orders.push(order.clone());
         let reached = matches!(
             self.hosts[&order.host].condition,
-            HostCondition::Healthy | HostCondition::CutFromList
+            HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromList
         );
         if !reached {
             self.planner.note_end(&order, self.now, OrderEnd::NotSent);
@@ -460,11 +492,15 @@
         let now = self.now;
         let host = self.hosts.get_mut(&order.host).unwrap();
         let served_before = host.engine.serves();
+        let was_busy = host.engine.is_busy(now);
         let reply = host.engine.handle_order(&order.host, &order.command, term, now);
         if !served_before && host.engine.serves() {
             let members = host.engine.members().to_vec();
             self.check_open(&order.command, &members);
         }
+        if was_busy && !self.hosts[&order.host].engine.is_busy(now) {
+            self.cuts.push(format!("{now:?}: {:?} to {}", order.command, order.host));
+        }
         match reply {
             Reply::Accepted => OrderEnd::Accepted,
             Reply::Refused => OrderEnd::Refused,
@@ -502,7 +538,7 @@
 
 fn is_listed(host: &RigHost, now: Tick) -> bool {
     match host.condition {
-        HostCondition::Healthy | HostCondition::CutFromOwner => true,
+        HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner => true,
         HostCondition::Leaving => false,
         HostCondition::Dead | HostCondition::CutFromList | HostCondition::LeavingUnseen => {
             now.since(host.condition_since) < LIST_EXPIRY
--- a/crates/plan/tests/staged/engine.rs
+++ b/crates/plan/tests/staged/engine.rs
@@ -48,6 +48,8 @@
     highest_term: Term,
     /// Whether it takes orders of earlier owners; it still refuses lower epochs.
     ignores_terms: bool,
+    /// When the requests that run in the group that it heads end.
+    busy_until: Tick,
 }
 
 impl SimulatedEngine {
@@ -62,9 +64,20 @@
             highest_epoch: Epoch(0),
             highest_term: Term(0),
             ignores_terms: false,
+            busy_until: Tick(0),
         }
     }
 
+    /// Lets the group that it heads run requests until `until`.
+    pub(crate) fn run_requests(&mut self, until: Tick) {
+        self.busy_until = until;
+    }
+
+    /// Whether requests run in the group that it heads.
+    pub(crate) fn is_busy(&self, now: Tick) -> bool {
+        self.serves() && now < self.busy_until
+    }
+
     pub(crate) fn ignoring_terms(self, ignores_terms: bool) -> Self {
         Self { ignores_terms, ..self }
     }
@@ -137,6 +150,9 @@
             self.last_group_model = Some(state.model.clone());
             return Some((state.group.clone(), state.epoch));
         }
+        if state.phase == MemberPhase::Closing && self.busy_until <= now {
+            state.phase = MemberPhase::Ready;
+        }
         None
     }
 
@@ -169,7 +185,14 @@
                 self.change_phase(group, *epoch, MemberPhase::Ready, MemberPhase::Open)
             }
             StagedCommand::Close { group, epoch } => {
-                self.change_phase(group, *epoch, MemberPhase::Open, MemberPhase::Ready)
+                let is_closing = self.group_state.as_ref().map(|state| state.phase)
+                    == Some(MemberPhase::Closing);
+                let end = if is_closing || self.is_busy(now) {
+                    MemberPhase::Closing
+                } else {
+                    MemberPhase::Ready
+                };
+                self.change_phase(group, *epoch, MemberPhase::Open, end)
             }
             StagedCommand::Leave { group, epoch } => {
                 if self.group() == Some((group.clone(), *epoch)) {
