Let a group finish its requests when a leaving member stops listening

Callers would see streams of a model server pool break about 2.7 s after a server of the group began to drain (release, removal of servers); one that may run once is cut, one that can be resumed runs at a second server and pays for it from the retry limit.

Cause: a leaving server first stops listening and then stays for the head's requests, but its owner took two refused or unanswered probes for a loss and ordered the head to leave at once. The class of the incident: work that others wait for is dropped by a step that does not ask whether it has ended.

Ruled out: the time limit of a closing group (4 s, not yet reached; a fault of its own).

A member that leaves as planned is lost only when its head reports a broken group or the time limit is over. A new owner knows that of servers which are listed as leaving or have answered it.

--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -192,6 +192,13 @@
         unanswered || (self.refused && self.failed_probes >= DOWN_PROBES)
     }
 
+    /// Whether the host leaves as planned and stays, without listening, until the head of its group
+    /// has finished its requests. A new owner can't tell a host that was delisted without notice
+    /// from one that crashed, until it answers.
+    pub(super) fn stays_for_requests(&self) -> bool {
+        self.leaves_gracefully && (self.entry.leaving || self.last_answered.is_some())
+    }
+
     /// Whether the host is considered removed: delisted and unreachable for so long that its engine
     /// has ended.
     pub(super) fn is_removed(&self, now: Tick, settings: &StagedSettings) -> bool {
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -389,7 +389,7 @@
         let lost = |rank: usize| {
             let Some(host) = &composition.members[rank] else { return true };
             let Some(record) = self.hosts.get(host) else { return true };
-            if record.is_down(now, &self.settings) {
+            if record.is_down(now, &self.settings) && !record.stays_for_requests() {
                 return true;
             }
             let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
