Give a group with a leaving member the time that the member stays

Callers would see streams break that had run for longer than 4 s since a server of their group began to drain or was taken out of the list; requests may last 8 s.

Cause: the owner ordered the head to leave after a limit of its own, 4 s, without asking whether requests still ran. A leaving member stays for ten seconds as long as the head has work, so there is no need to end the group before.

Evidence: plan planned_changes, three cases failed before by a Leave to the head 4 s after the drain began, and pass now; staged_planner passes.

The limit is now the ten seconds of the protocol. A group that is done sooner is dissolved as before, when its head reports that nothing runs.

--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -227,7 +227,7 @@
     /// probes is ignored, because it may be stale. Longer than the lag of such answers.
     pub answer_lag: Duration,
     /// Longest time for which a group with a leaving member may finish its requests before it is
-    /// dissolved. Shorter than the time that a leaving member stays.
+    /// dissolved: that for which a leaving member stays, after which nothing runs on anyway.
     pub close_limit: Duration,
     /// A group whose members do not all get ready within this time is dissolved. Longer than a load
     /// that shares the weight store with others.
@@ -256,7 +256,7 @@
             headless_wait: Duration::from_secs(12),
             order_retry: Duration::from_millis(500),
             answer_lag: Duration::from_millis(1_000),
-            close_limit: Duration::from_secs(4),
+            close_limit: Duration::from_secs(10),
             form_limit: Duration::from_secs(60),
             prewarm_limit: Duration::from_secs(5),
             loads_at_once: 1,
