Close a group whose model left the configuration instead of ordering it apart

Callers would see the streams of such a group break when the owner of its fabric domain changes, as in a planned stop of the owner's process.

Cause: the owner that the model left leaves the group alone, but the next one took a group of an unknown model for an incomplete one and ordered its head to leave at once. The configuration decides which requests are admitted; it ends none.

Ruled out: the owner that is in place when the model leaves (a test of its own, which held).

--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        composition::{Composition, CompositionPhase, FormingProgress},
+        composition::{ClosingProgress, Composition, CompositionPhase, FormingProgress},
         host::{HostRecord, RunningLoad, SentOrder},
         types::{
             EngineState, MemberPhase, Membership, ObservationSource, OrderEnd, ProbeFailure,
@@ -26,7 +26,8 @@
 /// Input of one planning step, other than observations and the outcomes of orders.
 #[derive(Clone, Copy, Debug)]
 pub struct StagedInput<'a> {
-    /// Models that groups may serve. An adopted group of any other model is dissolved.
+    /// Models that groups may serve. An adopted group of any other model finishes its requests and is
+    /// dissolved.
     pub models: &'a [StagedModel],
     /// Hosts of this fabric domain, as the host list shows them, and recently delisted ones.
     pub hosts: &'a [StagedHost],
@@ -328,16 +329,18 @@
             members[membership.rank as usize] = Some(host.clone());
             boot_ids[membership.rank as usize] = state(host).and_then(|state| state.boot_id);
         }
-        let complete = known_model.is_some() && members.iter().all(Option::is_some);
+        let complete = members.iter().all(Option::is_some);
         let head_is_open =
             found.iter().any(|(_, membership)| membership.phase == MemberPhase::Open);
-        let phase = match (complete, head_is_open) {
-            (true, true) => CompositionPhase::Serving,
-            (true, false) => CompositionPhase::Forming(FormingProgress {
+        let phase = match (complete, known_model.is_some(), head_is_open) {
+            (true, true, true) => CompositionPhase::Serving,
+            (true, true, false) => CompositionPhase::Forming(FormingProgress {
                 since: input.now,
                 joined: vec![true; member_count],
             }),
-            (false, _) => CompositionPhase::Dissolving,
+            // Its requests were admitted while the configuration had the model.
+            (true, false, _) => CompositionPhase::Closing(ClosingProgress { since: input.now }),
+            (false, _, _) => CompositionPhase::Dissolving,
         };
         Composition { group, epoch, model, members, boot_ids, phase }
     }
