--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner for engines whose groups are joined, opened and closed by separate orders.
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
 #[path = "staged/domain.rs"]
 mod domain;
 
