End a stream at its time limit, also while its caller does not read

Callers who read again after their deadline would get more of a stream that had to end; others would see its server busy: the stream held its place there as long as the caller kept its connection, and a stop waited for it to the end.

Cause: with four pieces in the buffer the pump waited for the caller alone. The time limit was only looked at between two pieces, so work that was begun in time went on without one. Found while looking for the cause of the cut answers elsewhere.

A stop did end the wait for an event's place in the buffer, but not that for the place of the stream's end; both do now.

--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -184,9 +184,12 @@
             self.answered = AnswerProgress::default();
             let end = self.forward(&mut answer).await;
             drop(answer);
+            let end = match end {
+                ForwardEnd::Whole => self.pass_on(Piece::End).await.err().unwrap_or(end),
+                _ => end,
+            };
             let why = match end {
                 ForwardEnd::Whole => {
-                    let _ = self.pieces.send(Piece::End).await;
                     self.service.note_end(&self.ctx, WorkEnd::Whole, "whole stream", 200);
                     return;
                 }
@@ -336,16 +339,27 @@
                 answer.server.counters.note_success(wait);
                 self.service.shared.metrics.note_first_event(self.ctx.kind(), wait);
             }
-            tokio::select! {
-                biased;
-                sent = self.pieces.send(Piece::Events(events)) => if sent.is_err() {
-                    return ForwardEnd::CallerLeft;
-                },
-                () = &mut ending => return ForwardEnd::Stopping,
+            if let Err(end) = self.pass_on(Piece::Events(events)).await {
+                return end;
             }
         }
     }
 
+    /// Passes a piece on to the caller's connection. Where the caller reads too slowly, it waits
+    /// until the request or the process ends.
+    async fn pass_on(&self, piece: Piece) -> Result<(), ForwardEnd> {
+        let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
+        tokio::select! {
+            biased;
+            sent = timeout(remaining, self.pieces.send(piece)) => match sent {
+                Ok(Ok(())) => Ok(()),
+                Ok(Err(_)) => Err(ForwardEnd::CallerLeft),
+                Err(_) => Err(ForwardEnd::OutOfTime),
+            },
+            () = self.service.ending() => Err(ForwardEnd::Stopping),
+        }
+    }
+
     /// Whether the stream should move to another server after `idle` without an event, where
     /// `limit` is the timeout that applies to the next event. Also reports a stall if the server
     /// makes no progress on any request of this process.
