--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -17,7 +17,6 @@
     hyper::body::{Body, Frame},
     snafu::Snafu,
     std::{
-        future::Future,
         pin::{Pin, pin},
         sync::Arc,
         task::{Context, Poll},
@@ -185,6 +184,10 @@
             self.answered = AnswerProgress::default();
             let end = self.forward(&mut answer).await;
             drop(answer);
+            let end = match end {
+                ForwardEnd::Whole => self.pass_on(Piece::End).await.err().unwrap_or(end),
+                _ => end,
+            };
             let why = match end {
                 ForwardEnd::Whole => {
                     self.service.note_end(&self.ctx, WorkEnd::Whole, "whole stream", 200);
@@ -305,8 +308,7 @@
                     if answer.is_framed() {
                         self.service.shared.poison.note_sound(&self.ctx.suspects);
                     }
-                    let passed_on = self.pass_on(Piece::End, ending.as_mut()).await;
-                    return passed_on.err().unwrap_or(ForwardEnd::Whole);
+                    return ForwardEnd::Whole;
                 }
                 Err(_) => {
                     let idle = idle.extend(clock.now());
@@ -339,19 +341,15 @@
                 answer.server.counters.note_success(wait);
                 self.service.shared.metrics.note_first_event(self.ctx.kind(), wait);
             }
-            if let Err(end) = self.pass_on(Piece::Events(events), ending.as_mut()).await {
+            if let Err(end) = self.pass_on(Piece::Events(events)).await {
                 return end;
             }
         }
     }
 
-    /// Passes a piece on to the caller's connection once there is room for it. Fails with the reason
-    /// for which forwarding ends if the caller leaves or does not read in time.
-    async fn pass_on(
-        &self,
-        piece: Piece,
-        ending: Pin<&mut impl Future<Output = ()>>,
-    ) -> Result<(), ForwardEnd> {
+    /// Passes a piece on to the caller's connection. Where the caller reads too slowly, it waits
+    /// until the request or the process ends.
+    async fn pass_on(&self, piece: Piece) -> Result<(), ForwardEnd> {
         let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
         tokio::select! {
             biased;
@@ -360,7 +358,7 @@
                 Ok(Err(_)) => Err(ForwardEnd::CallerLeft),
                 Err(_) => Err(ForwardEnd::OutOfTime),
             },
-            () = ending => Err(ForwardEnd::Stopping),
+            () = self.service.ending() => Err(ForwardEnd::Stopping),
         }
     }
 
