Finish the write of the member row before it is deleted at a stop

Callers would see: the address of a process that is gone, for up to 1.8 s, until its missing heartbeats take it out again; its row stays in the store.

Cause: SIGTERM aborted the task that writes the member row. The store may carry out a transaction whose connection is closed, and the delete goes over another connection, so that a slow write could take effect after the delete.

Evidence: node membership, a store that carries the write out 0.7 s after it was sent: with the write abandoned the row is in the store at the end, now it is not. Ruled out: a condition on the write, as an absent and a deleted row look alike.

The task now ends between writes, and only then is the row deleted. The life of the row is two types: a registration, which becomes a removal when the process leaves.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 mod http;
 pub mod logs;
 pub mod members;
-mod membership;
+pub mod membership;
 mod metrics;
 pub mod owners;
 pub mod page_cache;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -2,64 +2,101 @@
 
 use {
     crate::{
-        rows::{MemberRow, RowName},
-        run::NodeRuntime,
+        rows::{MemberRow, RowName, RowOwner},
+        view::NodeView,
     },
-    base::Tick,
+    base::{SharedClock, Tick},
     infra::{TableStore, Transaction},
+    smol_str::SmolStr,
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
 
-/// Pause before this process checks again whether it is ready to register, or repeats a failed
-/// write of its member row.
+/// Pause before a process checks again whether it is ready to register, or repeats a failed write of
+/// its member row.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after a write of the member row until the row watch must have shown it; then the store has
 /// lost the row.
 const REWRITE_DELAY: Duration = Duration::from_millis(2_500);
 
-impl NodeRuntime {
-    /// Writes this process's member row once it can serve requests, and again whenever the store has
-    /// lost it.
-    pub(crate) async fn register_member<T: TableStore>(
-        self: Arc<Self>,
+/// The row of a process that runs, and is a member once it can serve requests.
+pub struct MemberRegistration<T>(RowAccess<T>);
+
+/// The row of a process that leaves.
+pub struct MemberRemoval<T>(RowAccess<T>);
+
+struct RowAccess<T> {
+    table: Arc<T>,
+    view: Arc<NodeView>,
+    clock: SharedClock,
+    own: RowOwner,
+    key: SmolStr,
+    value: String,
+}
+
+impl<T: TableStore> MemberRegistration<T> {
+    /// The row of the process `own`, which is not written yet.
+    pub fn new(
         table: Arc<T>,
-        stop: CancellationToken,
-    ) {
-        let row = MemberRow {
-            incarnation: self.own.incarnation,
-            peers: self.settings.peer_address(),
-            callers: self.settings.listen.callers,
-            failure_domain: self.settings.failure_domain.clone(),
-        };
-        let value = serde_json::to_string(&row).expect("a row of plain values always serializes");
-        let key = RowName::Member(self.own.node.clone()).key();
+        view: Arc<NodeView>,
+        clock: SharedClock,
+        own: RowOwner,
+        row: &MemberRow,
+    ) -> Self {
+        let key = RowName::Member(own.node.clone()).key();
+        let value = serde_json::to_string(row).expect("a row of plain values always serializes");
+        Self(RowAccess { table, view, clock, own, key, value })
+    }
+
+    /// Writes the row once this process can serve requests, and again whenever the store has lost it,
+    /// until the process leaves.
+    pub async fn run(self, leaving: CancellationToken) -> MemberRemoval<T> {
+        let Self(access) = self;
+        access.keep_written(&leaving).await;
+        MemberRemoval(access)
+    }
+}
+
+impl<T: TableStore> MemberRemoval<T> {
+    /// Deletes the row.
+    pub async fn delete_row(&self) {
+        let Self(access) = self;
+        let transaction = Transaction::default().delete(access.key.clone());
+        if let Err(error) = access.table.commit(transaction).await {
+            warn!(why = %error, "failed to delete the member row");
+        }
+    }
+}
+
+impl<T: TableStore> RowAccess<T> {
+    /// Returns once no write is under way: an abandoned one could follow the delete.
+    async fn keep_written(&self, leaving: &CancellationToken) {
         let mut written_at: Option<Tick> = None;
-        while !stop.is_cancelled() {
-            let now = self.shared.clock.now();
-            let is_due = self
-                .view
-                .with(|state| state.is_ready() && !state.members.has_own_row(self.own.incarnation));
-            if is_due && written_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY) {
-                let transaction = Transaction::default().put(key.clone(), value.clone());
-                match table.commit(transaction).await {
-                    Ok(_) => {
-                        info!(decision = "row-written", again = written_at.is_some(), "state");
-                        written_at = Some(now);
-                    }
-                    Err(error) => warn!(why = %error, "failed to write the member row"),
-                }
+        while !leaving.is_cancelled() {
+            let now = self.clock.now();
+            if self.is_due() && written_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY) {
+                self.write(now, &mut written_at).await;
             }
-            sleep(REGISTER_RETRY_DELAY).await;
+            leaving.run_until_cancelled(sleep(REGISTER_RETRY_DELAY)).await;
         }
     }
 
-    pub(crate) async fn deregister_member<T: TableStore>(&self, table: &T) {
-        let key = RowName::Member(self.own.node.clone()).key();
-        if let Err(error) = table.commit(Transaction::default().delete(key)).await {
-            warn!(why = %error, "failed to delete the member row");
+    /// Whether this process can serve requests and has no row.
+    fn is_due(&self) -> bool {
+        let incarnation = self.own.incarnation;
+        self.view.with(|state| state.is_ready() && !state.members.has_own_row(incarnation))
+    }
+
+    async fn write(&self, now: Tick, written_at: &mut Option<Tick>) {
+        let transaction = Transaction::default().put(self.key.clone(), self.value.clone());
+        match self.table.commit(transaction).await {
+            Ok(_) => {
+                info!(decision = "row-written", again = written_at.is_some(), "state");
+                *written_at = Some(now);
+            }
+            Err(error) => warn!(why = %error, "failed to write the member row"),
         }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -7,11 +7,12 @@
         follow::follow_all,
         http::serve_requests,
         members::MemberTable,
+        membership::MemberRegistration,
         metrics::NodeMetrics,
         peers::PeerSocket,
         ports::{AddressCodec, EngineAccess, PlatformWatch},
         reload::{CHECK_INTERVAL, ReloadOutcome, SettingsFile},
-        rows::RowOwner,
+        rows::{MemberRow, RowOwner},
         settings::NodeSettings,
         share::{SharedWatch, StoreCaches, serve_caches},
         stopping::StoppedTasks,
@@ -195,7 +196,9 @@
             head_updates,
             control_stop.clone(),
         ));
-        let joining = tokio::spawn(self.clone().register_member(ports.table.clone(), stop.clone()));
+        let leaving = stop.child_token();
+        let registration = self.registration(ports.table.clone());
+        let joining = tokio::spawn(registration.run(leaving.clone()));
         let mut file_checks = tokio::time::interval(CHECK_INTERVAL);
         loop {
             tokio::select! {
@@ -207,12 +210,23 @@
             }
         }
         let settings = StopSettings::within(file.settings().grace());
-        let tasks = StoppedTasks { serving, joining, control, control_stop };
-        self.stop_in_order(planned, &settings, tasks, &*ports.table).await;
+        let tasks = StoppedTasks { serving, joining, leaving, control, control_stop };
+        self.stop_in_order(planned, &settings, tasks).await;
         stop.cancel();
         Ok(())
     }
 
+    fn registration<T: TableStore>(&self, table: Arc<T>) -> MemberRegistration<T> {
+        let row = MemberRow {
+            incarnation: self.own.incarnation,
+            peers: self.settings.peer_address(),
+            callers: self.settings.listen.callers,
+            failure_domain: self.settings.failure_domain.clone(),
+        };
+        let clock = self.shared.clock.clone();
+        MemberRegistration::new(table, self.view.clone(), clock, self.own.clone(), &row)
+    }
+
     fn reload(&self, file: &mut SettingsFile) {
         match file.reload() {
             ReloadOutcome::Unchanged => info!(decision = "reload", changed = false, "process"),
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -1,7 +1,7 @@
 //! The steps of a planned stop, from SIGTERM to the end of the process.
 
 use {
-    crate::run::NodeRuntime,
+    crate::{membership::MemberRemoval, run::NodeRuntime},
     base::Tick,
     infra::TableStore,
     std::time::Duration,
@@ -15,11 +15,12 @@
 };
 
 /// The tasks that a stop ends or waits for.
-pub(crate) struct StoppedTasks {
+pub(crate) struct StoppedTasks<T> {
     /// Serves callers until all their connections have ended.
     pub(crate) serving: JoinHandle<()>,
-    /// Writes the member row.
-    pub(crate) joining: JoinHandle<()>,
+    /// Writes the member row until `leaving` is cancelled.
+    pub(crate) joining: JoinHandle<MemberRemoval<T>>,
+    pub(crate) leaving: CancellationToken,
     /// Owns fabric domains until `control_stop` is cancelled and they are handed over.
     pub(crate) control: JoinHandle<()>,
     pub(crate) control_stop: CancellationToken,
@@ -52,20 +53,19 @@
         &self,
         planned: PlannedStop<Running>,
         settings: &StopSettings,
-        tasks: StoppedTasks,
-        table: &T,
+        tasks: StoppedTasks<T>,
     ) {
-        let StoppedTasks { mut serving, joining, control, control_stop } = tasks;
+        let StoppedTasks { mut serving, joining, leaving, control, control_stop } = tasks;
         let signalled_at = self.shared.clock.now();
         let deadlines = StopDeadlines::new(settings, signalled_at);
         let ended_before = self.shared.work.ended();
-        let leaving = planned.leave(settings, signalled_at);
+        let planned = planned.leave(settings, signalled_at);
         let grace_ms = settings.grace.as_millis() as u64;
         info!(decision = "stopping", requests = self.shared.work.len(), grace_ms, "process");
-        joining.abort();
+        leaving.cancel();
         control_stop.cancel();
         self.send_to_all(&self.message());
-        let draining = self.leave(leaving, settings, &deadlines, control, table).await;
+        let draining = self.leave(planned, settings, &deadlines, control, joining).await;
         self.drain(draining, &deadlines, &mut serving).await;
         self.log_end(&deadlines, self.shared.work.ended() - ended_before);
     }
@@ -77,10 +77,15 @@
         settings: &StopSettings,
         deadlines: &StopDeadlines,
         control: JoinHandle<()>,
-        table: &T,
+        joining: JoinHandle<MemberRemoval<T>>,
     ) -> PlannedStop<Draining> {
         let handover = async {
-            let work = async { tokio::join!(self.deregister_member(table), control) };
+            let deletion = async {
+                if let Ok(removal) = joining.await {
+                    removal.delete_row().await;
+                }
+            };
+            let work = async { tokio::join!(deletion, control) };
             if timeout(settings.port_closes_after, work).await.is_err() {
                 warn!(decision = "handover-incomplete", "process");
             }
--- /dev/null
+++ b/crates/node/tests/membership.rs
@@ -0,0 +1,146 @@
+//! The member row of a process that leaves.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use {
+    async_trait::async_trait,
+    base::{FailureDomainId, HostId, Incarnation, ManualClock, RowVersion, StoreEra},
+    infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
+    node::{
+        ConfigUpdate, ServerChange, WatchPage, WatchPosition,
+        members::MemberTable,
+        membership::{MemberRegistration, MemberRemoval},
+        rows::{MemberRow, RowName, RowOwner},
+        view::NodeView,
+    },
+    relay::{CallerLimits, RelayConfig},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+    support::relay_shared,
+    tokio::{task::JoinHandle, time::sleep},
+    tokio_util::sync::CancellationToken,
+};
+
+/// What a store does with a transaction.
+#[derive(Clone, Copy, Debug, Default)]
+enum Handling {
+    /// Carries it out and answers.
+    #[default]
+    Prompt,
+    /// Carries it out and answers after a time, also when nobody waits for the answer any more.
+    Late(Duration),
+}
+
+/// A store that handles its first transactions as planned, and the others at once.
+#[derive(Default)]
+struct PlannedTable {
+    rows: Arc<parking_lot::Mutex<BTreeMap<RowKey, String>>>,
+    handlings: parking_lot::Mutex<VecDeque<Handling>>,
+}
+
+impl PlannedTable {
+    fn new(handlings: impl IntoIterator<Item = Handling>) -> Arc<Self> {
+        let handlings = parking_lot::Mutex::new(handlings.into_iter().collect());
+        Arc::new(Self { handlings, ..Self::default() })
+    }
+
+    fn has_row(&self) -> bool {
+        self.rows.lock().contains_key(&key())
+    }
+}
+
+#[async_trait]
+impl TableStore for PlannedTable {
+    async fn read(&self, keys: &[RowKey]) -> Result<Vec<Option<StoredRow>>, PlatformError> {
+        Ok(keys.iter().map(|_| None).collect())
+    }
+
+    async fn scan(&self, _prefix: &str) -> Result<Vec<StoredRow>, PlatformError> {
+        Ok(Vec::new())
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, PlatformError> {
+        let handling = self.handlings.lock().pop_front().unwrap_or_default();
+        let rows = self.rows.clone();
+        let apply = move || {
+            for write in transaction.writes {
+                match write.value {
+                    Some(value) => rows.lock().insert(write.key, value),
+                    None => rows.lock().remove(&write.key),
+                };
+            }
+        };
+        match handling {
+            Handling::Prompt => apply(),
+            Handling::Late(span) => {
+                let carried_out = tokio::spawn(async move {
+                    sleep(span).await;
+                    apply();
+                });
+                carried_out.await.unwrap();
+            }
+        }
+        Ok(CommitOutcome::Committed { version: RowVersion(1), era: StoreEra(0) })
+    }
+}
+
+fn own() -> RowOwner {
+    RowOwner { node: HostId::new("n0").unwrap(), incarnation: Incarnation(7) }
+}
+
+fn key() -> RowKey {
+    RowName::Member(own().node).key()
+}
+
+fn member_row() -> MemberRow {
+    MemberRow {
+        incarnation: own().incarnation,
+        peers: ([127, 0, 0, 1], 1).into(),
+        callers: ([127, 0, 0, 1], 2).into(),
+        failure_domain: FailureDomainId::new("z").unwrap(),
+    }
+}
+
+/// A process that can serve requests.
+struct Process {
+    leaving: CancellationToken,
+    joining: JoinHandle<MemberRemoval<PlannedTable>>,
+}
+
+impl Process {
+    fn start(table: &Arc<PlannedTable>) -> Self {
+        let clock = Arc::new(ManualClock::new());
+        let shared = Arc::new(relay_shared(clock.clone()));
+        let view = Arc::new(NodeView::new(MemberTable::new(own().node), shared));
+        let relay = RelayConfig::new(1, Vec::new(), Vec::new(), CallerLimits::default());
+        view.apply_config(ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() });
+        view.apply_servers(page(1, Vec::<ServerChange>::new()));
+        let leaving = CancellationToken::new();
+        let registration =
+            MemberRegistration::new(table.clone(), view, clock, own(), &member_row());
+        let joining = tokio::spawn(registration.run(leaving.clone()));
+        Self { leaving, joining }
+    }
+}
+
+fn page<C>(version: u64, changes: Vec<C>) -> WatchPage<C> {
+    let position = WatchPosition { era: StoreEra(0), version };
+    WatchPage { changes, position, is_snapshot: version == 1, age: None }
+}
+
+/// A write of the member row that was abandoned at SIGTERM took effect after the delete, so that a
+/// process that was gone stayed listed.
+#[tokio::test(start_paused = true)]
+async fn a_write_under_way_at_the_stop_does_not_follow_the_delete() {
+    let table = PlannedTable::new([Handling::Late(Duration::from_millis(700))]);
+    let process = Process::start(&table);
+    sleep(Duration::from_millis(100)).await;
+    process.leaving.cancel();
+    process.joining.await.unwrap().delete_row().await;
+    sleep(Duration::from_secs(5)).await;
+    assert!(!table.has_row(), "the row of a process that is gone is in the store");
+}
