Repeat the delete of the member row until it is done

Callers would see: as for a process that was killed, its address for up to 1.8 s; the row stays in the store.

Cause: the row was deleted once at SIGTERM. A store that was away for a moment, an answer that was lost, or a row that came back, by a late write or a restored store, left it there.

Evidence: node membership, three tests: a store that is away for two deletes, one that loses an answer, and a row that comes back; all three failed with one delete.

The delete is repeated each 0.3 s until the store says that it is done, and again when the row watch shows the row, until the process ends. Only the first failure is logged. The process doesn't stay for it: peers know from its heartbeats that it has left.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -9,7 +9,7 @@
     infra::{TableStore, Transaction},
     smol_str::SmolStr,
     std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
@@ -17,6 +17,8 @@
 /// Pause before a process checks again whether it is ready to register, or repeats a failed write of
 /// its member row.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time between two looks at what the row watch has shown.
+const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a write of the member row until the row watch must have shown it; then the store has
 /// lost the row.
 const REWRITE_DELAY: Duration = Duration::from_millis(2_500);
@@ -60,12 +62,32 @@
 }
 
 impl<T: TableStore> MemberRemoval<T> {
-    /// Deletes the row.
+    /// Deletes the row, again and again until the store says that it is gone.
     pub async fn delete_row(&self) {
         let Self(access) = self;
-        let transaction = Transaction::default().delete(access.key.clone());
-        if let Err(error) = access.table.commit(transaction).await {
-            warn!(why = %error, "failed to delete the member row");
+        let mut failed = false;
+        loop {
+            let transaction = Transaction::default().delete(access.key.clone());
+            match access.table.commit(transaction).await {
+                Ok(_) => break,
+                Err(error) if !failed => warn!(why = %error, "failed to delete the member row"),
+                Err(_) => {}
+            }
+            failed = true;
+            sleep(REGISTER_RETRY_DELAY).await;
+        }
+        info!(decision = "row-deleted", again = failed, "state");
+    }
+
+    /// Deletes the row whenever it comes back: by a write whose answer was lost, or in a store that
+    /// came back from an older copy. Never returns.
+    pub async fn keep_deleted(&self) {
+        let Self(access) = self;
+        loop {
+            // The row watch lags behind the delete.
+            let _ = timeout(REWRITE_DELAY, access.shown(false)).await;
+            access.shown(true).await;
+            self.delete_row().await;
         }
     }
 }
@@ -83,10 +105,20 @@
         }
     }
 
+    /// Waits until the row watch shows the row, or that there is none.
+    async fn shown(&self, is_present: bool) {
+        while self.has_row() != is_present {
+            sleep(WATCH_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn has_row(&self) -> bool {
+        self.view.with(|state| state.members.has_own_row(self.own.incarnation))
+    }
+
     /// Whether this process can serve requests and has no row.
     fn is_due(&self) -> bool {
-        let incarnation = self.own.incarnation;
-        self.view.with(|state| state.is_ready() && !state.members.has_own_row(incarnation))
+        self.view.with(|state| state.is_ready()) && !self.has_row()
     }
 
     async fn write(&self, now: Tick, written_at: &mut Option<Tick>) {
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -7,6 +7,7 @@
     std::time::Duration,
     stop::{Draining, Ending, Leaving, PlannedStop, Running, StopSettings, WorkCounts},
     tokio::{
+        sync::oneshot,
         task::JoinHandle,
         time::{Instant, sleep_until, timeout, timeout_at},
     },
@@ -49,7 +50,7 @@
 impl NodeRuntime {
     /// Stops the process: callers and peers go elsewhere, what has begun ends, and what has not ended
     /// shortly before the kill is told so.
-    pub(crate) async fn stop_in_order<T: TableStore>(
+    pub(crate) async fn stop_in_order<T: TableStore + 'static>(
         &self,
         planned: PlannedStop<Running>,
         settings: &StopSettings,
@@ -71,7 +72,7 @@
     }
 
     /// Hands over what this process owns while callers learn of other processes.
-    async fn leave<T: TableStore>(
+    async fn leave<T: TableStore + 'static>(
         &self,
         leaving: PlannedStop<Leaving>,
         settings: &StopSettings,
@@ -79,13 +80,19 @@
         control: JoinHandle<()>,
         joining: JoinHandle<MemberRemoval<T>>,
     ) -> PlannedStop<Draining> {
-        let handover = async {
-            let deletion = async {
-                if let Ok(removal) = joining.await {
-                    removal.delete_row().await;
-                }
+        // Goes on until the process ends.
+        let (sender, deleted) = oneshot::channel();
+        tokio::spawn(async move {
+            let removal = match joining.await {
+                Ok(removal) => removal,
+                Err(error) => return warn!(%error, "the member row is not deleted"),
             };
-            let work = async { tokio::join!(deletion, control) };
+            removal.delete_row().await;
+            let _ = sender.send(());
+            removal.keep_deleted().await;
+        });
+        let handover = async {
+            let work = async { tokio::join!(deleted, control) };
             if timeout(settings.port_closes_after, work).await.is_err() {
                 warn!(decision = "handover-incomplete", "process");
             }
--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership.rs
@@ -8,7 +8,7 @@
     base::{FailureDomainId, HostId, Incarnation, ManualClock, RowVersion, StoreEra},
     infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     node::{
-        ConfigUpdate, ServerChange, WatchPage, WatchPosition,
+        ConfigUpdate, RowChange, ServerChange, WatchPage, WatchPosition,
         members::MemberTable,
         membership::{MemberRegistration, MemberRemoval},
         rows::{MemberRow, RowName, RowOwner},
@@ -33,6 +33,10 @@
     Prompt,
     /// Carries it out and answers after a time, also when nobody waits for the answer any more.
     Late(Duration),
+    /// Carries it out and answers with an error.
+    AnswerLost,
+    /// Answers with an error.
+    Away,
 }
 
 /// A store that handles its first transactions as planned, and the others at once.
@@ -40,6 +44,7 @@
 struct PlannedTable {
     rows: Arc<parking_lot::Mutex<BTreeMap<RowKey, String>>>,
     handlings: parking_lot::Mutex<VecDeque<Handling>>,
+    commits: parking_lot::Mutex<usize>,
 }
 
 impl PlannedTable {
@@ -48,6 +53,10 @@
         Arc::new(Self { handlings, ..Self::default() })
     }
 
+    fn put_back(&self) {
+        self.rows.lock().insert(key(), String::new());
+    }
+
     fn has_row(&self) -> bool {
         self.rows.lock().contains_key(&key())
     }
@@ -65,6 +74,7 @@
 
     async fn commit(&self, transaction: Transaction) -> Result<CommitOutcome, PlatformError> {
         let handling = self.handlings.lock().pop_front().unwrap_or_default();
+        *self.commits.lock() += 1;
         let rows = self.rows.clone();
         let apply = move || {
             for write in transaction.writes {
@@ -74,6 +84,8 @@
                 };
             }
         };
+        let failed =
+            |detail: &str| PlatformError::Unknown { service: "store", detail: detail.into() };
         match handling {
             Handling::Prompt => apply(),
             Handling::Late(span) => {
@@ -83,6 +95,11 @@
                 });
                 carried_out.await.unwrap();
             }
+            Handling::AnswerLost => {
+                apply();
+                return Err(failed("the answer is lost"));
+            }
+            Handling::Away => return Err(failed("the store is away")),
         }
         Ok(CommitOutcome::Committed { version: RowVersion(1), era: StoreEra(0) })
     }
@@ -107,6 +124,7 @@
 
 /// A process that can serve requests.
 struct Process {
+    view: Arc<NodeView>,
     leaving: CancellationToken,
     joining: JoinHandle<MemberRemoval<PlannedTable>>,
 }
@@ -121,15 +139,26 @@
         view.apply_servers(page(1, Vec::<ServerChange>::new()));
         let leaving = CancellationToken::new();
         let registration =
-            MemberRegistration::new(table.clone(), view, clock, own(), &member_row());
+            MemberRegistration::new(table.clone(), view.clone(), clock, own(), &member_row());
         let joining = tokio::spawn(registration.run(leaving.clone()));
-        Self { leaving, joining }
+        Self { view, leaving, joining }
     }
 }
 
+/// Shows a process a change of its row, as the row watch does.
+fn show_row(view: &NodeView, version: u64, is_present: bool) {
+    let value = serde_json::to_string(&member_row()).unwrap();
+    let stored = StoredRow { key: key(), version: RowVersion(version), value };
+    let change = match is_present {
+        true => RowChange::Written(stored),
+        false => RowChange::Deleted(key()),
+    };
+    view.apply_rows(page(version, vec![change]));
+}
+
 fn page<C>(version: u64, changes: Vec<C>) -> WatchPage<C> {
     let position = WatchPosition { era: StoreEra(0), version };
-    WatchPage { changes, position, is_snapshot: version == 1, age: None }
+    WatchPage { changes, position, is_snapshot: version <= 2, age: None }
 }
 
 /// A write of the member row that was abandoned at SIGTERM took effect after the delete, so that a
@@ -144,3 +173,51 @@
     sleep(Duration::from_secs(5)).await;
     assert!(!table.has_row(), "the row of a process that is gone is in the store");
 }
+
+/// The member row was deleted once at SIGTERM: when the store was away for a moment, a process that
+/// was gone stayed listed.
+#[tokio::test(start_paused = true)]
+async fn a_delete_that_fails_is_repeated() {
+    let table = PlannedTable::new([Handling::Prompt, Handling::Away, Handling::Away]);
+    let process = Process::start(&table);
+    sleep(Duration::from_millis(100)).await;
+    process.leaving.cancel();
+    process.joining.await.unwrap().delete_row().await;
+    assert!(!table.has_row());
+}
+
+/// Whether a delete whose answer is lost took effect is not known.
+#[tokio::test(start_paused = true)]
+async fn a_delete_without_an_answer_is_repeated() {
+    let table = PlannedTable::new([Handling::Prompt, Handling::AnswerLost]);
+    let process = Process::start(&table);
+    sleep(Duration::from_millis(100)).await;
+    process.leaving.cancel();
+    process.joining.await.unwrap().delete_row().await;
+    assert_eq!(*table.commits.lock(), 3);
+}
+
+/// A write whose answer was lost, or a store that came back from an older copy, put the row back
+/// after its delete while the process still drained.
+#[tokio::test(start_paused = true)]
+async fn a_row_that_comes_back_is_deleted_again() {
+    let table = PlannedTable::new([]);
+    let Process { view, leaving, joining } = Process::start(&table);
+    sleep(Duration::from_millis(100)).await;
+    show_row(&view, 2, true);
+    leaving.cancel();
+    let removal = joining.await.unwrap();
+    let removing = tokio::spawn(async move {
+        removal.delete_row().await;
+        removal.keep_deleted().await;
+    });
+    sleep(Duration::from_millis(100)).await;
+    show_row(&view, 3, false);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(*table.commits.lock(), 2, "a write and a delete");
+    table.put_back();
+    show_row(&view, 4, true);
+    sleep(Duration::from_secs(1)).await;
+    assert!(!table.has_row());
+    removing.abort();
+}
