Do not name a stopping process in its own answers to address queries

Callers would see: addresses from a process that is stopping, its own among them, with 2 s to use them, some callers 6 s; the port closes 4 s after the signal.

Cause: a process learned that it is leaving itself only from its peers, which pass its notice back in a gossip message, or from the row watch. With the store away that is a round of gossip or more; isolated from its peers it is never.

Evidence: node local_view, a table whose process leaves: its address was in the answer, now it is not. The same list names the processes that give turns, share limits and watch the store, so that the process leaves these at once, too.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub struct MemberTable {
     own: HostId,
+    /// Whether this process is about to stop.
+    own_leaving: bool,
     members: BTreeMap<HostId, MemberState>,
     /// Maps each current incarnation to its process.
     by_incarnation: BTreeMap<Incarnation, HostId>,
@@ -66,12 +68,18 @@
     pub fn new(own: HostId) -> Self {
         Self {
             own,
+            own_leaving: false,
             members: BTreeMap::new(),
             by_incarnation: BTreeMap::new(),
             last_contact_at: None,
         }
     }
 
+    /// Records that this process is about to stop.
+    pub fn leave(&mut self) {
+        self.own_leaving = true;
+    }
+
     /// Inserts or updates the row of a process; a new incarnation starts with a fresh heartbeat
     /// state.
     pub fn insert_row(&mut self, node: HostId, row: MemberRow, now: Tick) {
@@ -282,10 +290,16 @@
     pub fn live_members(&self, now: Tick) -> impl Iterator<Item = (&HostId, &MemberRow)> {
         self.members
             .iter()
-            .filter(move |(node, state)| !state.leaving && self.is_alive(node, None, now))
+            .filter(move |(node, state)| {
+                !self.is_leaving(node, state) && self.is_alive(node, None, now)
+            })
             .map(|(node, state)| (node, &state.row))
     }
 
+    fn is_leaving(&self, node: &HostId, state: &MemberState) -> bool {
+        state.leaving || (self.own_leaving && *node == self.own)
+    }
+
     /// The address for datagrams and connections between processes.
     pub fn peer_address(&self, node: &HostId) -> Option<SocketAddr> {
         self.members.get(node).map(|state| state.row.peers)
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -63,6 +63,7 @@
         let planned = planned.leave(settings, signalled_at);
         let grace_ms = settings.grace.as_millis() as u64;
         info!(decision = "stopping", requests = self.shared.work.len(), grace_ms, "process");
+        self.view.with(|state| state.members.leave());
         leaving.cancel();
         control_stop.cancel();
         self.send_to_all(&self.message());
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -184,6 +184,18 @@
     assert!(!answer.addresses.contains(&row(3, "odd").callers));
 }
 
+/// A stopping process went on to name itself until its peers had passed its own notice back to it.
+#[test]
+fn a_leaving_process_does_not_name_itself() {
+    let mut table = table(4);
+    record_all_but(&mut table, 4, 9, after(100));
+    assert!(answer_addresses(&table, after(100)).addresses.contains(&row(0, "even").callers));
+    table.leave();
+    let answer = answer_addresses(&table, after(200));
+    assert!(!answer.addresses.contains(&row(0, "even").callers));
+    assert_eq!(answer.addresses.len(), 3);
+}
+
 #[test]
 fn a_counter_of_an_earlier_incarnation_keeps_nobody_alive() {
     let mut table = table(3);
