Answer the requests that have arrived before closing a kept connection

Callers saw: no answer at all to a request on a kept connection, or on one that was just opened, about when the port of a stopping process closed; no server had run it, which they can't tell.

Cause: at the end of the leave time idle connections were closed without a look at what had arrived. Bytes that are unread at the close make the kernel reset the connection. A new connection that no request had come over yet was closed, too.

Evidence: relay stop_sockets: a request that is in the kernel as the phase changes got nothing (1 answer to 2 requests), as did the first request on a new connection; both are answered now. Ruled out: the listener (both connections were accepted).

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod buffered;
 mod caller_body;
+mod caller_socket;
 mod caution;
 pub mod choose;
 pub mod codec;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,7 +1,7 @@
 //! Accepts and serves callers' connections.
 
 use {
-    crate::{codec::RequestCodec, service::RelayService},
+    crate::{caller_socket::CallerSocket, codec::RequestCodec, service::RelayService},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
@@ -44,7 +44,7 @@
 }
 
 /// Serves one connection until it ends. In the phase [`StopPhase::Draining`] it ends after the
-/// request that is running.
+/// requests that have arrived.
 async fn serve_connection<C: RequestCodec>(stream: TcpStream, service: Arc<RelayService<C>>) {
     let stop = service.shared.stop.clone();
     if let Err(error) = stream.set_nodelay(true) {
@@ -57,15 +57,24 @@
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
+    let (socket, watch) = CallerSocket::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time).mul_f64(IDLE_TIMEOUT_FACTOR))
         .max_buf_size(limits.head_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(socket), handler);
     let mut connection = pin!(connection);
+    let closing = async {
+        stop.reached(StopPhase::Draining).await;
+        // A request that has arrived would be thrown away with an idle connection.
+        tokio::select! {
+            () = watch.idle() => {}
+            () = stop.reached(StopPhase::Ending) => {}
+        }
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop.reached(StopPhase::Draining) => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
