Serve the connections that wait when the port of a stopping process closes

Callers saw: a connection that was established and reset, with no answer to the request that it carried; no server had run it, which they can't tell.

Cause: closing a listener makes the kernel reset the connections that it has established and that were not accepted yet.

All connections that wait are accepted before the listener is dropped, and are served as others of that phase. A connection that the kernel establishes between the last accept and the close, some microseconds, is still reset.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,7 +4,7 @@
     crate::{caller_socket::CallerSocket, codec::RequestCodec, service::RelayService},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
+    std::{convert::Infallible, io, pin::pin, sync::Arc, time::Duration},
     stop::StopPhase,
     tokio::net::{TcpListener, TcpStream},
     tracing::{debug, warn},
@@ -38,11 +38,39 @@
             }
         }
     }
-    drop(listener);
+    match accept_waiting(listener) {
+        Ok(waiting) => waiting.into_iter().for_each(|stream| {
+            tracker.spawn(serve_connection(stream, service.clone()));
+        }),
+        Err(error) => warn!(%error, "failed to accept the connections that wait"),
+    }
     tracker.close();
     tracker.wait().await;
 }
 
+/// Closes the port and returns the connections that were established and not accepted; callers may
+/// have sent requests over them.
+fn accept_waiting(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    // The runtime may not know yet that connections wait.
+    let listener = listener.into_std()?;
+    let mut waiting = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                waiting.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(waiting),
+            // The caller has left.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => {
+                warn!(%error, "failed to accept the connections that wait");
+                return Ok(waiting);
+            }
+        }
+    }
+}
+
 /// Serves one connection until it ends. In the phase [`StopPhase::Draining`] it ends after the
 /// requests that have arrived.
 async fn serve_connection<C: RequestCodec>(stream: TcpStream, service: Arc<RelayService<C>>) {
--- a/crates/relay/tests/stop_sockets.rs
+++ b/crates/relay/tests/stop_sockets.rs
@@ -75,6 +75,27 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Connections that were established and not accepted yet were reset when the port closed, with the
+/// requests that they carried.
+#[tokio::test]
+async fn connections_that_wait_for_the_port_are_served() {
+    let server = ScriptedServer::start(COMPLETE).await;
+    let relay = TestRelay::start(RequestKind::Unsafe, &[&server]).await;
+    sleep(Duration::from_millis(20)).await;
+    let mut callers: Vec<PlainStream> =
+        (0..20).map(|_| PlainStream::connect(relay.address).unwrap()).collect();
+    for caller in &mut callers {
+        caller.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+        send_unseen(caller, REQUEST);
+    }
+    let _draining = relay.stop(LONG_REST).drain();
+    for caller in callers {
+        let answer = read_answer(caller).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(PlainStream::connect(relay.address).is_err(), "the port is closed");
+}
+
 /// A connection that nobody uses does not hold the process up.
 #[tokio::test]
 async fn an_unused_connection_ends_with_the_port() {
