--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,10 +1,10 @@
 //! Accepts and serves callers' connections.
 
 use {
-    crate::{codec::RequestCodec, service::RelayService},
+    crate::{caller_socket::CallerSocket, codec::RequestCodec, service::RelayService},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
+    std::{convert::Infallible, io, pin::pin, sync::Arc, time::Duration},
     stop::StopPhase,
     tokio::net::{TcpListener, TcpStream},
     tracing::{debug, warn},
@@ -38,13 +38,41 @@
             }
         }
     }
-    drop(listener);
+    match accept_waiting(listener) {
+        Ok(waiting) => waiting.into_iter().for_each(|stream| {
+            tracker.spawn(serve_connection(stream, service.clone()));
+        }),
+        Err(error) => warn!(%error, "failed to accept the connections that wait"),
+    }
     tracker.close();
     tracker.wait().await;
 }
 
+/// Closes the port and returns the connections that were established and not accepted; callers may
+/// have sent requests over them.
+fn accept_waiting(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    // The runtime may not know yet that connections wait.
+    let listener = listener.into_std()?;
+    let mut waiting = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                waiting.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(waiting),
+            // The caller has left.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => {
+                warn!(%error, "failed to accept the connections that wait");
+                return Ok(waiting);
+            }
+        }
+    }
+}
+
 /// Serves one connection until it ends. In the phase [`StopPhase::Draining`] it ends after the
-/// request that is running.
+/// requests that have arrived.
 async fn serve_connection<C: RequestCodec>(stream: TcpStream, service: Arc<RelayService<C>>) {
     let stop = service.shared.stop.clone();
     if let Err(error) = stream.set_nodelay(true) {
@@ -57,15 +85,24 @@
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
+    let (socket, watch) = CallerSocket::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time).mul_f64(IDLE_TIMEOUT_FACTOR))
         .max_buf_size(limits.head_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(socket), handler);
     let mut connection = pin!(connection);
+    let closing = async {
+        stop.reached(StopPhase::Draining).await;
+        // A request that has arrived would be thrown away with an idle connection.
+        tokio::select! {
+            () = watch.idle() => {}
+            () = stop.reached(StopPhase::Ending) => {}
+        }
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop.reached(StopPhase::Draining) => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
