--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -15,6 +15,9 @@
     tracing::{info, warn},
 };
 
+/// Least time for which the process goes on after it has given its last answers.
+const LAST_WRITE_TIME: Duration = Duration::from_millis(100);
+
 /// The tasks that a stop ends or waits for.
 pub(crate) struct StoppedTasks<T> {
     /// Serves callers until all their connections have ended.
@@ -113,8 +116,10 @@
             return;
         }
         let _ending: PlannedStop<Ending> = draining.end();
-        // The connections end once the last answers are written.
-        if timeout_at(deadlines.exit, serving).await.is_err() {
+        // The connections end once the last answers are written. A process that was paused until now
+        // gives them the time for that, too.
+        let exit = deadlines.exit.max(Instant::now() + LAST_WRITE_TIME);
+        if timeout_at(exit, serving).await.is_err() {
             self.log_open_requests(deadlines.signalled_at);
         }
     }
--- a/crates/stop/src/planned.rs
+++ b/crates/stop/src/planned.rs
@@ -24,6 +24,7 @@
 
 /// A process in the phase `P`; each phase leads only to the next.
 #[derive(Debug)]
+#[must_use = "the other steps of the stop hang on it"]
 pub struct PlannedStop<P> {
     watch: StopWatch,
     phase: PhantomData<P>,
@@ -50,14 +51,14 @@
 }
 
 impl PlannedStop<Leaving> {
-    /// Closes the port and idle connections.
+    /// Has the port and idle connections closed.
     pub fn drain(self) -> PlannedStop<Draining> {
         self.enter(StopPhase::Draining)
     }
 }
 
 impl PlannedStop<Draining> {
-    /// Gives what still runs its last answer.
+    /// Has what still runs get its last answer.
     pub fn end(self) -> PlannedStop<Ending> {
         self.enter(StopPhase::Ending)
     }
--- a/crates/stop/src/settings.rs
+++ b/crates/stop/src/settings.rs
@@ -8,7 +8,7 @@
 /// Most time before the kill at which the process ends, whatever is still open.
 const EXIT_MARGIN: Duration = Duration::from_millis(150);
 /// Largest shares of the grace time that the two margins may take.
-const MAX_ANSWER_SHARE: f64 = 0.2;
+const MAX_ANSWER_SHARE: f64 = 0.15;
 const MAX_EXIT_SHARE: f64 = 0.05;
 /// Most time for which a stopping process accepts connections: callers use addresses for twice the
 /// time to live of an address answer, some of them longer.
