Read on before closing a connection whose request body was not read

Callers saw: a broken connection in place of a refusal that was sent before the end of their body: no route, body too large, or, half through a body, the refusal at the end of a stopping process. They can't tell that the request did not run.

Cause: the kernel resets a connection that is closed with unread bytes, and throws away what it had not delivered yet; a caller that is still sending sees the reset first.

A connection is half-closed after its last answer and read on until its caller closes it or sends nothing for 0.3 s, for as many bytes as a body may have and 2 s at most. The process waits for that at a stop, up to its end.

--- a/crates/relay/src/caller_socket.rs
+++ b/crates/relay/src/caller_socket.rs
@@ -1,4 +1,5 @@
-//! The socket of a caller's connection, which can be asked whether a request has arrived.
+//! The socket of a caller's connection, which can be asked whether a request has arrived, and is
+//! closed so that the last answer arrives.
 
 use {
     parking_lot::Mutex,
@@ -15,14 +16,15 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::{
             TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         sync::Notify,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
+    tracing::debug,
 };
 
 /// How long the first request on a new connection may take to arrive.
@@ -30,14 +32,20 @@
 /// Time after which bytes that have arrived are read, if the reader waits for them.
 const READ_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Longest time for which a connection is read on after its last answer, and longest pause between
+/// bytes in it.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+const LINGER_PAUSE: Duration = Duration::from_millis(300);
+/// Bytes that are discarded at once.
+const DISCARD_BYTES: usize = 16 * 1024;
+
 /// A caller's socket; the connection that is served on it owns it.
 pub(crate) struct CallerSocket {
     read: OwnedReadHalf,
     state: Arc<SocketState>,
 }
 
-/// Tells whether a caller's socket is idle.
-#[derive(Clone)]
+/// Tells whether a caller's socket is idle, and closes it.
 pub(crate) struct SocketWatch {
     state: Arc<SocketState>,
 }
@@ -49,6 +57,8 @@
     is_used: AtomicBool,
     /// Whether something was read after the last write.
     has_input: AtomicBool,
+    /// Whether the caller has closed its side.
+    is_closed: AtomicBool,
     written: Notify,
 }
 
@@ -61,6 +71,7 @@
             opened_at: Instant::now(),
             is_used: AtomicBool::new(false),
             has_input: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             written: Notify::new(),
         });
         (Self { read, state: state.clone() }, SocketWatch { state })
@@ -76,6 +87,23 @@
 }
 
 impl SocketWatch {
+    /// Closes the connection so that the caller gets its last answer, once nothing else uses it. The
+    /// kernel discards what was not sent yet when a connection is closed with unread bytes, so up to
+    /// `limit` bytes are read first.
+    pub(crate) async fn close(self, limit: usize) {
+        let Some(state) = Arc::into_inner(self.state) else { return };
+        let mut write = state.write.into_inner();
+        if state.is_closed.into_inner() {
+            return;
+        }
+        if let Err(error) = write.shutdown().await {
+            debug!(%error, "a caller's connection broke before its close");
+            return;
+        }
+        // A caller that goes on for longer is cut off.
+        let _ = timeout(LINGER_TIME, discard(write.as_ref(), limit)).await;
+    }
+
     /// Waits until all that has arrived was answered, and a new connection has had the time for its
     /// first request.
     pub(crate) async fn idle(&self) {
@@ -95,6 +123,24 @@
     }
 }
 
+/// Reads until the caller closes its side, sends nothing for a while or has sent `limit` bytes.
+async fn discard(stream: &TcpStream, limit: usize) {
+    let mut bytes = [0; DISCARD_BYTES];
+    let mut total = 0;
+    while total < limit {
+        match timeout(LINGER_PAUSE, stream.readable()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return,
+        }
+        match stream.try_read(&mut bytes) {
+            Ok(0) => return,
+            Ok(count) => total += count,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
 impl SocketState {
     /// Whether the kernel holds bytes for this socket. The runtime may not know of them yet.
     fn has_unread(&self) -> bool {
@@ -111,12 +157,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.read).poll_read(context, buffer))?;
+        let read = ready!(Pin::new(&mut self.read).poll_read(context, buffer));
         if buffer.filled().len() > before {
             self.state.is_used.store(true, Ordering::Relaxed);
             self.state.has_input.store(true, Ordering::Relaxed);
+        } else if read.is_err() || buffer.remaining() > 0 {
+            self.state.is_closed.store(true, Ordering::Relaxed);
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(read)
     }
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,7 +1,12 @@
 //! Accepts and serves callers' connections.
 
 use {
-    crate::{caller_socket::CallerSocket, codec::RequestCodec, service::RelayService},
+    crate::{
+        caller_socket::{CallerSocket, SocketWatch},
+        codec::RequestCodec,
+        config::CallerLimits,
+        service::RelayService,
+    },
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, io, pin::pin, sync::Arc, time::Duration},
@@ -74,18 +79,31 @@
 /// Serves one connection until it ends. In the phase [`StopPhase::Draining`] it ends after the
 /// requests that have arrived.
 async fn serve_connection<C: RequestCodec>(stream: TcpStream, service: Arc<RelayService<C>>) {
-    let stop = service.shared.stop.clone();
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "failed to disable Nagle's algorithm on a caller's connection");
         return;
     }
     let limits = service.shared.config.load().as_ref().map(|config| config.limits);
     let limits = limits.unwrap_or_default();
+    let (socket, watch) = CallerSocket::new(stream);
+    if let Err(error) = serve_requests(socket, &watch, limits, service).await {
+        debug!(%error, "a caller's connection failed");
+    }
+    watch.close(limits.body_bytes).await;
+}
+
+/// Serves the requests of one connection.
+async fn serve_requests<C: RequestCodec>(
+    socket: CallerSocket,
+    watch: &SocketWatch,
+    limits: CallerLimits,
+    service: Arc<RelayService<C>>,
+) -> Result<(), hyper::Error> {
+    let stop = service.shared.stop.clone();
     let handler = service_fn(move |request| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
-    let (socket, watch) = CallerSocket::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time).mul_f64(IDLE_TIMEOUT_FACTOR))
@@ -100,14 +118,11 @@
             () = stop.reached(StopPhase::Ending) => {}
         }
     };
-    let result = tokio::select! {
+    tokio::select! {
         result = connection.as_mut() => result,
         () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = result {
-        debug!(%error, "a caller's connection failed");
     }
 }
