Log what a stop did to a request in the same words everywhere

The lines of refusals, of cut streams and of requests that were still open at the exit had different fields; one function writes them now: id, kind, stage, how long the request took, when it came relative to the signal, and what was left until the last answers. A stream that the stop does not let resume has such a line too, instead of not-resumed. The end line is a warning where an answer was not whole.

--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -4,7 +4,7 @@
     crate::run::NodeRuntime,
     base::Tick,
     infra::TableStore,
-    std::time::Duration,
+    relay::{StopEffect, log_stop_effect},
     stop::{Draining, Ending, Leaving, PlannedStop, Running, StopSettings, WorkCounts},
     tokio::{
         task::JoinHandle,
@@ -102,18 +102,15 @@
         let _ending: PlannedStop<Ending> = draining.end();
         // The connections end once the last answers are written.
         if timeout_at(deadlines.exit, serving).await.is_err() {
-            self.log_open_requests(deadlines.signalled_at);
+            self.log_open_requests();
         }
     }
 
     /// Logs each request that has no end, although its answer is overdue.
-    fn log_open_requests(&self, signalled_at: Tick) {
+    fn log_open_requests(&self) {
         let now = self.shared.clock.now();
-        let millis = |span: Duration| span.as_millis() as u64;
         for request in self.shared.work.snapshot() {
-            warn!(id = %request.id, decision = "open-at-exit", kind = request.kind,
-                stage = %request.stage, took_ms = millis(now.since(request.began)),
-                after_signal_ms = millis(request.began.since(signalled_at)), "request");
+            log_stop_effect(&self.shared.stop, &request, StopEffect::OpenAtExit, now);
         }
     }
 
@@ -121,9 +118,16 @@
         let took_ms = self.shared.clock.now().since(deadlines.signalled_at).as_millis() as u64;
         let open = self.shared.work.len();
         let WorkCounts { whole, refused, unknown, cut, abandoned } = ended;
-        info!(
-            decision = "stopped",
-            took_ms, whole, refused, unknown, cut, abandoned, open, "process"
-        );
+        if unknown == 0 && cut == 0 && open == 0 {
+            info!(
+                decision = "stopped",
+                took_ms, whole, refused, unknown, cut, abandoned, open, "process"
+            );
+        } else {
+            warn!(
+                decision = "stopped",
+                took_ms, whole, refused, unknown, cut, abandoned, open, "process"
+            );
+        }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -55,4 +55,5 @@
     service::RelayService,
     shared::{RelayShared, ServerSign},
     standing::{CONFIG_TRUST, ConfigDoubt, ConfigStanding},
+    stopping::{StopEffect, log_stop_effect},
 };
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -9,6 +9,7 @@
         request::RequestKind,
         send::LiveAnswer,
         service::{CallContext, CallProgress, FIRST_EVENT_TIMEOUT, RelayService},
+        stopping::StopEffect,
     },
     base::Tick,
     bytes::Bytes,
@@ -24,7 +25,7 @@
     },
     stop::WorkEnd,
     tokio::{sync::mpsc, time::timeout},
-    tracing::{info, warn},
+    tracing::info,
 };
 
 /// The body of an answer to a caller.
@@ -255,6 +256,10 @@
                 self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: resume failed", status);
                 None
             }
+            Err(refusal) if StopEffect::of_refusal(refusal.kind).is_some() => {
+                self.note_stopped();
+                None
+            }
             Err(refusal) => {
                 let why = refusal.kind.code();
                 info!(id = %self.ctx.id, decision = "not-resumed", why, "request");
@@ -265,12 +270,8 @@
     }
 
     fn note_stopped(&self) {
-        let shared = &self.service.shared;
-        let took_ms = self.ctx.trace.took_ms();
-        let after = self.splitter.last_id().unwrap_or(0);
-        warn!(id = %self.ctx.id, decision = "cut-by-stop", kind = self.ctx.kind().label(), took_ms,
-            after, since_signal_ms = shared.stop.since_signal(shared.clock.now())
-                .map(|span| span.as_millis() as u64), "request");
+        let effect = StopEffect::Cut { last_event: self.splitter.last_id() };
+        self.service.log_stopped(&self.ctx.trace, effect);
         self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: stopping", 0);
     }
 
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -14,6 +14,7 @@
         server::{BackendServer, ServerId},
         shared::RelayShared,
         standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
+        stopping::StopEffect,
         trace::RequestTrace,
     },
     base::{ServiceName, Tick, WorkspaceId},
@@ -436,11 +437,11 @@
             let (id, took_ms) = (&trace.id, trace.took_ms());
             if refusal.kind.rests_on_config() {
                 self.log_config_refusal(id, refusal.kind, took_ms);
+            } else if let Some(effect) = StopEffect::of_refusal(refusal.kind) {
+                self.log_stopped(trace, effect);
             } else {
-                let stop_left = self.shared.stop.time_left(self.shared.clock.now());
-                let stop_left_ms = stop_left.map(|left| left.as_millis() as u64);
                 info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms,
-                    stop_left_ms, "request");
+                    "request");
             }
             trace.end(if refusal.kind.may_have_run() {
                 WorkEnd::Unknown
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -4,7 +4,7 @@
     crate::request::{RequestId, RequestKind},
     base::{SharedClock, Tick},
     std::sync::Arc,
-    stop::{OpenWork, WorkEnd, WorkGuard},
+    stop::{OpenRequest, OpenWork, WorkEnd, WorkGuard},
     tracing::info,
 };
 
@@ -41,6 +41,11 @@
         self.clock.now().since(self.began).as_millis() as u64
     }
 
+    /// The request as it is now; `None` once it has ended.
+    pub(crate) fn request(&self) -> Option<OpenRequest> {
+        self.guard.request()
+    }
+
     /// Records that the request's last line was logged.
     pub(crate) fn end(&self, end: WorkEnd) {
         self.guard.end(end);
