--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod logs;
 pub mod members;
 mod membership;
-mod metrics;
+pub mod metrics;
 pub mod owners;
 pub mod page_cache;
 mod peer_link;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,7 +8,7 @@
         metrics::{family::Family, gauge::Gauge},
         registry::Registry,
     },
-    relay::RelayShared,
+    relay::{RelayShared, RequestKind},
     std::{
         sync::{
             Arc,
@@ -31,13 +31,21 @@
     server: String,
 }
 
+/// Labels of requests that run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
 /// The metrics registry, and gauges that are set from the local view at each scrape.
-pub(crate) struct NodeMetrics {
+pub struct NodeMetrics {
     registry: Registry,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     servers: Gauge,
     processes: Gauge,
+    open_requests: Family<KindLabels, Gauge>,
+    stop_left: Gauge<f64, AtomicU64>,
     dropped: Gauge,
     refused_suspects: Family<SuspectLabels, Gauge<f64, AtomicU64>>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
@@ -47,7 +55,8 @@
 }
 
 impl NodeMetrics {
-    pub(crate) fn new(view: Arc<NodeView>, shared: Arc<RelayShared>) -> Self {
+    /// Registers all metrics of a process.
+    pub fn new(view: Arc<NodeView>, shared: Arc<RelayShared>) -> Self {
         let mut registry = Registry::with_prefix("gypsumfork");
         let config_version = Gauge::default();
         registry.register("config_version", "Version in force", config_version.clone());
@@ -58,6 +67,13 @@
         registry.register("open_servers", "Servers that take requests", servers.clone());
         let processes = Gauge::default();
         registry.register("processes", "Processes with a row", processes.clone());
+        let open_requests = Family::default();
+        let help = "Requests that have begun and not ended, by kind";
+        registry.register("open_requests", help, open_requests.clone());
+        let stop_left = Gauge::default();
+        let help =
+            "Time until a stopping process gives its last answers, in seconds; NaN before SIGTERM";
+        registry.register("stop_left_seconds", help, stop_left.clone());
         let dropped = Gauge::default();
         registry.register("log_lines_dropped", "Lines over the budget", dropped.clone());
         let refused_suspects = Family::default();
@@ -74,6 +90,8 @@
         view.config_ages.register(&mut registry);
         Self {
             registry,
+            open_requests,
+            stop_left,
             dropped,
             refused_suspects,
             server_limits,
@@ -88,7 +106,7 @@
     }
 
     /// Updates the gauges and returns the response body of a scrape.
-    pub(crate) fn render(&self) -> String {
+    pub fn render(&self) -> String {
         let version =
             self.view.with(|state| state.config.as_ref().map_or(0, |config| config.relay.version));
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -96,6 +114,12 @@
             .set(self.view.config_age().as_ref().map_or(f64::NAN, Duration::as_secs_f64));
         self.servers.set(self.shared.servers.load().all().count() as i64);
         self.processes.set(self.shared.processes.load(Ordering::Relaxed) as i64);
+        for kind in RequestKind::LABELS {
+            let open = self.shared.work.count(kind) as i64;
+            self.open_requests.get_or_create(&KindLabels { kind }).set(open);
+        }
+        let stop_left = self.shared.stop.time_left(self.shared.clock.now());
+        self.stop_left.set(stop_left.as_ref().map_or(f64::NAN, Duration::as_secs_f64));
         self.dropped.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
         self.refused_suspects.clear();
         for refusal in self.shared.poison.refusals() {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -34,6 +34,9 @@
 }
 
 impl RequestKind {
+    /// The labels of all kinds, and that of a request whose route is not known yet.
+    pub const LABELS: [&str; 4] = ["any", "safe", "unsafe", "stream"];
+
     /// Whether the request may be sent again although an earlier send may have run.
     pub fn is_retryable(self) -> bool {
         matches!(self, Self::Safe | Self::Stream { resumable: true })
