--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -4,6 +4,7 @@
     crate::{membership::MemberRemoval, run::NodeRuntime},
     base::Tick,
     infra::TableStore,
+    relay::{StopEffect, log_stop_effect},
     std::time::Duration,
     stop::{Draining, Ending, Leaving, PlannedStop, Running, StopSettings, WorkCounts},
     tokio::{
@@ -120,18 +121,15 @@
         // gives them the time for that, too.
         let exit = deadlines.exit.max(Instant::now() + LAST_WRITE_TIME);
         if timeout_at(exit, serving).await.is_err() {
-            self.log_open_requests(deadlines.signalled_at);
+            self.log_open_requests();
         }
     }
 
     /// Logs each request that has no end, although its answer is overdue.
-    fn log_open_requests(&self, signalled_at: Tick) {
+    fn log_open_requests(&self) {
         let now = self.shared.clock.now();
-        let millis = |span: Duration| span.as_millis() as u64;
         for request in self.shared.work.snapshot() {
-            warn!(id = %request.id, decision = "open-at-exit", kind = request.kind,
-                stage = %request.stage, took_ms = millis(now.since(request.began)),
-                after_signal_ms = millis(request.began.since(signalled_at)), "request");
+            log_stop_effect(&self.shared.stop, &request, StopEffect::OpenAtExit, now);
         }
     }
 
@@ -139,9 +137,16 @@
         let took_ms = self.shared.clock.now().since(deadlines.signalled_at).as_millis() as u64;
         let open = self.shared.work.len();
         let WorkCounts { whole, refused, unknown, cut, abandoned } = ended;
-        info!(
-            decision = "stopped",
-            took_ms, whole, refused, unknown, cut, abandoned, open, "process"
-        );
+        if unknown == 0 && cut == 0 && open == 0 {
+            info!(
+                decision = "stopped",
+                took_ms, whole, refused, unknown, cut, abandoned, open, "process"
+            );
+        } else {
+            warn!(
+                decision = "stopped",
+                took_ms, whole, refused, unknown, cut, abandoned, open, "process"
+            );
+        }
     }
 }
--- a/crates/stop/src/planned.rs
+++ b/crates/stop/src/planned.rs
@@ -24,7 +24,6 @@
 
 /// A process in the phase `P`; each phase leads only to the next.
 #[derive(Debug)]
-#[must_use = "the other steps of the stop hang on it"]
 pub struct PlannedStop<P> {
     watch: StopWatch,
     phase: PhantomData<P>,
