Reproduce answers that a planned stop of the gateway cuts

A gateway in a runtime of its own that ends with the stop, as the process does, and requests of its seven kinds at fixed steps from 0.8 s before the signal to the end of a stop limit of 3 s, on new and on kept connections. They work for 0.05, 0.3, 0.6 and 1.2 times the limit; each deadline is 1.25 times the work and 0.25 s.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod controller;
 pub mod models;
 pub mod reports;
+pub mod stop_probe;
 pub mod test_gateway;
 pub mod wire_server;
 
