Let the default stop of a gateway cover requests without a deadline

Callers that name no deadline get the default of 60 s. The default stop limit is 75 s now: 8.25 s until address answers have expired, the default deadline, and the margins for last answers.

default_stop_covers_requests_without_a_deadline failed with the old default (last answers due after 59.4 s, needed 68.25 s). conf and gateway stop pass.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -194,7 +194,7 @@
             queue_limit_ms: 10_000,
             claim_batch_ms: 5,
             claim_batch_max: 64,
-            stop_limit_ms: 60_000,
+            stop_limit_ms: 75_000,
             log_format: LogFormat::Text,
             log_filter: SmolStr::new(DEFAULT_LOG_FILTER),
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -180,7 +180,7 @@
 
 /// The times of a stop: the `stop_limit_ms` setting takes the place of the grace time, and the port
 /// is open until all address answers that contain this gateway have expired.
-fn stop_settings(settings: &GatewaySettings) -> StopSettings {
+pub fn stop_settings(settings: &GatewaySettings) -> StopSettings {
     let within = StopSettings::within(Duration::from_millis(settings.stop_limit_ms));
     let port_closes_after = address_expiry_time(settings).min(within.answers_due_after);
     StopSettings { port_closes_after, ..within }
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -227,6 +227,15 @@
     assert_eq!(stopping.await.unwrap(), StopResult::Drained);
 }
 
+/// With the default settings, requests without a deadline were not sure to end within a stop.
+#[test]
+fn default_stop_covers_requests_without_a_deadline() {
+    let settings = GatewaySettings::default();
+    let times = gateway::daemon::stop_settings(&settings);
+    let default_deadline = Duration::from_millis(settings.default_deadline_ms);
+    assert!(times.port_closes_after + default_deadline <= times.answers_due_after, "{times:?}");
+}
+
 #[tokio::test]
 async fn open_streams_finish_and_new_requests_are_served_until_addresses_expire() {
     let (engine, resume) = pausing_engine().await;
