Stop a real gateway whose limit is shorter than its requests

Eight streams of 8 s and a steady load at two gateways with a stop limit of 4 s: the streams end with the error event, requests after the signal are refused as not run, the process ends by itself before its limit, and the log names each of them.

--- a/crates/e2e/src/shape.rs
+++ b/crates/e2e/src/shape.rs
@@ -42,6 +42,8 @@
     pub host_lag_ms: u64,
     /// The timing of the head rule.
     pub freshness: FreshnessSettings,
+    /// Longest time of a planned stop of a gateway, in milliseconds.
+    pub gateway_stop_limit_ms: u64,
 }
 
 impl Default for ClusterShape {
@@ -58,6 +60,7 @@
             },
             host_lag_ms: 100,
             freshness: FreshnessSettings { window_ms: 1_500, margin_ms: 200, order_flight_ms: 500 },
+            gateway_stop_limit_ms: GatewaySettings::default().stop_limit_ms,
         }
     }
 }
@@ -207,6 +210,7 @@
             controller_poll_ms: 100,
             address_keep_ms: 1_000,
             silence_ms: 1_000,
+            stop_limit_ms: self.gateway_stop_limit_ms,
             log_filter: LOG_FILTER.into(),
             ..GatewaySettings::default()
         }
