Count the grace time of a paused process from before its pause

Callers would lose answers: a process that is paused as SIGTERM comes planned its last answers for a time at which it has long been killed. It counted from the moment at which it received the signal; the platform counts from sending it.

Signs of life ten times a second, of a task that ticks anyway, now tell how long the process stood still just before a signal, and the earliest moment at which it can have come counts.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -76,6 +76,7 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = expire.tick() => {
+                    self.pauses.note_alive(self.shared.clock.now());
                     self.view.expire();
                     self.shared.poison.evaluate();
                     self.refresh_processes();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -33,7 +33,7 @@
             atomic::{AtomicU64, Ordering},
         },
     },
-    stop::{PlannedStop, StopSettings},
+    stop::{PauseWatch, PlannedStop, StopSettings},
     tokio::{
         net::TcpListener,
         signal::unix::{SignalKind, signal},
@@ -91,6 +91,7 @@
     pub(crate) shared: Arc<RelayShared>,
     pub(crate) view: Arc<NodeView>,
     pub(crate) peers: PeerSocket,
+    pub(crate) pauses: PauseWatch,
     /// Number of gossip rounds so far, which is this process's heartbeat counter.
     pub(crate) round: AtomicU64,
 }
@@ -126,8 +127,9 @@
     let peer_address = settings.peer_address();
     let peers =
         PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
-    let runtime =
-        Arc::new(NodeRuntime { settings, own, shared, view, peers, round: AtomicU64::new(0) });
+    let pauses = PauseWatch::new(shared.clock.now());
+    let round = AtomicU64::new(0);
+    let runtime = Arc::new(NodeRuntime { settings, own, shared, view, peers, pauses, round });
     runtime.run(file, ports, received_signs).await
 }
 
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -10,7 +10,7 @@
     tokio::{
         sync::oneshot,
         task::JoinHandle,
-        time::{Instant, sleep_until, timeout, timeout_at},
+        time::{Instant, sleep_until, timeout_at},
     },
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
@@ -40,13 +40,16 @@
 }
 
 impl StopDeadlines {
-    fn new(settings: &StopSettings, signalled_at: Tick) -> Self {
+    /// The moments that follow from a signal at `signalled_at`, which is `received_at` or earlier.
+    fn new(settings: &StopSettings, signalled_at: Tick, received_at: Tick) -> Self {
         let now = Instant::now();
+        let late = received_at.since(signalled_at);
+        let due = |after: Duration| now + after.saturating_sub(late);
         Self {
             signalled_at,
-            port_closes: now + settings.port_closes_after,
-            answers_due: now + settings.answers_due_after,
-            exit: now + settings.exits_after,
+            port_closes: due(settings.port_closes_after),
+            answers_due: due(settings.answers_due_after),
+            exit: due(settings.exits_after),
         }
     }
 }
@@ -61,8 +64,9 @@
         tasks: StoppedTasks<T>,
     ) {
         let StoppedTasks { mut serving, joining, leaving, control, control_stop } = tasks;
-        let signalled_at = self.shared.clock.now();
-        let deadlines = StopDeadlines::new(settings, signalled_at);
+        let received_at = self.shared.clock.now();
+        let signalled_at = self.pauses.signal_time(received_at);
+        let deadlines = StopDeadlines::new(settings, signalled_at, received_at);
         let ended_before = self.shared.work.ended();
         let planned = planned.leave(settings, signalled_at);
         let grace_ms = settings.grace.as_millis() as u64;
@@ -71,7 +75,7 @@
         leaving.cancel();
         control_stop.cancel();
         self.send_to_all(&self.message());
-        let draining = self.leave(planned, settings, &deadlines, control, joining).await;
+        let draining = self.leave(planned, &deadlines, control, joining).await;
         self.drain(draining, &deadlines, &mut serving).await;
         self.log_end(&deadlines, self.shared.work.ended() - ended_before);
     }
@@ -80,7 +84,6 @@
     async fn leave<T: TableStore + 'static>(
         &self,
         leaving: PlannedStop<Leaving>,
-        settings: &StopSettings,
         deadlines: &StopDeadlines,
         control: JoinHandle<()>,
         joining: JoinHandle<MemberRemoval<T>>,
@@ -98,7 +101,7 @@
         });
         let handover = async {
             let work = async { tokio::join!(deleted, control) };
-            if timeout(settings.port_closes_after, work).await.is_err() {
+            if timeout_at(deadlines.port_closes, work).await.is_err() {
                 warn!(decision = "handover-incomplete", "process");
             }
         };
--- a/crates/stop/src/lib.rs
+++ b/crates/stop/src/lib.rs
@@ -9,12 +9,14 @@
 //! does work, and [`OpenWork`] knows the requests that have begun and not ended.
 
 mod open_work;
+mod pause_watch;
 mod planned;
 mod settings;
 mod watch;
 
 pub use crate::{
     open_work::{OpenRequest, OpenWork, WorkCounts, WorkEnd, WorkGuard, WorkStage},
+    pause_watch::PauseWatch,
     planned::{Draining, Ending, Leaving, PlannedStop, Running},
     settings::StopSettings,
     watch::{StopPhase, StopWatch},
