Count no crash of a server while no other server can be reached

Cause: a refused connection alone counted as proof of a crash. The class is that of news from a process that can't know. Now one of up to four other servers has to accept a connection at that moment; with only one server listed nothing changes.

a_process_that_all_servers_refuse_finds_no_crash failed before; three cases that count crashes passed before and after, and so do the tests of requests that crash servers.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -8,8 +8,9 @@
         shared::RelayShared,
     },
     base::Tick,
-    std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    rand::seq::IteratorRandom,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::timeout},
     tracing::info,
 };
 
@@ -22,6 +23,9 @@
 /// after one way there and back between failure domains; one that is cut off does not answer.
 const CHECK_WAIT: Duration = Duration::from_millis(50);
 
+/// Most other servers that are asked before a server counts as crashed.
+const CONTROL_SERVERS: usize = 4;
+
 /// The answer of one server to a request, as far as it bears on whether the request crashes servers.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AnswerProgress {
@@ -58,7 +62,8 @@
     let shared = shared.clone();
     let broke_at = shared.clock.now();
     let check = tokio::spawn(async move {
-        let crashed = shared.poison.knows_crash(&server.id) || refuses_connections(&server).await;
+        let crashed = shared.poison.knows_crash(&server.id)
+            || (refuses_connections(&server).await && reaches_another(&shared, &server).await);
         shared.metrics.note_crash_check(crashed);
         info!(id = %id, decision = "crash-check", server = %server.id, crashed,
             suspects = %suspects, "request");
@@ -71,6 +76,23 @@
     let _ = timeout(CHECK_WAIT, check).await;
 }
 
+/// Whether this process reaches any other server. One that all servers refuse is more likely cut off
+/// than all of them crashed. True if there is no other.
+async fn reaches_another(shared: &RelayShared, server: &BackendServer) -> bool {
+    let others: Vec<SocketAddr> = {
+        let table = shared.servers.load();
+        let others = table.all().filter(|other| other.id != server.id);
+        others.map(|other| other.address).choose_multiple(&mut rand::rng(), CONTROL_SERVERS)
+    };
+    let mut checks: JoinSet<_> = others.iter().map(|address| connect_server(*address)).collect();
+    while let Some(check) = checks.join_next().await {
+        if matches!(check, Ok(Ok(_))) {
+            return true;
+        }
+    }
+    others.is_empty()
+}
+
 async fn refuses_connections(server: &BackendServer) -> bool {
     matches!(connect_server(server.address).await, Err(ConnectError::Refused { .. }))
 }
