Log a domain as given away only if its row was written

What the log said: domain-given-away for each domain of a stopping process, also when the store was away. No caller sees it: other processes claim the domains of a process whose member row is gone, or whose heartbeats end. Not shown by a test.

--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -63,8 +63,10 @@
             let known = self.view.with(|state| state.domains.get(&domain).cloned());
             let Some(known) = known else { continue };
             let row = OwnerRow { term: known.row.term, owner: None };
-            write_owner(&*self.table, &domain, OwnedRow { row, ..known }).await;
-            info!(decision = "domain-given-away", domain = %domain, "groups");
+            // Otherwise another process claims it once the member row is gone.
+            if write_owner(&*self.table, &domain, OwnedRow { row, ..known }).await.is_some() {
+                info!(decision = "domain-given-away", domain = %domain, "groups");
+            }
         }
     }
 }
