Check that a stopping gateway finishes the requests that it takes on

stop_answers also took a truthful last answer for a request that came after the signal. Such a request is to be finished or refused at once; it fails now if it was taken on and not finished.

--- a/crates/gateway/tests/stop_answers.rs
+++ b/crates/gateway/tests/stop_answers.rs
@@ -32,6 +32,8 @@
 const LEAD: Duration = Duration::from_millis(800);
 /// Times that requests work, one after the other, in parts of the stop limit.
 const WORK_PARTS: [f64; 4] = [0.3, 0.6, 1.2, 0.05];
+/// Time after the signal from which on a request surely comes to a stopping gateway.
+const SIGNAL_DELAY_MS: i64 = 50;
 /// Groups and servers of each service, of 8 slots each: enough that no request waits for one.
 const TARGETS: usize = 24;
 
@@ -142,6 +144,9 @@
     match report.end {
         ProbeEnd::Lost(_) => Some("it got no answer"),
         ProbeEnd::NotRun | ProbeEnd::Unsent if runs > 0 => Some("it ran"),
+        ProbeEnd::Unknown | ProbeEnd::Cut if report.after_signal_ms >= SIGNAL_DELAY_MS => {
+            Some("it was taken on and not finished")
+        }
         _ if runs > 1 && !report.probe.kind.may_repeat() => Some("it ran twice"),
         _ => None,
     }
