Close idle connections at once when last answers are due

The delay of 0.1 s for a request on its way also ran after the port had closed just before the end of a short stop, when nothing is accepted any more, and could outlast the exit.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -29,7 +29,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         task::JoinHandle,
-        time::{sleep, timeout},
+        time::sleep,
     },
     tokio_util::task::TaskTracker,
 };
@@ -138,10 +138,14 @@
         result = connection.as_mut() => return drop(result),
         () = stop.reached(StopPhase::Draining) => {}
     }
-    if timeout(CLOSE_DELAY, connection.as_mut()).await.is_err() {
-        connection.as_mut().graceful_shutdown();
-        drop(connection.await);
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => return drop(result),
+        () = stop.reached(StopPhase::Ending) => {}
+        () = sleep(CLOSE_DELAY) => {}
     }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
 }
 
 async fn handle_request(
