--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! are divided into fabric domains, each with one process as its owner, which forms and repairs the
 //! groups. The relay reports servers at which requests stall, so that the owner probes them.
 
+mod admission;
 mod buffered;
 mod caller_body;
 mod caller_socket;
@@ -20,6 +21,7 @@
 pub mod config;
 mod connect;
 mod crash;
+mod ending;
 pub mod events;
 mod identity;
 mod limit_watch;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -229,7 +229,7 @@
     /// Sends the request again so that another server continues after the last forwarded event. If
     /// that fails, logs the end of the request and returns `None`.
     async fn resume(&mut self) -> Option<Box<LiveAnswer>> {
-        if self.ctx.kind() != (RequestKind::Stream { resumable: true }) {
+        if self.ctx.kind != (RequestKind::Stream { resumable: true }) {
             self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumable", 0);
             return None;
         }
@@ -340,7 +340,7 @@
                 self.first_event_sent = true;
                 let wait = now.since(self.ctx.began);
                 answer.server.counters.note_success(wait);
-                self.service.shared.metrics.note_first_event(self.ctx.kind(), wait);
+                self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
             }
             if let Err(end) = self.pass_on(Piece::Events(events)).await {
                 return end;
@@ -380,6 +380,6 @@
         if idle < limit || (server_progresses && idle < MAX_EVENT_TIMEOUTS * limit) {
             return false;
         }
-        self.ctx.kind().is_retryable() && self.service.has_retry_target(&self.ctx, &self.progress)
+        self.ctx.kind.is_retryable() && self.service.has_retry_target(&self.ctx, &self.progress)
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,20 +1,15 @@
-//! Serves one request: admission, choice of servers, sends, retries and the answer.
+//! Serves one request: sends, retries and the answer.
 
 use {
     crate::{
         buffered::collect_answer,
-        caller_body::read_body,
         codec::{BackendCall, RequestCodec, Verdict},
-        config::{RelayConfig, RouteRule},
         crash::check_crash,
-        identity::IdentityHasher,
         pump::{RelayBody, StreamPump, full_body},
-        request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
+        request::{Refusal, RefusalKind, RequestId, RequestKind},
         send::{HeadWait, LiveAnswer, SendOutcome, send_call},
         server::{BackendServer, ServerId},
         shared::RelayShared,
-        standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
-        stopping::StopEffect,
         trace::RequestTrace,
     },
     base::{ServiceName, Tick, WorkspaceId},
@@ -22,7 +17,7 @@
     http::{HeaderMap, Method, Request, Response, Uri},
     http_body_util::Full,
     hyper::body::Incoming,
-    poison::{RequestSuspects, SuspectVerdict},
+    poison::RequestSuspects,
     std::{
         sync::{
             Arc,
@@ -31,7 +26,6 @@
         time::Duration,
     },
     stop::{StopPhase, WorkEnd},
-    tokio::time::{Instant, timeout_at},
     tracing::info,
 };
 
@@ -55,25 +49,25 @@
 
 /// Serves callers' requests over the protocol that `C` implements.
 pub struct RelayService<C> {
-    codec: C,
+    pub(crate) codec: C,
     pub(crate) shared: Arc<RelayShared>,
 }
 
 /// The parts and limits of one request that stay the same over all of its sends.
 pub(crate) struct CallContext {
     pub(crate) id: RequestId,
-    kind: RequestKind,
-    route: smol_str::SmolStr,
+    pub(crate) kind: RequestKind,
+    pub(crate) route: smol_str::SmolStr,
     /// Maximum number of sends, see [`RouteRule::attempts`].
     pub(crate) attempts: u32,
     pub(crate) service: ServiceName,
-    workspace: Option<WorkspaceId>,
+    pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
     pub(crate) suspects: RequestSuspects,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
     /// When the head of the request was received.
     pub(crate) began: Tick,
     /// When the caller's deadline or the route's timeout runs out, whichever is earlier.
@@ -130,97 +124,6 @@
         }
     }
 
-    /// Finds the route, checks the key and reads the body.
-    async fn admit(
-        self: Arc<Self>,
-        head: http::request::Parts,
-        caller: CallerHead,
-        body: Incoming,
-        trace: Arc<RequestTrace>,
-    ) -> Result<CallContext, Refusal> {
-        let began = trace.began;
-        let config = self.admitting_config(&caller, head.uri.path()).await?;
-        let (route, workspace) = find_route(&config, &caller, head.uri.path())?;
-        trace.set_kind(route.kind);
-        self.shared.in_traffic.store(true, Ordering::Relaxed);
-        let limit = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
-        let service = pick_service(route)
-            .ok_or(Refusal::until(RefusalKind::NoServer, DEFAULT_RETRY_AFTER))?;
-        let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
-        let body = read_body(body, config.limits.body_bytes, limit, &mut identity).await?;
-        let expires_at = began + limit;
-        // After the body: closing a connection with unread bytes can lose the answer.
-        if !self.shared.stop.covers(expires_at) {
-            return Err(self.stop_refusal());
-        }
-        let suspects = RequestSuspects::new(&caller.parts, identity.finish());
-        self.admit_suspects(&caller.id, &suspects)?;
-        self.shared.budget.note_request(&service, began);
-        Ok(CallContext {
-            id: caller.id,
-            kind: route.kind,
-            route: route.name.clone(),
-            attempts: route.attempts.max(1),
-            service,
-            workspace,
-            model: caller.model,
-            suspects,
-            method: head.method,
-            uri: head.uri,
-            headers: head.headers,
-            body,
-            began,
-            expires_at,
-            trace,
-        })
-    }
-
-    /// Refuses a new request that crashes servers, unless it is a probe.
-    fn admit_suspects(&self, id: &RequestId, suspects: &RequestSuspects) -> Result<(), Refusal> {
-        match self.shared.poison.admit(suspects) {
-            SuspectVerdict::Admitted => Ok(()),
-            SuspectVerdict::Probed(suspect) => {
-                info!(id = %id, decision = "suspect-probed", %suspect, "request");
-                Ok(())
-            }
-            SuspectVerdict::Refused(refused) => {
-                info!(id = %id, decision = "suspect-refused", suspect = %refused.suspect,
-                    left_s = refused.left.as_secs(), "request");
-                Err(Refusal::until(refused.suspect.kind().into(), refused.left))
-            }
-        }
-    }
-
-    /// The configuration that admits a request. One that has no route or key for it decides only if
-    /// it is known to be recent: a newer one may have them.
-    async fn admitting_config(
-        &self,
-        caller: &CallerHead,
-        path: &str,
-    ) -> Result<Arc<RelayConfig>, Refusal> {
-        let mut standing = self.shared.standing.subscribe();
-        let half_deadline = caller.deadline.map_or(NEWER_CONFIG_WAIT, |deadline| deadline / 2);
-        let until = Instant::now() + NEWER_CONFIG_WAIT.min(half_deadline);
-        loop {
-            // Read before the configuration, so that a replacement in between is not missed.
-            let doubt = standing.borrow_and_update().doubt(self.shared.clock.now());
-            let config = self.shared.config.load_full();
-            let config =
-                config.ok_or(Refusal::until(RefusalKind::NoConfig, DEFAULT_RETRY_AFTER))?;
-            let Err(refusal) = find_route(&config, caller, path) else { return Ok(config) };
-            let is_settled = match doubt {
-                None => return Err(refusal),
-                Some(ConfigDoubt::Behind) => timeout_at(until, standing.changed()).await.is_ok(),
-                // There may be no newer one to wait for.
-                Some(ConfigDoubt::Unconfirmed) => false,
-            };
-            if !is_settled {
-                let kind = RefusalKind::ConfigInDoubt;
-                return Err(Refusal::until(kind, DEFAULT_RETRY_AFTER));
-            }
-        }
-    }
-
     /// Sends an admitted request and returns its answer: a stream as it arrives, any other answer
     /// once it is complete.
     async fn serve(self: Arc<Self>, ctx: CallContext) -> Response<RelayBody> {
@@ -446,77 +349,11 @@
         }
     }
 
-    /// Builds the answer to a refused request; `trace` is `None` if its head could not be decoded.
-    fn refuse(&self, trace: Option<&RequestTrace>, refusal: Refusal) -> Response<RelayBody> {
-        self.shared.metrics.note_refusal(refusal.kind.code());
-        if let Some(trace) = trace {
-            let (id, took_ms) = (&trace.id, trace.took_ms());
-            if refusal.kind.rests_on_config() {
-                self.log_config_refusal(id, refusal.kind, took_ms);
-            } else if let Some(effect) = StopEffect::of_refusal(refusal.kind) {
-                self.log_stopped(trace, effect);
-            } else {
-                info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms,
-                    "request");
-            }
-            trace.end(if refusal.kind.may_have_run() {
-                WorkEnd::Unknown
-            } else {
-                WorkEnd::Refused
-            });
-        }
-        let id = trace.map(|trace| &trace.id);
-        self.close_if_leaving(self.codec.refuse(id, &refusal).map(full_body))
-    }
-
-    /// Logs what a refusal rests on, so that one on an outdated configuration can be told from others.
-    fn log_config_refusal(&self, id: &RequestId, kind: RefusalKind, took_ms: u64) {
-        let version = self.shared.config.load().as_ref().map_or(0, |config| config.version);
-        let standing = self.shared.standing.borrow().clone();
-        let now = self.shared.clock.now();
-        let age_ms = standing.confirmed_at.map(|at| now.since(at).as_millis() as u64);
-        info!(id = %id, decision = "refused", why = kind.code(), took_ms, version, age_ms,
-            source = %standing.source, newest_told = standing.newest_told, "request");
-    }
-
-    /// Counts and logs the end of a request whose answer has begun. `outcome` is a metric label and
-    /// a log value. `status` is 0 for a stream that ended early, unless a server answered the request
-    /// to resume it with an error status.
-    pub(crate) fn note_end(
-        &self,
-        ctx: &CallContext,
-        end: WorkEnd,
-        outcome: &'static str,
-        status: u16,
-    ) {
-        let took = self.shared.clock.now().since(ctx.began);
-        self.shared.metrics.note_end(ctx.kind, outcome, took);
-        let took_ms = took.as_millis() as u64;
-        info!(id = %ctx.id, decision = "ended", outcome, status, took_ms, "request");
-        ctx.trace.end(end);
-    }
-
-    /// Adds `connection: close` to a response if this process is about to stop, so that the caller
-    /// opens its next connection to another process.
-    pub(crate) fn close_if_leaving<B>(&self, mut response: Response<B>) -> Response<B> {
-        if self.shared.stop.is_stopping() {
-            let close = http::HeaderValue::from_static("close");
-            response.headers_mut().insert(http::header::CONNECTION, close);
-        }
-        response
-    }
-
     pub(crate) fn codec(&self) -> &C {
         &self.codec
     }
 }
 
-impl CallContext {
-    pub(crate) fn kind(&self) -> RequestKind {
-        self.kind
-    }
-}
-
 /// What a request is answered with.
 enum FetchedAnswer {
     /// A complete answer.
@@ -531,30 +368,3 @@
         self.sends += 1;
     }
 }
-
-fn find_route<'a>(
-    config: &'a RelayConfig,
-    caller: &CallerHead,
-    path: &str,
-) -> Result<(&'a RouteRule, Option<WorkspaceId>), Refusal> {
-    let route = config.route(&caller.host, path).ok_or(Refusal::new(RefusalKind::NoRoute))?;
-    let workspace = caller.key.as_ref().and_then(|key| config.workspace(key));
-    if workspace.is_none() && config.needs_keys() && !route.public {
-        return Err(Refusal::new(RefusalKind::UnknownKey));
-    }
-    Ok((route, workspace.cloned()))
-}
-
-/// Picks one of the route's services at random, by their weights.
-fn pick_service(route: &RouteRule) -> Option<ServiceName> {
-    let total: f64 = route.splits.iter().map(|split| split.weight).sum();
-    let mut sample = rand::random::<f64>() * total;
-    let mut positive = route.splits.iter().filter(|split| split.weight > 0.0);
-    for split in positive.clone() {
-        if sample < split.weight {
-            return Some(split.service.clone());
-        }
-        sample -= split.weight;
-    }
-    positive.next_back().map(|split| split.service.clone())
-}
