--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -107,7 +107,13 @@
 
 /// Accepts the connections that wait, and closes the port.
 fn accept_waiting(listener: TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
-    let Ok(listener) = listener.into_std() else { return };
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!(%error, "failed to accept the connections that wait");
+            return;
+        }
+    };
     while let Ok((stream, remote)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
