--- a/crates/relay/tests/stop_sockets.rs
+++ b/crates/relay/tests/stop_sockets.rs
@@ -108,3 +108,32 @@
     let closed = timeout(Duration::from_millis(200), caller.read_to_end(&mut rest)).await;
     assert_eq!(closed.expect("closed at once").unwrap(), 0);
 }
+
+/// A caller that does not read leaves pieces of its stream in the buffers; what they hold is no whole
+/// answer.
+#[tokio::test]
+async fn a_stream_that_its_caller_does_not_read_is_cut() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    let event = format!("id: 1\ndata: {}\n\n", "a".repeat(60_000));
+    let piece: &'static str = Box::leak(format!("{:x}\r\n{event}\r\n", event.len()).into());
+    let server =
+        ScriptedServer::start(Behavior::Endless(head, piece, Duration::from_millis(1))).await;
+    let kind = RequestKind::Stream { resumable: false };
+    let relay = TestRelay::start(kind, &[&server]).await;
+    let mut caller = TcpStream::connect(relay.address).await.unwrap();
+    caller
+        .write_all(b"GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-key: k\r\n\r\n")
+        .await
+        .unwrap();
+    // Longer than it takes to fill the buffers of the kernel.
+    sleep(Duration::from_millis(1_500)).await;
+    relay.stop(LONG_REST).drain().end();
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(relay.shared.work.ended().cut, 1);
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_secs(3), caller.read_to_end(&mut answer)).await;
+    read.expect("the connection ends").unwrap();
+    assert!(answer.len() > 4 * event.len(), "{} bytes", answer.len());
+    assert!(!answer.ends_with(b"\r\n0\r\n\r\n"));
+}
