--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -148,6 +148,10 @@
         }
     }
 
+    pub(crate) fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     pub(crate) fn host(&self, index: usize) -> HostId {
         self.hosts.keys().nth(index).unwrap().clone()
     }
--- a/crates/plan/tests/staged/engine.rs
+++ b/crates/plan/tests/staged/engine.rs
@@ -68,9 +68,12 @@
         }
     }
 
-    /// Lets the group that it heads run requests until `until`.
+    /// Lets the group that it heads, if that is open, run requests until `until` or longer.
     pub(crate) fn run_requests(&mut self, until: Tick) {
-        self.busy_until = until;
+        let phase = self.group_state.as_ref().map(|state| state.phase);
+        if phase == Some(MemberPhase::Open) {
+            self.busy_until = self.busy_until.max(until);
+        }
     }
 
     /// Whether requests run in the group that it heads.
