Close a head that was ordered to open, whether or not it has reported it

Callers would see requests of a group break that had just begun to serve, when one of its servers begins to drain at that moment.

Cause: the owner took a head that does not report an open group for one without requests and ordered it to leave; an order to open whose effect was not reported yet was forgotten.

Such a head is ordered to close first, and is released when it shows the effect, refuses the order or had the usual time to show it.

--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -23,15 +23,17 @@
             return;
         }
         let Some(head) = composition.head().cloned() else { return };
-        match self.membership(&head, composition) {
-            Some(membership) if membership.may_run() => {
-                let command = StagedCommand::Close {
-                    group: composition.group.clone(),
-                    epoch: composition.epoch,
-                };
-                self.order(&head, command, now);
-            }
-            _ => composition.dissolve(),
+        let (group, epoch) = (composition.group.clone(), composition.epoch);
+        let is_reported =
+            self.membership(&head, composition).is_some_and(|membership| membership.may_run());
+        let may_run = is_reported
+            || self.hosts.get(&head).is_some_and(|record| {
+                record.may_run_unreported(&group, epoch, now, &self.settings)
+            });
+        if may_run {
+            self.order(&head, StagedCommand::Close { group, epoch }, now);
+        } else {
+            composition.dissolve();
         }
     }
 
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -199,6 +199,30 @@
         self.leaves_gracefully && (self.entry.leaving || self.last_answered.is_some())
     }
 
+    /// Whether the host, as a head, may run requests although its report does not say so yet: it was
+    /// ordered to open, or to close a moment after that.
+    pub(super) fn may_run_unreported(
+        &self,
+        group: &GroupId,
+        epoch: Epoch,
+        now: Tick,
+        settings: &StagedSettings,
+    ) -> bool {
+        let Some(last) = &self.last_order else { return false };
+        let is_unreported = || {
+            self.state_changed_at < last.first_sent
+                && now.since(last.first_sent) < settings.order_retry
+        };
+        match &last.command {
+            StagedCommand::Open { group: opened, epoch: at } => (opened, *at) == (group, epoch),
+            StagedCommand::Close { group: closed, epoch: at } => {
+                let is_refused = last.end == Some(OrderEnd::Refused);
+                (closed, *at) == (group, epoch) && !is_refused && is_unreported()
+            }
+            _ => false,
+        }
+    }
+
     /// Whether the host is considered removed: delisted and unreachable for so long that its engine
     /// has ended.
     pub(super) fn is_removed(&self, now: Tick, settings: &StagedSettings) -> bool {
