Let a new owner of the simulated domain read the list as it is

The rig hid from a new owner what the list showed of a host whose change was not listed yet, so that it saw less than a real one, which reads the older state.

--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -211,8 +211,13 @@
         self.planner = StagedPlanner::new(&domain(), self.term, settings, self.now);
         self.list_read_since = self.now;
         self.sent_by_earlier_owners = self.sent_orders.len();
-        for host in self.hosts.values_mut() {
-            host.listed_state = None;
+        // The new owner reads the list as it is, with what it has not shown yet still missing.
+        let hosts = self.listed_hosts();
+        self.planner.apply_host_list(&hosts, self.now);
+        for (id, host) in &self.hosts {
+            if let Some(state) = host.listed_state.clone() {
+                self.planner.observe(id, ObservationSource::HostList, self.now, state);
+            }
         }
     }
 
