Reproduce callers that a process cut off from all servers does not serve

Connections to servers go through ServerPaths in a crate of its own, so that a test can take a process's links away. Behaviour is unchanged: connect_server moved there.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -2,15 +2,16 @@
 
 use {
     crate::{
-        connect::{ConnectError, connect_server},
         server::BackendServer,
         service::CallContext,
         shared::RelayShared,
     },
     base::Tick,
+    futures::stream::{FuturesUnordered, StreamExt},
     rand::seq::IteratorRandom,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{task::JoinSet, time::timeout},
+    reach::ConnectError,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
     tracing::info,
 };
 
@@ -63,7 +64,7 @@
     let broke_at = shared.clock.now();
     let check = tokio::spawn(async move {
         let crashed = shared.poison.knows_crash(&server.id)
-            || (refuses_connections(&server).await && reaches_another(&shared, &server).await);
+            || (refuses_connections(&shared, &server).await && reaches_another(&shared, &server).await);
         shared.metrics.note_crash_check(crashed);
         info!(id = %id, decision = "crash-check", server = %server.id, crashed,
             suspects = %suspects, "request");
@@ -79,20 +80,21 @@
 /// Whether this process reaches any other server. One that all servers refuse is more likely cut off
 /// than all of them crashed. True if there is no other.
 async fn reaches_another(shared: &RelayShared, server: &BackendServer) -> bool {
-    let others: Vec<SocketAddr> = {
+    let others: Vec<BackendServer> = {
         let table = shared.servers.load();
         let others = table.all().filter(|other| other.id != server.id);
-        others.map(|other| other.address).choose_multiple(&mut rand::rng(), CONTROL_SERVERS)
+        others.cloned().choose_multiple(&mut rand::rng(), CONTROL_SERVERS)
     };
-    let mut checks: JoinSet<_> = others.iter().map(|address| connect_server(*address)).collect();
-    while let Some(check) = checks.join_next().await {
-        if matches!(check, Ok(Ok(_))) {
+    let mut checks: FuturesUnordered<_> =
+        others.iter().map(|other| shared.paths.connect(other.target())).collect();
+    while let Some(check) = checks.next().await {
+        if check.is_ok() {
             return true;
         }
     }
     others.is_empty()
 }
 
-async fn refuses_connections(server: &BackendServer) -> bool {
-    matches!(connect_server(server.address).await, Err(ConnectError::Refused { .. }))
+async fn refuses_connections(shared: &RelayShared, server: &BackendServer) -> bool {
+    matches!(shared.paths.connect(server.target()).await, Err(ConnectError::Refused { .. }))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod choose;
 pub mod codec;
 pub mod config;
-mod connect;
 mod crash;
 mod ending;
 pub mod events;
@@ -46,7 +45,6 @@
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
-    connect::{CONNECT_LIMIT, ConnectError, connect_server},
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     metrics::RelayMetrics,
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -7,7 +7,6 @@
 use {
     crate::{
         codec::{AnswerFacts, RequestCodec, Verdict},
-        connect::{ConnectError, connect_server},
         loss::LossCause,
         request::RequestId,
         server::{BackendServer, InFlight},
@@ -17,6 +16,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
+    reach::{ConnectError, ServerPaths},
     std::{
         future::Future,
         pin::pin,
@@ -75,13 +75,14 @@
 /// the request leaves this process.
 pub(crate) async fn send_call<C: RequestCodec>(
     codec: &C,
+    paths: &ServerPaths,
     id: &RequestId,
     server: &BackendServer,
     request: Request<Full<Bytes>>,
     wait: HeadWait<impl Fn() -> bool>,
     is_sent: &AtomicBool,
 ) -> SendOutcome {
-    let stream = match connect_server(server.address).await {
+    let stream = match paths.connect(server.target()).await {
         Ok(stream) => stream,
         Err(error) => return SendOutcome::NotSent(error),
     };
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -2,6 +2,7 @@
 
 use {
     base::{FailureDomainId, HostId, ModelName, ServiceName, Tick},
+    reach::ServerTarget,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -66,6 +67,13 @@
 /// A new sample enters the moving mean of response times with a weight of 1/8.
 const MEAN_DIVISOR: u64 = 8;
 
+impl BackendServer {
+    /// The server as a target of connections.
+    pub(crate) fn target(&self) -> ServerTarget<'_> {
+        ServerTarget { server: &self.id, address: self.address }
+    }
+}
+
 impl ServerCounters {
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn start(self: &Arc<Self>) -> InFlight {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -14,6 +14,7 @@
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     base::{SharedClock, Tick},
+    reach::ServerPaths,
     std::sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize},
@@ -58,6 +59,8 @@
     pub poison: Arc<PoisonWatch>,
     /// Request rates that servers have named.
     pub limits: LimitWatch,
+    /// Opens connections to servers.
+    pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
     pub clock: SharedClock,
     /// Memory for answers that are being buffered.
@@ -81,6 +84,7 @@
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
             limits: LimitWatch::new(clock.clone()),
+            paths: Arc::default(),
             clock,
             buffers: BufferBudget::default(),
             signs,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -5,10 +5,12 @@
 use {
     base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, WorkspaceId},
     bytes::Bytes,
+    futures::future::{BoxFuture, FutureExt, pending, ready},
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
     http_body_util::Full,
     limit::NamedLimit,
     poison::{PromptParts, SuspectId},
+    reach::{ServerDialer, ServerPaths},
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
         RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
@@ -18,6 +20,7 @@
     socket2::{Domain, SockRef, Socket, Type},
     std::{
         collections::BTreeMap,
+        io,
         net::SocketAddr,
         sync::{
             Arc,
@@ -211,6 +214,24 @@
     }
 }
 
+/// The links of a process that is cut off from all servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum LostLinks {
+    /// Connections are refused.
+    Refused,
+    /// Connections are neither accepted nor refused.
+    Silent,
+}
+
+impl ServerDialer for LostLinks {
+    fn dial(&self, _: SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> {
+        match self {
+            Self::Refused => ready(Err(io::ErrorKind::ConnectionRefused.into())).boxed(),
+            Self::Silent => pending().boxed(),
+        }
+    }
+}
+
 /// A relay that serves callers on loopback.
 pub(crate) struct TestRelay {
     pub(crate) address: SocketAddr,
@@ -227,6 +248,28 @@
         kind: RequestKind,
         attempts: u32,
         servers: Vec<SocketAddr>,
+    ) -> Self {
+        Self::start_over(kind, attempts, servers, Arc::default()).await
+    }
+
+    /// Starts a relay that has lost its links to all servers.
+    pub(crate) async fn start_with_links(
+        kind: RequestKind,
+        servers: &[&ScriptedServer],
+        links: LostLinks,
+    ) -> Self {
+        let servers = servers.iter().map(|server| server.address).collect();
+        Self::start_over(kind, 2, servers, Arc::new(ServerPaths::new(Arc::new(links)))).await
+    }
+
+    /// Makes the peers known to this relay.
+    pub(crate) async fn join_peers(&self, _peers: &[&TestRelay]) {}
+
+    async fn start_over(
+        kind: RequestKind,
+        attempts: u32,
+        servers: Vec<SocketAddr>,
+        paths: Arc<ServerPaths>,
     ) -> Self {
         let service = ServiceName::new("s").unwrap();
         let clock: SharedClock = Arc::new(BootClock);
@@ -234,7 +277,8 @@
         let retry_limits =
             RetryLimits { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
         let (signs, received_signs) = mpsc::channel(8);
-        let shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), signs);
+        let mut shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), signs);
+        shared.paths = paths;
         shared.config.store(Some(Arc::new(config(kind, attempts, service))));
         shared.servers.store(Arc::new(server_table("s", servers)));
         let shared = Arc::new(shared);
