Trust what peers and probes say of a server only while other servers are reached

Links are now judged by service, as a process may lose those to one service only. A peer confirms a refusal or silence only if it reached another server of the service at that moment, dialing one if need be. A server counts as crashed only if that is confirmed, or if there is no peer and others are reached. A probe that fails while no engine of the service was reached is inconclusive and no failure of the engine.

Tests of relay's cut_off and crash_checks pass; not all tests were run.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -254,6 +254,12 @@
                 let mark = match error {
                     ProbeError::Refused => ProbeFailure::Refused,
                     ProbeError::Silent => ProbeFailure::Silent,
+                    ProbeError::Inconclusive => {
+                        if let Some(probe_state) = owned.probes.get_mut(host) {
+                            probe_state.due = now + PROBE_TIMEOUT / 2;
+                        }
+                        return;
+                    }
                 };
                 owned.planner.record_probe_failure(host, sent_at, mark);
                 if let Some(probe_state) = owned.probes.get_mut(host)
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -242,6 +242,9 @@
     /// All other failures: no response within the timeout, a broken connection, an error status or
     /// a response that can't be parsed. The engine may be running.
     Silent,
+    /// No response, while no engine of the service was reached: the links of this process are as likely
+    /// the cause as the engine.
+    Inconclusive,
 }
 
 /// Sends probes and orders to engines.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,7 +16,7 @@
         settings::NodeSettings,
         share::{SharedWatch, StoreCaches, serve_caches},
         stopping::StoppedTasks,
-        view::NodeView,
+        view::{NodeView, ViewDirectory},
     },
     base::{BootClock, Incarnation, SharedClock},
     bytes::Bytes,
@@ -129,6 +129,7 @@
     // Until it knows the others, this process must not take the rate of a server for its own.
     shared.limits.set_processes(&own.node, Vec::new());
     let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
+    shared.paths.set_directory(Arc::new(ViewDirectory::new(&view)));
     let peer_address = settings.peer_address();
     let peers =
         PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -9,7 +9,6 @@
     relay::ServerId,
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
         time::Duration,
     },
     tracing::info,
@@ -161,10 +160,9 @@
         self.listed.values().map(|server| &server.entry)
     }
 
-    /// The address of a server that is listed or was removed from the list recently.
-    pub fn known_address(&self, id: &ServerId) -> Option<SocketAddr> {
-        let delisted = || self.delisted.get(id).map(|(entry, _)| entry);
-        self.entry(id).or_else(delisted).map(|entry| entry.address)
+    /// A server that is listed or was removed from the list recently.
+    pub fn known_entry(&self, id: &ServerId) -> Option<&ServerEntry> {
+        self.entry(id).or_else(|| self.delisted.get(id).map(|(entry, _)| entry))
     }
 
     /// Servers that were removed from the list recently. They may still be alive without access to
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -395,8 +395,7 @@
     if !view.with(|state| state.members.has_address(peer)) {
         return Err(io::Error::other(format!("{peer} is no member and may not use forwards")));
     }
-    let find = |server: &HostId| view.with(|state| state.servers.known_address(server));
-    view.shared.paths.serve_forward(stream, find).await.map_err(io::Error::other)
+    view.shared.paths.serve_forward(stream).await.map_err(io::Error::other)
 }
 
 /// Answers the queries of one reader until its connection ends. `table` is the first byte of the first
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -2,8 +2,11 @@
 //! servers for requests that is derived from it.
 
 mod config;
+mod directory;
 mod rows;
 
+pub use directory::ViewDirectory;
+
 use {
     crate::{
         config_ages::ConfigAges,
--- a/crates/reach/src/error.rs
+++ b/crates/reach/src/error.rs
@@ -25,6 +25,8 @@
         address: SocketAddr,
         /// Error of the operating system.
         source: io::Error,
+        /// Whether a peer confirmed it.
+        is_confirmed: bool,
     },
     /// Neither this process nor the peers that it asked reach the server, which may be up.
     #[snafu(display("no path to {address}; {peers} peers asked"))]
--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        directory::ListedServer,
         message::{ForwardQuery, ForwardReply, MAX_FRAME_BYTES, QueryError, frame_codec},
         paths::ServerPaths,
         stream::{ForwardedStream, PeerFrames, ServerStream},
@@ -33,6 +34,12 @@
 const QUERY_LIMIT: Duration = Duration::from_millis(400);
 /// Longest time for which a server is dialed for a peer, which asks others meanwhile.
 const DIAL_LIMIT: Duration = Duration::from_millis(200);
+/// How long before a refusal another server of the service must have been reached, so that it counts as
+/// the server's own.
+const SOUND_SPAN: Duration = Duration::from_millis(50);
+/// Longest time for which another server is dialed to tell a fault of the own links from one of the
+/// server.
+const CONTROL_LIMIT: Duration = Duration::from_millis(80);
 /// Most forwards at a time; each takes two sockets and some tens of kilobytes.
 const MAX_FORWARDS: usize = 400;
 /// Bytes that are read from the server at once.
@@ -105,13 +112,8 @@
 type FrameSink = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 impl ServerPaths {
-    /// Serves a connection of a peer that began with [`FORWARD_QUERY`](crate::FORWARD_QUERY). `find`
-    /// returns the address of a listed server.
-    pub async fn serve_forward(
-        &self,
-        mut stream: TcpStream,
-        find: impl FnOnce(&HostId) -> Option<SocketAddr>,
-    ) -> Result<(), ForwardError> {
+    /// Serves a connection of a peer that began with [`FORWARD_QUERY`](crate::FORWARD_QUERY).
+    pub async fn serve_forward(&self, mut stream: TcpStream) -> Result<(), ForwardError> {
         let Ok(query) = timeout(QUERY_LIMIT, ForwardQuery::read(&mut stream)).await else {
             return NoQuerySnafu.fail();
         };
@@ -121,10 +123,10 @@
         let Some(_open) = self.open_forward() else {
             return reply(&mut to_peer, ForwardReply::Busy).await;
         };
-        let Some(address) = find(&server) else {
+        let Some(listed) = self.find(&server) else {
             return reply(&mut to_peer, ForwardReply::Unlisted).await;
         };
-        match self.dial_for_peer(&server, address).await {
+        match self.dial_for_peer(&server, &listed).await {
             Ok(connection) => {
                 info!(decision = "forwarding", id = %purpose, %server, "reach");
                 reply(&mut to_peer, ForwardReply::Connected).await?;
@@ -140,25 +142,43 @@
     async fn dial_for_peer(
         &self,
         server: &HostId,
-        address: SocketAddr,
+        listed: &ListedServer,
     ) -> Result<TcpStream, ForwardReply> {
-        let choice = self.tracker.lock().choose(server, self.clock.now());
+        let began = self.clock.now();
+        let service = Some(&listed.service);
+        let choice = self.tracker.lock().choose(server, service, began);
         if choice == PathChoice::Peer {
             return Err(ForwardReply::Unreachable);
         }
-        let dialed = timeout(DIAL_LIMIT, self.dialer.dial(address)).await;
-        let now = self.clock.now();
-        let outcome = match dialed {
+        let dialed = timeout(DIAL_LIMIT, self.dialer.dial(listed.address)).await;
+        let (outcome, sound_since) = match dialed {
             Ok(Ok(stream)) => {
-                self.note_direct(server);
+                self.note_direct(server, service);
                 return Ok(stream);
             }
-            Ok(Err(_)) => ForwardReply::Refused,
-            Err(_) => ForwardReply::Silent,
+            Ok(Err(_)) => (ForwardReply::Refused, began.back(SOUND_SPAN)),
+            Err(_) => (ForwardReply::Silent, began),
+        };
+        let mut is_sound = {
+            let mut tracker = self.tracker.lock();
+            tracker.note_failed(server, service);
+            tracker.is_sound_since(service, sound_since)
         };
-        let mut tracker = self.tracker.lock();
-        tracker.note_failed(server);
-        Err(if tracker.is_sound(now) { outcome } else { ForwardReply::Unreachable })
+        if !is_sound {
+            is_sound = self.reaches_another(listed).await;
+        }
+        Err(if is_sound { outcome } else { ForwardReply::Unreachable })
+    }
+
+    /// Whether this process reaches another server of the same service at this moment.
+    async fn reaches_another(&self, server: &ListedServer) -> bool {
+        let Some(other) = self.sample(&server.service, &server.id) else { return false };
+        let dialed = timeout(CONTROL_LIMIT, self.dialer.dial(other.address)).await;
+        let is_reached = matches!(dialed, Ok(Ok(_)));
+        if is_reached {
+            self.note_direct(&other.id, Some(&other.service));
+        }
+        is_reached
     }
 
     /// Counts a forward until the guard is dropped; `None` if there is no room for one.
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod board;
 mod dial;
+mod directory;
 mod error;
 mod forward;
 mod message;
@@ -22,6 +23,7 @@
 pub use crate::{
     board::{PeerBoard, PeerFailure, PeerHost},
     dial::{ServerDialer, TcpDialer},
+    directory::{ListedServer, ServerDirectory},
     error::ConnectError,
     forward::ForwardError,
     message::{FORWARD_QUERY, ForwardQuery, ForwardReply, QueryError},
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -4,24 +4,25 @@
     crate::{
         board::{PeerBoard, PeerHost},
         dial::{ServerDialer, TcpDialer},
+        directory::{ListedServer, ServerDirectory},
         error::{ConnectError, TimedOutSnafu},
         race::ConnectRace,
         stream::ServerStream,
         tracker::{PathTracker, TrackerSettings},
     },
-    base::{BootClock, HostId, SharedClock},
+    base::{BootClock, HostId, ServiceName, SharedClock, Tick},
     parking_lot::Mutex,
     std::{
         fmt,
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
     tokio::{sync::Notify, time::timeout},
-    tracing::info,
+    tracing::{info, warn},
 };
 
 /// Timeout for a new connection. Servers are a few milliseconds away; TCP resends a lost first packet
@@ -56,6 +57,7 @@
 pub struct ServerPaths {
     pub(crate) dialer: Arc<dyn ServerDialer>,
     pub(crate) clock: SharedClock,
+    directory: OnceLock<Arc<dyn ServerDirectory>>,
     pub(crate) tracker: Mutex<PathTracker>,
     pub(crate) board: Mutex<PeerBoard>,
     direct: AtomicU64,
@@ -83,6 +85,7 @@
         Self {
             dialer,
             clock: Arc::new(BootClock),
+            directory: OnceLock::new(),
             tracker: Mutex::new(PathTracker::new(TrackerSettings::default())),
             board: Mutex::default(),
             direct: AtomicU64::new(0),
@@ -98,6 +101,14 @@
         self.board.lock().set_peers(peers);
     }
 
+    /// Sets the list of servers; the first one stays. Without it all servers count as of one service,
+    /// and no forwards are given.
+    pub fn set_directory(&self, directory: Arc<dyn ServerDirectory>) {
+        if self.directory.set(directory).is_err() {
+            warn!("the list of servers is set already");
+        }
+    }
+
     /// Connects to a server within [`CONNECT_LIMIT`].
     pub async fn connect(&self, target: ServerTarget<'_>) -> Result<ServerStream, ConnectError> {
         self.connect_within(target, CONNECT_LIMIT).await
@@ -118,6 +129,34 @@
         TimedOutSnafu { address: target.address, limit }.fail()
     }
 
+    /// Records that a server answered over a connection that was kept.
+    pub fn note_answer(&self, server: &HostId) {
+        self.tracker.lock().note_answer(self.service_of(server).as_ref(), self.clock.now());
+    }
+
+    /// Whether any server of the service of `server` was reached since `at`, on whichever path. If not,
+    /// a failure says more about the links of this process than about the server.
+    pub fn has_reached_since(&self, server: &HostId, at: Tick) -> bool {
+        self.tracker.lock().has_reached_since(self.service_of(server).as_ref(), at)
+    }
+
+    /// The time on the clock of these paths.
+    pub fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    pub(crate) fn find(&self, server: &HostId) -> Option<ListedServer> {
+        self.directory.get()?.find(server)
+    }
+
+    pub(crate) fn sample(&self, service: &ServiceName, except: &HostId) -> Option<ListedServer> {
+        self.directory.get()?.sample(service, except)
+    }
+
+    pub(crate) fn service_of(&self, server: &HostId) -> Option<ServiceName> {
+        self.find(server).map(|listed| listed.service)
+    }
+
     /// Current counts, for metrics.
     pub fn counts(&self) -> PathCounts {
         PathCounts {
@@ -140,23 +179,28 @@
         }
     }
 
-    pub(crate) fn note_direct(&self, server: &HostId) {
+    pub(crate) fn note_direct(&self, server: &HostId, service: Option<&ServiceName>) {
         self.direct.fetch_add(1, Ordering::Relaxed);
         let (was_detoured, detoured) = {
             let mut tracker = self.tracker.lock();
-            (tracker.note_direct(server, self.clock.now()), tracker.detoured())
+            (tracker.note_direct(server, service, self.clock.now()), tracker.detoured())
         };
         if was_detoured {
             info!(decision = "reached-again", %server, detoured, "reach");
         }
     }
 
-    pub(crate) fn note_forwarded(&self, server: &HostId, peer: &HostId) {
+    pub(crate) fn note_forwarded(
+        &self,
+        server: &HostId,
+        service: Option<&ServiceName>,
+        peer: &HostId,
+    ) {
         self.forwarded.fetch_add(1, Ordering::Relaxed);
         self.board.lock().note_success(peer);
         let (is_new, detoured) = {
             let mut tracker = self.tracker.lock();
-            (tracker.note_detour(server, self.clock.now()), tracker.detoured())
+            (tracker.note_detour(server, service, self.clock.now()), tracker.detoured())
         };
         if is_new {
             info!(decision = "cut-off", %server, reached_by = %peer, detoured, "reach");
--- a/crates/reach/src/race.rs
+++ b/crates/reach/src/race.rs
@@ -10,7 +10,7 @@
         stream::ServerStream,
         tracker::PathChoice,
     },
-    base::HostId,
+    base::{HostId, ServiceName},
     futures::{
         future::{BoxFuture, FutureExt},
         stream::{FuturesUnordered, StreamExt},
@@ -43,6 +43,7 @@
     paths: &'a ServerPaths,
     target: ServerTarget<'a>,
     limit: Duration,
+    service: Option<ServiceName>,
     choice: PathChoice,
     query: Arc<Vec<u8>>,
     attempts: FuturesUnordered<BoxFuture<'static, AttemptEnd>>,
@@ -59,12 +60,14 @@
 impl<'a> ConnectRace<'a> {
     pub(crate) fn new(paths: &'a ServerPaths, target: ServerTarget<'a>, limit: Duration) -> Self {
         let now = paths.clock.now();
-        let choice = paths.tracker.lock().choose(target.server, now);
+        let service = paths.service_of(target.server);
+        let choice = paths.tracker.lock().choose(target.server, service.as_ref(), now);
         let waiting = paths.board.lock().candidates(MAX_PEERS, now).into();
         Self {
             paths,
             target,
             limit,
+            service,
             choice,
             query: Arc::default(),
             attempts: FuturesUnordered::new(),
@@ -160,11 +163,11 @@
     fn apply(&mut self, end: AttemptEnd) -> Option<Result<ServerStream, ConnectError>> {
         match end {
             AttemptEnd::Direct(Ok(stream)) => {
-                self.paths.note_direct(self.target.server);
+                self.paths.note_direct(self.target.server, self.service.as_ref());
                 Some(Ok(stream))
             }
             AttemptEnd::Direct(Err(error)) => {
-                self.paths.tracker.lock().note_failed(self.target.server);
+                self.note_failed();
                 self.direct_error = Some(error);
                 self.ask_unless_asking();
                 None
@@ -172,7 +175,7 @@
             AttemptEnd::Peer { node, outcome: Ok(stream) } => {
                 let (id, server) = (self.target.purpose, self.target.server);
                 info!(decision = "forwarded", id, %server, peer = %node, "reach");
-                self.paths.note_forwarded(server, &node);
+                self.paths.note_forwarded(server, self.service.as_ref(), &node);
                 Some(Ok(stream))
             }
             AttemptEnd::Peer { node, outcome: Err(refusal) } => self.apply_refusal(&node, refusal),
@@ -190,7 +193,7 @@
             PeerRefusal::Reply(ForwardReply::Refused) => {
                 let source = self.direct_error.take();
                 let source = source.unwrap_or_else(|| io::ErrorKind::ConnectionRefused.into());
-                return Some(Err(source).context(RefusedSnafu { address }));
+                return Some(Err(source).context(RefusedSnafu { address, is_confirmed: true }));
             }
             PeerRefusal::Reply(ForwardReply::Silent) => {
                 return Some(TimedOutSnafu { address, limit: self.limit }.fail());
@@ -212,15 +215,21 @@
     /// Records that the direct connection takes too long, if it is still being made.
     fn note_slow_dial(&self) {
         if self.tried_direct && self.direct_error.is_none() {
-            self.paths.tracker.lock().note_failed(self.target.server);
+            self.note_failed();
         }
     }
 
+    fn note_failed(&self) {
+        self.paths.tracker.lock().note_failed(self.target.server, self.service.as_ref());
+    }
+
     fn failure(&mut self) -> ConnectError {
-        let address = self.target.address;
+        let (address, peers) = (self.target.address, self.asked_count);
         match self.direct_error.take() {
-            Some(source) if self.asked_count == 0 => ConnectError::Refused { address, source },
-            _ => UnreachableSnafu { address, peers: self.asked_count }.build(),
+            Some(source) if peers == 0 => {
+                ConnectError::Refused { address, source, is_confirmed: false }
+            }
+            _ => UnreachableSnafu { address, peers }.build(),
         }
     }
 }
--- a/crates/reach/src/tracker.rs
+++ b/crates/reach/src/tracker.rs
@@ -1,7 +1,7 @@
 //! Knows which servers this process does not reach although others do.
 
 use {
-    base::{HostId, Tick},
+    base::{HostId, ServiceName, Tick},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -17,10 +17,8 @@
     pub max_recheck: Duration,
     /// A server without a connection for this long is forgotten.
     pub forget_after: Duration,
-    /// Longest time since a direct connection for which the own links count as sound.
-    pub sound_for: Duration,
-    /// Number of servers whose direct connections failed one after the other from which on the links
-    /// count as doubtful.
+    /// Number of servers of a service whose direct connections failed one after the other from which on
+    /// the links to it count as doubtful.
     pub doubtful_failures: usize,
 }
 
@@ -30,7 +28,6 @@
             recheck: Duration::from_millis(250),
             max_recheck: Duration::from_secs(1),
             forget_after: Duration::from_secs(10),
-            sound_for: Duration::from_millis(300),
             doubtful_failures: 2,
         }
     }
@@ -48,22 +45,32 @@
 }
 
 /// A server that a peer reaches and this process does not.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Detour {
+    service: Option<ServiceName>,
     used_at: Tick,
     recheck_at: Tick,
     rechecks: u32,
 }
 
+/// The links to the servers of one service.
+#[derive(Debug, Default)]
+struct ServiceLinks {
+    /// Servers whose direct connections failed since one was made.
+    failed: BTreeSet<HostId>,
+    /// When a direct connection was last made.
+    connected_at: Option<Tick>,
+    /// When a server was last reached, on whichever path.
+    reached_at: Option<Tick>,
+}
+
 /// Remembers the outcomes of connections. It decides nothing about the servers themselves: one that no
-/// peer reaches either is not detoured.
+/// peer reaches either is not detoured. The service of a server is `None` where it is not known.
 #[derive(Debug, Default)]
 pub struct PathTracker {
     settings: TrackerSettings,
     detours: BTreeMap<HostId, Detour>,
-    /// Servers whose direct connections failed since one was made.
-    failed: BTreeSet<HostId>,
-    connected_at: Option<Tick>,
+    links: BTreeMap<Option<ServiceName>, ServiceLinks>,
 }
 
 impl PathTracker {
@@ -74,10 +81,16 @@
 
     /// How to connect to a server now. A detoured server is dialed directly now and then, so that a
     /// link which works again is used.
-    pub fn choose(&mut self, server: &HostId, now: Tick) -> PathChoice {
+    pub fn choose(
+        &mut self,
+        server: &HostId,
+        service: Option<&ServiceName>,
+        now: Tick,
+    ) -> PathChoice {
         self.forget_unused(now);
-        let is_doubtful = self.failed.len() >= self.settings.doubtful_failures;
         let Some(detour) = self.detours.get_mut(server) else {
+            let failed = self.links(service).failed.len();
+            let is_doubtful = failed >= self.settings.doubtful_failures;
             return if is_doubtful { PathChoice::Both } else { PathChoice::Direct };
         };
         detour.used_at = now;
@@ -91,34 +104,50 @@
     }
 
     /// Records a direct connection. Returns whether the server had been detoured.
-    pub fn note_direct(&mut self, server: &HostId, now: Tick) -> bool {
-        self.connected_at = Some(now);
-        self.failed.clear();
+    pub fn note_direct(
+        &mut self,
+        server: &HostId,
+        service: Option<&ServiceName>,
+        now: Tick,
+    ) -> bool {
+        let links = self.links(service);
+        links.connected_at = Some(now);
+        links.reached_at = Some(now);
+        links.failed.clear();
         self.detours.remove(server).is_some()
     }
 
     /// Records that a direct connection failed or takes too long.
-    pub fn note_failed(&mut self, server: &HostId) {
-        if !self.failed.contains(server) {
-            self.failed.insert(server.clone());
+    pub fn note_failed(&mut self, server: &HostId, service: Option<&ServiceName>) {
+        let links = self.links(service);
+        if !links.failed.contains(server) {
+            links.failed.insert(server.clone());
         }
     }
 
     /// Records that a peer reached a server which this process did not. Returns whether it was not
     /// detoured before.
-    pub fn note_detour(&mut self, server: &HostId, now: Tick) -> bool {
+    pub fn note_detour(
+        &mut self,
+        server: &HostId,
+        service: Option<&ServiceName>,
+        now: Tick,
+    ) -> bool {
+        self.note_answer(service, now);
         if let Some(detour) = self.detours.get_mut(server) {
             detour.used_at = now;
             return false;
         }
+        let service = service.cloned();
         let recheck_at = now + self.settings.recheck;
-        self.detours.insert(server.clone(), Detour { used_at: now, recheck_at, rechecks: 0 });
+        let detour = Detour { service, used_at: now, recheck_at, rechecks: 0 };
+        self.detours.insert(server.clone(), detour);
         true
     }
 
-    /// Whether the server is detoured.
-    pub fn is_detoured(&self, server: &HostId) -> bool {
-        self.detours.contains_key(server)
+    /// Records that a server of a service answered, on whichever path.
+    pub fn note_answer(&mut self, service: Option<&ServiceName>, now: Tick) {
+        self.links(service).reached_at = Some(now);
     }
 
     /// Number of detoured servers.
@@ -126,11 +155,25 @@
         self.detours.len()
     }
 
-    /// Whether a failed connection is rather the server's fault than that of the own links: no server
-    /// is detoured, and one was reached a moment ago.
-    pub fn is_sound(&self, now: Tick) -> bool {
-        let is_recent = |at: Tick| now.since(at) <= self.settings.sound_for;
-        self.detours.is_empty() && self.connected_at.is_some_and(is_recent)
+    /// Whether a connection that failed since `at` did so for the server's sake: the own links to its
+    /// service are sound. No server of it is detoured, one was reached directly since, and no other has
+    /// failed.
+    pub fn is_sound_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+        let Some(links) = self.links.get(&service.cloned()) else { return false };
+        let is_detoured = self.detours.values().any(|detour| detour.service.as_ref() == service);
+        !is_detoured
+            && links.failed.len() <= 1
+            && links.connected_at.is_some_and(|connected| connected >= at)
+    }
+
+    /// Whether a server of the service was reached since `at`, on whichever path.
+    pub fn has_reached_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+        let links = self.links.get(&service.cloned());
+        links.is_some_and(|links| links.reached_at.is_some_and(|reached| reached >= at))
+    }
+
+    fn links(&mut self, service: Option<&ServiceName>) -> &mut ServiceLinks {
+        self.links.entry(service.cloned()).or_default()
     }
 
     fn forget_unused(&mut self, now: Tick) {
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -60,8 +60,12 @@
     let broke_at = shared.clock.now();
     let check = tokio::spawn(async move {
         let crashed = shared.poison.knows_crash(&server.id)
-            || (refuses_connections(&shared, &server).await
-                && reaches_another(&shared, &server).await);
+            || match shared.paths.connect(server.target("crash check")).await {
+                Err(ConnectError::Refused { is_confirmed, .. }) => {
+                    is_confirmed || reaches_another(&shared, &server).await
+                }
+                _ => false,
+            };
         shared.metrics.note_crash_check(crashed);
         info!(id = %id, decision = "crash-check", server = %server.id, crashed,
             suspects = %suspects, "request");
@@ -74,8 +78,8 @@
     let _ = timeout(CHECK_WAIT, check).await;
 }
 
-/// Whether this process reaches any other server. One that all servers refuse is more likely cut off
-/// than all of them crashed. True if there is no other.
+/// Whether this process, which has no peer to ask, reaches any other server. One that all servers refuse
+/// is more likely cut off than all of them crashed. True if there is no other.
 async fn reaches_another(shared: &RelayShared, server: &BackendServer) -> bool {
     let others: Vec<BackendServer> = {
         let table = shared.servers.load();
@@ -91,10 +95,3 @@
     }
     others.is_empty()
 }
-
-async fn refuses_connections(shared: &RelayShared, server: &BackendServer) -> bool {
-    matches!(
-        shared.paths.connect(server.target("crash check")).await,
-        Err(ConnectError::Refused { .. })
-    )
-}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -10,7 +10,7 @@
     http_body_util::Full,
     limit::NamedLimit,
     poison::{PromptParts, SuspectId},
-    reach::{FORWARD_QUERY, PeerHost, ServerDialer, ServerPaths},
+    reach::{FORWARD_QUERY, ListedServer, PeerHost, ServerDialer, ServerDirectory, ServerPaths},
     relay::{
         AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
         RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
@@ -232,6 +232,24 @@
     }
 }
 
+/// The servers of a relay as its peers may ask for them.
+struct TableDirectory(Arc<ServerTable>);
+
+impl ServerDirectory for TableDirectory {
+    fn find(&self, server: &HostId) -> Option<ListedServer> {
+        self.0.all().find(|known| known.id == *server).map(listed_server)
+    }
+
+    fn sample(&self, _: &ServiceName, except: &HostId) -> Option<ListedServer> {
+        self.0.all().find(|known| known.id != *except).map(listed_server)
+    }
+}
+
+fn listed_server(server: &BackendServer) -> ListedServer {
+    let service = ServiceName::new("s").unwrap();
+    ListedServer { id: server.id.clone(), address: server.address, service }
+}
+
 /// A relay that serves callers on loopback.
 pub(crate) struct TestRelay {
     pub(crate) address: SocketAddr,
@@ -277,17 +295,15 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let shared = self.shared.clone();
+        let servers = shared.servers.load_full();
+        shared.paths.set_directory(Arc::new(TableDirectory(servers)));
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 let shared = shared.clone();
                 tokio::spawn(async move {
                     assert_eq!(stream.read_u8().await.unwrap(), FORWARD_QUERY);
-                    let table = shared.servers.load_full();
-                    let find = |id: &HostId| {
-                        table.all().find(|server| server.id == *id).map(|server| server.address)
-                    };
                     // Its end is seen at the asking process.
-                    let _ = shared.paths.serve_forward(stream, find).await;
+                    let _ = shared.paths.serve_forward(stream).await;
                 });
             }
         });
