Ask no peers for a server that is known to be down

Now a server that a peer with sound links does not reach either, or nobody in time while the own links work, is dialed only directly for two seconds.

The whole of the tests was not run on this commit.

--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -19,9 +19,17 @@
         rows::{MemberRow, RowName, RowOwner},
         view::NodeView,
     },
-    plan::staged::{EngineState, OrderEnd, StagedCommand, StagedOrder},
+    plan::staged::{EngineState, MemberPhase, Membership, OrderEnd, StagedCommand, StagedOrder},
     relay::{RelayConfig, ServerLoad},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     support::relay_shared,
     tokio::{sync::mpsc, time::sleep},
     tokio_util::sync::CancellationToken,
@@ -69,21 +77,31 @@
     }
 }
 
-/// Engines that answer each probe and accept each order.
+/// Engines that accept each order and, if `follow` is set, carry it out at once.
 #[derive(Default)]
 struct AcceptingEngines {
     orders: parking_lot::Mutex<Vec<(Term, StagedOrder)>>,
+    follow: AtomicBool,
+    states: parking_lot::Mutex<BTreeMap<HostId, EngineState>>,
+    /// The outcome of each probe; `None` while engines answer.
+    probe_error: parking_lot::Mutex<Option<ProbeError>>,
 }
 
 impl EngineAccess for AcceptingEngines {
     async fn probe(
         &self,
-        _host: &HostId,
+        host: &HostId,
         _address: SocketAddr,
-        _limit: Duration,
+        limit: Duration,
     ) -> Result<EngineReport, ProbeError> {
-        let facts =
+        let error = *self.probe_error.lock();
+        if let Some(error) = error {
+            sleep(limit).await;
+            return Err(error);
+        }
+        let idle =
             EngineState { boot_id: Some(1), membership: None, model: None, staged: Vec::new() };
+        let facts = self.states.lock().get(host).cloned().unwrap_or(idle);
         Ok(EngineReport {
             facts,
             load: ServerLoad::default(),
@@ -94,11 +112,44 @@
 
     async fn order(&self, order: &StagedOrder, term: Term, _limit: Duration) -> OrderEnd {
         self.orders.lock().push((term, order.clone()));
+        if self.follow.load(Ordering::Relaxed) {
+            self.carry_out(order);
+        }
         OrderEnd::Accepted
     }
 }
 
 impl AcceptingEngines {
+    fn carry_out(&self, order: &StagedOrder) {
+        let mut states = self.states.lock();
+        match &order.command {
+            StagedCommand::Join { group, epoch, model, members } => {
+                let rank = members.iter().position(|member| *member == order.host).unwrap();
+                let membership = Membership {
+                    group: group.clone(),
+                    epoch: *epoch,
+                    rank: rank as u32,
+                    phase: MemberPhase::Ready,
+                };
+                let state = EngineState {
+                    boot_id: Some(1),
+                    membership: Some(membership),
+                    model: Some(model.clone()),
+                    staged: vec![model.clone()],
+                };
+                states.insert(order.host.clone(), state);
+            }
+            StagedCommand::Open { .. } => {
+                if let Some(membership) =
+                    states.get_mut(&order.host).and_then(|state| state.membership.as_mut())
+                {
+                    membership.phase = MemberPhase::Open;
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn compositions(&self) -> Vec<(GroupId, Epoch, Vec<HostId>)> {
         let mut found = Vec::new();
         for (_, order) in self.orders.lock().iter() {
@@ -255,6 +306,27 @@
     assert!(!rig.engines.compositions().is_empty());
 }
 
+/// An owner that was cut off from all engines took them for down, broke up their groups and told all
+/// processes to keep away from the heads.
+#[tokio::test(start_paused = true)]
+async fn groups_stay_while_their_owner_reaches_no_engine() {
+    let rig = Rig::start().await;
+    rig.engines.follow.store(true, Ordering::Relaxed);
+    rig.list(&["a1", "a2", "a3"]);
+    rig.run(Duration::from_secs(6)).await;
+    let opened =
+        |(_, order): &(Term, StagedOrder)| matches!(order.command, StagedCommand::Open { .. });
+    let before = rig.engines.orders.lock().len();
+    assert!(rig.engines.orders.lock().iter().any(opened));
+    *rig.engines.probe_error.lock() = Some(ProbeError::Inconclusive);
+    rig.run(Duration::from_secs(5)).await;
+    assert_eq!(rig.engines.orders.lock().len(), before);
+    // Probes that failed beside others that did not are still failures of the engine.
+    *rig.engines.probe_error.lock() = Some(ProbeError::Silent);
+    rig.run(Duration::from_secs(5)).await;
+    assert!(rig.engines.orders.lock().len() > before);
+}
+
 /// All engines of a fabric domain become unreachable and drop out of the list, and others replace
 /// them while the owner stays alive. Group names and epochs must not start over under the same
 /// term: the next owner could not tell the earlier and the later groups apart and released the head
--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -147,8 +147,10 @@
         let began = self.clock.now();
         let service = Some(&listed.service);
         let choice = self.tracker.lock().choose(server, service, began);
-        if choice == PathChoice::Peer {
-            return Err(ForwardReply::Unreachable);
+        match choice {
+            PathChoice::Peer => return Err(ForwardReply::Unreachable),
+            PathChoice::DirectOnly => return Err(ForwardReply::Silent),
+            PathChoice::Direct | PathChoice::Both => {}
         }
         let dialed = timeout(DIAL_LIMIT, self.dialer.dial(listed.address)).await;
         let (outcome, sound_since) = match dialed {
--- a/crates/reach/src/race.rs
+++ b/crates/reach/src/race.rs
@@ -10,7 +10,7 @@
         stream::ServerStream,
         tracker::PathChoice,
     },
-    base::{HostId, ServiceName},
+    base::{HostId, ServiceName, Tick},
     futures::{
         future::{BoxFuture, FutureExt},
         stream::{FuturesUnordered, StreamExt},
@@ -42,6 +42,7 @@
 pub(crate) struct ConnectRace<'a> {
     paths: &'a ServerPaths,
     target: ServerTarget<'a>,
+    began: Tick,
     limit: Duration,
     service: Option<ServiceName>,
     choice: PathChoice,
@@ -62,10 +63,12 @@
         let now = paths.clock.now();
         let service = paths.service_of(target.server);
         let choice = paths.tracker.lock().choose(target.server, service.as_ref(), now);
-        let waiting = paths.board.lock().candidates(MAX_PEERS, now).into();
+        let peers = if choice == PathChoice::DirectOnly { 0 } else { MAX_PEERS };
+        let waiting = paths.board.lock().candidates(peers, now).into();
         Self {
             paths,
             target,
+            began: now,
             limit,
             service,
             choice,
@@ -84,7 +87,7 @@
         let delay = PEER_DELAY.min(self.limit.mul_f64(MAX_DELAY_SHARE));
         let mut next_peer_at = Instant::now();
         match self.choice {
-            PathChoice::Direct => next_peer_at += delay,
+            PathChoice::Direct | PathChoice::DirectOnly => next_peer_at += delay,
             PathChoice::Both => next_peer_at += HEAD_START.min(delay),
             PathChoice::Peer => {}
         }
@@ -117,6 +120,8 @@
         for node in &self.asked {
             board.note_failure(node, PeerFailure::Declined, now);
         }
+        drop(board);
+        self.note_down_if_own_links_work();
     }
 
     /// Starts another attempt; false if none is left.
@@ -191,11 +196,13 @@
         let address = self.target.address;
         let failure = match refusal {
             PeerRefusal::Reply(ForwardReply::Refused) => {
+                self.note_down();
                 let source = self.direct_error.take();
                 let source = source.unwrap_or_else(|| io::ErrorKind::ConnectionRefused.into());
                 return Some(Err(source).context(RefusedSnafu { address, is_confirmed: true }));
             }
             PeerRefusal::Reply(ForwardReply::Silent) => {
+                self.note_down();
                 return Some(TimedOutSnafu { address, limit: self.limit }.fail());
             }
             PeerRefusal::Reply(_) => PeerFailure::Declined,
@@ -219,11 +226,27 @@
         }
     }
 
+    fn note_down(&self) {
+        let now = self.paths.clock.now();
+        if self.paths.tracker.lock().note_down(self.target.server, now) {
+            info!(decision = "down", server = %self.target.server, asked = self.asked_count, "reach");
+        }
+    }
+
+    /// Spares the peers further questions for a server that nobody reached in time.
+    fn note_down_if_own_links_work(&self) {
+        let works = self.paths.tracker.lock().works_since(self.service.as_ref(), self.began);
+        if works && self.asked_count > 0 {
+            self.note_down();
+        }
+    }
+
     fn note_failed(&self) {
         self.paths.tracker.lock().note_failed(self.target.server, self.service.as_ref());
     }
 
     fn failure(&mut self) -> ConnectError {
+        self.note_down_if_own_links_work();
         let (address, peers) = (self.target.address, self.asked_count);
         match self.direct_error.take() {
             Some(source) if peers == 0 => {
--- a/crates/reach/src/tracker.rs
+++ b/crates/reach/src/tracker.rs
@@ -15,6 +15,8 @@
     pub recheck: Duration,
     /// Upper bound of that time.
     pub max_recheck: Duration,
+    /// How long peers are not asked for a server that is down.
+    pub down_for: Duration,
     /// A server without a connection for this long is forgotten.
     pub forget_after: Duration,
     /// Number of servers of a service whose direct connections failed one after the other from which on
@@ -27,6 +29,7 @@
         Self {
             recheck: Duration::from_millis(250),
             max_recheck: Duration::from_secs(1),
+            down_for: Duration::from_secs(2),
             forget_after: Duration::from_secs(10),
             doubtful_failures: 2,
         }
@@ -36,6 +39,8 @@
 /// How to connect to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathChoice {
+    /// Directly, and on no other path: no process reaches the server.
+    DirectOnly,
     /// Directly; peers are asked if that takes long.
     Direct,
     /// Directly and, a moment later, through a peer: the direct path is in doubt.
@@ -70,6 +75,8 @@
 pub struct PathTracker {
     settings: TrackerSettings,
     detours: BTreeMap<HostId, Detour>,
+    /// Servers that no process reaches, each with the time until which peers are not asked again.
+    down: BTreeMap<HostId, Tick>,
     links: BTreeMap<Option<ServiceName>, ServiceLinks>,
 }
 
@@ -88,6 +95,9 @@
         now: Tick,
     ) -> PathChoice {
         self.forget_unused(now);
+        if self.down.contains_key(server) {
+            return PathChoice::DirectOnly;
+        }
         let Some(detour) = self.detours.get_mut(server) else {
             let failed = self.links(service).failed.len();
             let is_doubtful = failed >= self.settings.doubtful_failures;
@@ -114,6 +124,7 @@
         links.connected_at = Some(now);
         links.reached_at = Some(now);
         links.failed.clear();
+        self.down.remove(server);
         self.detours.remove(server).is_some()
     }
 
@@ -150,6 +161,12 @@
         self.links(service).reached_at = Some(now);
     }
 
+    /// Records that peers do not reach a server either. Returns whether that is new.
+    pub fn note_down(&mut self, server: &HostId, now: Tick) -> bool {
+        self.detours.remove(server);
+        self.down.insert(server.clone(), now + self.settings.down_for).is_none()
+    }
+
     /// Number of detoured servers.
     pub fn detoured(&self) -> usize {
         self.detours.len()
@@ -159,11 +176,16 @@
     /// service are sound. No server of it is detoured, one was reached directly since, and no other has
     /// failed.
     pub fn is_sound_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
-        let Some(links) = self.links.get(&service.cloned()) else { return false };
+        self.works_since(service, at)
+            && self.links.get(&service.cloned()).is_some_and(|links| links.failed.len() <= 1)
+    }
+
+    /// Whether the own links to a service have worked since `at`: no server of it is detoured, and one
+    /// was reached directly since.
+    pub fn works_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+        let links = self.links.get(&service.cloned());
         let is_detoured = self.detours.values().any(|detour| detour.service.as_ref() == service);
-        !is_detoured
-            && links.failed.len() <= 1
-            && links.connected_at.is_some_and(|connected| connected >= at)
+        !is_detoured && links.is_some_and(|links| links.connected_at.is_some_and(|last| last >= at))
     }
 
     /// Whether a server of the service was reached since `at`, on whichever path.
@@ -177,6 +199,7 @@
     }
 
     fn forget_unused(&mut self, now: Tick) {
+        self.down.retain(|_, until| *until > now);
         let forget_after = self.settings.forget_after;
         self.detours.retain(|_, detour| now.since(detour.used_at) < forget_after);
     }
