--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,7 +5,7 @@
     limit::KnownLimit,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
-        metrics::{family::Family, gauge::Gauge},
+        metrics::{counter::Counter, family::Family, gauge::Gauge},
         registry::Registry,
     },
     relay::{RelayShared, RequestKind},
@@ -31,6 +31,13 @@
     server: String,
 }
 
+/// Labels of connections to servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PathLabels {
+    /// "direct", or "peer" where another process passes the connection on.
+    path: &'static str,
+}
+
 /// Labels of requests that run.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabels {
@@ -50,6 +57,9 @@
     refused_suspects: Family<SuspectLabels, Gauge<f64, AtomicU64>>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     own_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    connections: Family<PathLabels, Counter>,
+    detoured: Gauge,
+    open_forwards: Gauge,
     view: Arc<NodeView>,
     shared: Arc<RelayShared>,
 }
@@ -85,6 +95,15 @@
         let own_limits = Family::default();
         let help = "Part of a server's limit that this process may use, in requests per second";
         registry.register("server_limit_own", help, own_limits.clone());
+        let connections = Family::default();
+        let help = "Connections to servers, by path";
+        registry.register("connections", help, connections.clone());
+        let detoured = Gauge::default();
+        let help = "Servers that this process does not reach and another one does";
+        registry.register("detoured_servers", help, detoured.clone());
+        let open_forwards = Gauge::default();
+        let help = "Connections to servers that this process passes on for others";
+        registry.register("open_forwards", help, open_forwards.clone());
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
@@ -96,6 +115,9 @@
             refused_suspects,
             server_limits,
             own_limits,
+            connections,
+            detoured,
+            open_forwards,
             config_version,
             config_age,
             servers,
@@ -134,10 +156,23 @@
             self.server_limits.get_or_create(&labels).set(rate.0);
             self.own_limits.get_or_create(&labels).set(own.0);
         }
+        self.render_paths();
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             tracing::warn!(%error, "failed to encode the metrics");
         }
         text
     }
+
+    fn render_paths(&self) {
+        let counts = self.shared.paths.counts();
+        let set = |path, made| {
+            let connections = self.connections.get_or_create(&PathLabels { path });
+            connections.inner().store(made, Ordering::Relaxed);
+        };
+        set("direct", counts.direct);
+        set("peer", counts.forwarded);
+        self.detoured.set(counts.detoured as i64);
+        self.open_forwards.set(counts.open_forwards as i64);
+    }
 }
