Let an odd entry among those of the servers cost only itself

Seen by other operators: another writer left one odd entry, and the processes that read the list ended again and again or stopped following it.

- A rank outside the groups of its model made the sound group that the entry names incomplete, so that it was dissolved, and took memory for all ranks below it.
Such a rank counts only if the engine confirms it, up to 1,024, and never in a group whose members are all known; of two hosts with one rank the confirmed one is taken.
- A domain whose name leaves no room for those of its groups ended the loop that owns it.
Names of groups hold at most 64 bytes of it.
- The sum of a server's loads wrapped around.

Class: a value that parses is taken for one that is possible.

--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -52,6 +52,11 @@
         self.members.first().and_then(Option::as_ref)
     }
 
+    /// Whether the members at all ranks are known.
+    pub(super) fn is_complete(&self) -> bool {
+        self.members.iter().all(Option::is_some)
+    }
+
     pub(super) fn has(&self, host: &HostId) -> bool {
         self.members.iter().flatten().any(|member| member == host)
     }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -144,6 +144,11 @@
         self.state = Some(state);
     }
 
+    /// Whether the engine's present boot has given or confirmed the state itself.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// Clears the membership of a host that has accepted the order to leave, ahead of the engine's
     /// own report.
     pub(super) fn clear_membership(&mut self) {
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -19,6 +19,10 @@
 /// Low bits of an epoch that count compositions; the owner's term is above them, so that every
 /// epoch of a term is higher than those of the terms before.
 const EPOCH_BITS: u32 = 20;
+/// More members than any group has.
+const MAX_GROUP_SIZE: usize = 1_024;
+/// Longest part of a domain's name in those of its groups, in bytes; the term and a number follow.
+const MAX_PREFIX_BYTES: usize = 64;
 
 /// How long dissolved compositions are remembered. Longer than an order may be delayed.
 const DISSOLVED_RETENTION: Duration = Duration::from_secs(60);
@@ -79,7 +83,7 @@
             dissolved: BTreeMap::new(),
             load_tokens: settings.load_burst,
             tokens_refilled_at: now,
-            prefix: format!("{domain}.{term}"),
+            prefix: group_prefix(domain, term),
             term,
             groups_issued: 0,
             orders: Vec::new(),
@@ -284,8 +288,10 @@
                     record.forget_leave_order(&group, epoch);
                 }
             }
-            let composition = self.adopt(group, epoch, &members, input);
-            self.compositions.insert((composition.group.clone(), epoch), composition);
+            let key = (group.clone(), epoch);
+            if let Some(composition) = self.adopt(group, epoch, &members, input) {
+                self.compositions.insert(key, composition);
+            }
         }
     }
 
@@ -297,7 +303,15 @@
             let Some(membership) = &state.membership else { continue };
             let key = (membership.group.clone(), membership.epoch);
             let Some(composition) = self.compositions.get_mut(&key) else { continue };
-            composition.fill_rank(membership.rank as usize, host, state.boot_id);
+            let limit = if composition.is_complete() || !record.is_confirmed() {
+                composition.members.len()
+            } else {
+                MAX_GROUP_SIZE
+            };
+            let rank = membership.rank as usize;
+            if rank < limit {
+                composition.fill_rank(rank, host, state.boot_id);
+            }
         }
     }
 
@@ -310,22 +324,42 @@
         !runs || now.since(*dissolved) < self.settings.answer_lag
     }
 
+    /// The composition that hosts report. `None` if none of them can be a member: an entry of the host
+    /// list, which anybody may have written, is not believed with a rank outside the model's groups
+    /// unless the engine confirms it.
     fn adopt(
         &self,
         group: GroupId,
         epoch: Epoch,
         found: &[(HostId, Membership)],
         input: &StagedInput<'_>,
-    ) -> Composition {
+    ) -> Option<Composition> {
+        let is_confirmed =
+            |host: &HostId| self.hosts.get(host).is_some_and(HostRecord::is_confirmed);
         let state = |host: &HostId| self.hosts.get(host).and_then(|record| record.state.as_ref());
-        let model = found.iter().find_map(|(host, _)| state(host)?.model.clone());
-        let known_model = input.models.iter().find(|known| Some(&known.name) == model.as_ref());
-        let last_rank = found.iter().map(|(_, membership)| membership.rank as usize).max();
-        let member_count =
-            known_model.map_or(0, |known| known.size).max(last_rank.unwrap_or(0) + 1);
+        let find_model = |name: &ModelName| input.models.iter().find(|known| known.name == *name);
+        let claims = found
+            .iter()
+            .filter_map(|(host, _)| Some((is_confirmed(host), state(host)?.model.clone()?)));
+        let claim = claims.max_by_key(|(confirmed, name)| (*confirmed, find_model(name).is_some()));
+        let model = claim.map(|(_, name)| name);
+        let known_model = model.as_ref().and_then(find_model);
+        let size = known_model.map_or(0, |known| known.size);
+        let list_limit = known_model.map_or(self.hosts.len(), |known| known.size);
+        let mut found: Vec<&(HostId, Membership)> = found
+            .iter()
+            .filter(|(host, membership)| {
+                let limit = if is_confirmed(host) { MAX_GROUP_SIZE } else { list_limit };
+                (membership.rank as usize) < limit
+            })
+            .collect();
+        // Of two hosts with one rank the one whose engine confirms it is taken.
+        found.sort_by_key(|(host, _)| is_confirmed(host));
+        let last_rank = found.iter().map(|(_, membership)| membership.rank as usize).max()?;
+        let member_count = size.max(last_rank + 1);
         let mut members = vec![None; member_count];
         let mut boot_ids = vec![None; member_count];
-        for (host, membership) in found {
+        for (host, membership) in found.iter().copied() {
             members[membership.rank as usize] = Some(host.clone());
             boot_ids[membership.rank as usize] = state(host).and_then(|state| state.boot_id);
         }
@@ -342,7 +376,7 @@
             (true, false, _) => CompositionPhase::Closing(ClosingProgress { since: input.now }),
             (false, _, _) => CompositionPhase::Dissolving,
         };
-        Composition { group, epoch, model, members, boot_ids, phase }
+        Some(Composition { group, epoch, model, members, boot_ids, phase })
     }
 
     /// Advances one composition; returns false once it is dissolved and its members are free.
@@ -479,3 +513,15 @@
         self.order(&head, command, now);
     }
 }
+
+/// The beginning of the names of a domain's groups. Of a long name both ends are kept, as names of one
+/// deployment differ there.
+fn group_prefix(domain: &FabricDomainId, term: Term) -> String {
+    let name = domain.as_str();
+    if name.len() <= MAX_PREFIX_BYTES {
+        return format!("{domain}.{term}");
+    }
+    let half = MAX_PREFIX_BYTES / 2;
+    // Ids are ASCII.
+    format!("{}{}.{term}", &name[..half], &name[name.len() - half..])
+}
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -303,6 +303,22 @@
         assert!(self.violations.is_empty(), "{what}: {:?}", self.violations);
     }
 
+    /// Names the domain, before it has any host.
+    pub(crate) fn set_domain(&mut self, domain: &FabricDomainId) {
+        let settings = StagedSettings::default();
+        self.planner = StagedPlanner::new(domain, self.term, settings, self.now);
+    }
+
+    /// Lists a host, once, as a member of the serving group at `rank`; its engine says otherwise.
+    pub(crate) fn list_at_rank(&mut self, host: &HostId, rank: u32) {
+        let head = self.member_of_serving(0);
+        let mut state = self.hosts[&head].engine.reported_state();
+        if let Some(membership) = &mut state.membership {
+            membership.rank = rank;
+        }
+        self.planner.observe(host, ObservationSource::HostList, self.now, state);
+    }
+
     /// Opens a group of all hosts whose head alone has joined; the rig must record a violation.
     pub(crate) fn plant_open_without_members(&mut self) {
         let members: Vec<HostId> = self.hosts.keys().cloned().collect();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -84,7 +84,8 @@
 
     /// Records a load report that was received at `now`.
     pub fn note_load(&self, report: ServerLoad, now: Tick) {
-        self.reported_load.store(report.running + 2 * report.waiting, Ordering::Relaxed);
+        let load = report.running.saturating_add(report.waiting.saturating_mul(2));
+        self.reported_load.store(load, Ordering::Relaxed);
         self.reported_at.store(now.0, Ordering::Relaxed);
         self.slots.store(report.slots, Ordering::Relaxed);
         self.sent_since_report.store(0, Ordering::Relaxed);
