Take an engine for down only by working links or the word of a peer

A failed probe counts now only if no engine of the service was detoured within a second and one answered meanwhile, or if a peer that connects to others confirms it. A peer remembers what it found for two seconds and then answers at once. After an early answer a peer reads the rest of the request, as closing with unread bytes could lose the answer's end.

Tests of reach pass; platform, node and relay compile, the rest was not run on this commit.

--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -242,8 +242,8 @@
     /// All other failures: no response within the timeout, a broken connection, an error status or
     /// a response that can't be parsed. The engine may be running.
     Silent,
-    /// No response, while no engine of the service was reached: the links of this process are as likely
-    /// the cause as the engine.
+    /// No response, while this process reached no engine of the service or not all of them by its own
+    /// links, and no other process confirmed it: the links are as likely the cause as the engine.
     Inconclusive,
 }
 
--- a/crates/reach/src/error.rs
+++ b/crates/reach/src/error.rs
@@ -16,6 +16,8 @@
         address: SocketAddr,
         /// How long it was waited for.
         limit: Duration,
+        /// Whether a peer that reaches other servers of the service confirmed it.
+        is_confirmed: bool,
     },
     /// The server refuses connections: a peer that reaches other servers was refused too, or there is
     /// no peer to ask.
@@ -37,3 +39,15 @@
         peers: usize,
     },
 }
+
+impl ConnectError {
+    /// Whether the failure is certainly the server's own.
+    pub fn is_confirmed(&self) -> bool {
+        match self {
+            Self::TimedOut { is_confirmed, .. } | Self::Refused { is_confirmed, .. } => {
+                *is_confirmed
+            }
+            Self::Unreachable { .. } => false,
+        }
+    }
+}
--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -42,6 +42,8 @@
 const CONTROL_LIMIT: Duration = Duration::from_millis(80);
 /// Most forwards at a time; each takes two sockets and some tens of kilobytes.
 const MAX_FORWARDS: usize = 400;
+/// Longest time for which the rest of a request is read after the server has ended its answer.
+const LINGER_LIMIT: Duration = Duration::from_millis(500);
 /// Bytes that are read from the server at once.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -169,7 +171,12 @@
         if !is_sound {
             is_sound = self.reaches_another(listed).await;
         }
-        Err(if is_sound { outcome } else { ForwardReply::Unreachable })
+        if !is_sound {
+            return Err(ForwardReply::Unreachable);
+        }
+        // The next peer that asks is answered at once.
+        self.tracker.lock().note_down(server, self.clock.now());
+        Err(outcome)
     }
 
     /// Whether this process reaches another server of the same service at this moment.
@@ -223,9 +230,12 @@
         }
     };
     tokio::select! {
-        ended = download(from_server, to_peer) => ended,
-        () = upload => Ok(()),
+        ended = download(from_server, to_peer) => ended?,
+        () = upload => return Ok(()),
     }
+    // Closing with unread bytes of the request would reset the connection and lose the answer's end.
+    let _ = timeout(LINGER_LIMIT, tokio::io::copy(&mut from_peer, &mut tokio::io::sink())).await;
+    Ok(())
 }
 
 async fn download(
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -126,7 +126,7 @@
             return end;
         }
         race.give_up();
-        TimedOutSnafu { address: target.address, limit }.fail()
+        TimedOutSnafu { address: target.address, limit, is_confirmed: false }.fail()
     }
 
     /// Records that a server answered over a connection that was kept.
@@ -134,10 +134,10 @@
         self.tracker.lock().note_answer(self.service_of(server).as_ref(), self.clock.now());
     }
 
-    /// Whether any server of the service of `server` was reached since `at`, on whichever path. If not,
-    /// a failure says more about the links of this process than about the server.
-    pub fn has_reached_since(&self, server: &HostId, at: Tick) -> bool {
-        self.tracker.lock().has_reached_since(self.service_of(server).as_ref(), at)
+    /// Whether the links of this process to the service of `server` have worked since `at`. If not, a
+    /// failure may be theirs rather than the server's.
+    pub fn works_since(&self, server: &HostId, at: Tick) -> bool {
+        self.tracker.lock().works_since(self.service_of(server).as_ref(), at)
     }
 
     /// The time on the clock of these paths.
--- a/crates/reach/src/race.rs
+++ b/crates/reach/src/race.rs
@@ -203,7 +203,9 @@
             }
             PeerRefusal::Reply(ForwardReply::Silent) => {
                 self.note_down();
-                return Some(TimedOutSnafu { address, limit: self.limit }.fail());
+                return Some(
+                    TimedOutSnafu { address, limit: self.limit, is_confirmed: true }.fail(),
+                );
             }
             PeerRefusal::Reply(_) => PeerFailure::Declined,
             PeerRefusal::NoReply => PeerFailure::Silent,
@@ -235,8 +237,10 @@
 
     /// Spares the peers further questions for a server that nobody reached in time.
     fn note_down_if_own_links_work(&self) {
-        let works = self.paths.tracker.lock().works_since(self.service.as_ref(), self.began);
-        if works && self.asked_count > 0 {
+        let tracker = self.paths.tracker.lock();
+        let connects = tracker.connects_since(self.service.as_ref(), self.began);
+        drop(tracker);
+        if connects && self.asked_count > 0 {
             self.note_down();
         }
     }
--- a/crates/reach/src/tracker.rs
+++ b/crates/reach/src/tracker.rs
@@ -17,6 +17,8 @@
     pub max_recheck: Duration,
     /// How long peers are not asked for a server that is down.
     pub down_for: Duration,
+    /// How long after its last use a detour makes the links to its service doubtful.
+    pub doubt_for: Duration,
     /// A server without a connection for this long is forgotten.
     pub forget_after: Duration,
     /// Number of servers of a service whose direct connections failed one after the other from which on
@@ -30,6 +32,7 @@
             recheck: Duration::from_millis(250),
             max_recheck: Duration::from_secs(1),
             down_for: Duration::from_secs(2),
+            doubt_for: Duration::from_secs(1),
             forget_after: Duration::from_secs(10),
             doubtful_failures: 2,
         }
@@ -173,25 +176,34 @@
     }
 
     /// Whether a connection that failed since `at` did so for the server's sake: the own links to its
-    /// service are sound. No server of it is detoured, one was reached directly since, and no other has
-    /// failed.
+    /// service are sound. One of its servers was connected to directly since, none is detoured, and no
+    /// other has failed.
     pub fn is_sound_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
-        self.works_since(service, at)
+        self.connects_since(service, at)
             && self.links.get(&service.cloned()).is_some_and(|links| links.failed.len() <= 1)
     }
 
-    /// Whether the own links to a service have worked since `at`: no server of it is detoured, and one
-    /// was reached directly since.
-    pub fn works_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+    /// Whether a direct connection to a server of the service was made since `at`, and none of its
+    /// servers is detoured.
+    pub fn connects_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
         let links = self.links.get(&service.cloned());
-        let is_detoured = self.detours.values().any(|detour| detour.service.as_ref() == service);
-        !is_detoured && links.is_some_and(|links| links.connected_at.is_some_and(|last| last >= at))
+        let connected = links.and_then(|links| links.connected_at);
+        connected.is_some_and(|connected| connected >= at) && !self.has_detour(service, at)
     }
 
-    /// Whether a server of the service was reached since `at`, on whichever path.
-    pub fn has_reached_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+    /// Whether a server of the service answered since `at`, and none is detoured. Connections that are
+    /// kept may live on while no new one can be made.
+    pub fn works_since(&self, service: Option<&ServiceName>, at: Tick) -> bool {
         let links = self.links.get(&service.cloned());
-        links.is_some_and(|links| links.reached_at.is_some_and(|reached| reached >= at))
+        let reached = links.and_then(|links| links.reached_at);
+        reached.is_some_and(|reached| reached >= at) && !self.has_detour(service, at)
+    }
+
+    /// Whether a server of the service was detoured shortly before `at`.
+    fn has_detour(&self, service: Option<&ServiceName>, at: Tick) -> bool {
+        self.detours.values().any(|detour| {
+            detour.service.as_ref() == service && detour.used_at + self.settings.doubt_for >= at
+        })
     }
 
     fn links(&mut self, service: Option<&ServiceName>) -> &mut ServiceLinks {
--- a/crates/reach/tests/forwards.rs
+++ b/crates/reach/tests/forwards.rs
@@ -198,6 +198,25 @@
     assert!(at_caller.read_to_end(&mut received).await.is_err());
 }
 
+/// A server may answer before it has read a long request.
+#[tokio::test]
+async fn an_answer_to_a_request_that_is_not_read_arrives_whole() {
+    let Forwarded { mut at_caller, mut at_server, .. } = forwarded().await;
+    let answer = vec![b'a'; 100_000];
+    let sent = answer.clone();
+    let server = tokio::spawn(async move {
+        at_server.write_all(&sent).await.unwrap();
+        at_server.shutdown().await.unwrap();
+        at_server
+    });
+    at_caller.write_all(&[b'r'; 100_000]).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    let mut received = Vec::new();
+    at_caller.read_to_end(&mut received).await.unwrap();
+    assert_eq!(received, answer);
+    drop(server.await.unwrap());
+}
+
 #[tokio::test]
 async fn the_server_learns_at_once_that_the_caller_has_left() {
     let Forwarded { at_caller, mut at_server, .. } = forwarded().await;
--- a/crates/reach/tests/tracker.rs
+++ b/crates/reach/tests/tracker.rs
@@ -56,7 +56,7 @@
     assert_eq!(tracker.choose(&server("q"), Some(&plain), START), PathChoice::Direct);
     assert!(!tracker.is_sound_since(Some(&pool), START));
     assert!(tracker.is_sound_since(Some(&plain), START));
-    assert!(!tracker.has_reached_since(Some(&pool), START));
+    assert!(!tracker.works_since(Some(&pool), START));
 }
 
 #[test]
@@ -122,3 +122,22 @@
     tracker.note_direct(&server("a"), None, after(2_100));
     assert_eq!(tracker.choose(&server("a"), None, after(2_100)), PathChoice::Direct);
 }
+
+/// An owner that was cut off took engines for down that its first peers did not reach either.
+#[test]
+fn links_do_not_work_while_servers_of_the_service_are_detoured() {
+    let (pool, plain) = (service("pool"), service("plain"));
+    let mut tracker = tracker();
+    tracker.note_answer(Some(&pool), START);
+    assert!(tracker.works_since(Some(&pool), START));
+    assert!(!tracker.connects_since(Some(&pool), START));
+    tracker.note_detour(&server("p"), Some(&plain), START);
+    assert!(tracker.works_since(Some(&pool), START));
+    tracker.note_detour(&server("a"), Some(&pool), START);
+    tracker.note_direct(&server("b"), Some(&pool), after(10));
+    assert!(!tracker.works_since(Some(&pool), START));
+    assert!(!tracker.connects_since(Some(&pool), START));
+    // A detour that nobody uses any more says nothing of the links now.
+    tracker.note_direct(&server("b"), Some(&pool), after(1_100));
+    assert!(tracker.works_since(Some(&pool), after(1_050)));
+}
