Confirm a refusal only by a connection made after it began

The owner took a sound engine for down and sent 18 orders.

A peer now dials another server of the service after each refusal, unless it connected to one since it began to dial. Tests of reach pass.

--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -34,9 +34,6 @@
 const QUERY_LIMIT: Duration = Duration::from_millis(400);
 /// Longest time for which a server is dialed for a peer, which asks others meanwhile.
 const DIAL_LIMIT: Duration = Duration::from_millis(200);
-/// How long before a refusal another server of the service must have been reached, so that it counts as
-/// the server's own.
-const SOUND_SPAN: Duration = Duration::from_millis(50);
 /// Longest time for which another server is dialed to tell a fault of the own links from one of the
 /// server.
 const CONTROL_LIMIT: Duration = Duration::from_millis(80);
@@ -155,18 +152,18 @@
             PathChoice::Direct | PathChoice::Both => {}
         }
         let dialed = timeout(DIAL_LIMIT, self.dialer.dial(listed.address)).await;
-        let (outcome, sound_since) = match dialed {
+        let outcome = match dialed {
             Ok(Ok(stream)) => {
                 self.note_direct(server, service);
                 return Ok(stream);
             }
-            Ok(Err(_)) => (ForwardReply::Refused, began.back(SOUND_SPAN)),
-            Err(_) => (ForwardReply::Silent, began),
+            Ok(Err(_)) => ForwardReply::Refused,
+            Err(_) => ForwardReply::Silent,
         };
         let mut is_sound = {
             let mut tracker = self.tracker.lock();
             tracker.note_failed(server, service);
-            tracker.is_sound_since(service, sound_since)
+            tracker.is_sound_since(service, began)
         };
         if !is_sound {
             is_sound = self.reaches_another(listed).await;
