--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -219,11 +219,10 @@
 ) -> Result<(), ForwardError> {
     let (from_server, mut to_server) = connection.into_split();
     let upload = async {
-        match tokio::io::copy(&mut from_peer, &mut to_server).await {
-            // The asking process has closed the connection, which cancels the request.
-            Ok(_) => {}
-            // The answer may be complete although the server takes no more bytes.
-            Err(_) => std::future::pending().await,
+        // It ends when the asking process closes the connection, which cancels the request. Where the
+        // server takes no more bytes, its answer may still be whole.
+        if tokio::io::copy(&mut from_peer, &mut to_server).await.is_err() {
+            std::future::pending::<()>().await;
         }
     };
     tokio::select! {
--- a/crates/reach/src/message.rs
+++ b/crates/reach/src/message.rs
@@ -17,10 +17,10 @@
 
 /// First byte of a connection between processes that is to become a forward.
 pub const FORWARD_QUERY: u8 = 9;
-/// Largest query, in bytes; an id of a server and one of a request fit.
+/// Largest query, in bytes; the longest id of a server and the longest purpose fit.
 const MAX_QUERY_BYTES: usize = 512;
-/// Longest text of a request's id that is passed on for logs, in bytes.
-const MAX_REQUEST_BYTES: usize = 128;
+/// Longest part of a purpose that is passed on.
+const MAX_PURPOSE_CHARS: usize = 64;
 /// Largest frame, in bytes.
 pub(crate) const MAX_FRAME_BYTES: usize = 16 * 1024;
 
@@ -79,11 +79,8 @@
 impl ForwardQuery {
     /// The bytes that begin a forward.
     pub(crate) fn encode(server: &HostId, purpose: &str) -> Result<Vec<u8>, postcard::Error> {
-        let purpose = match purpose.char_indices().nth(MAX_REQUEST_BYTES / 4) {
-            Some((end, _)) => &purpose[..end],
-            None => purpose,
-        };
-        let query = Self { server: server.clone(), purpose: purpose.into() };
+        let purpose = purpose.chars().take(MAX_PURPOSE_CHARS).collect();
+        let query = Self { server: server.clone(), purpose };
         let query = postcard::to_stdvec(&query)?;
         let mut bytes = vec![FORWARD_QUERY];
         bytes.extend_from_slice(&(query.len() as u16).to_be_bytes());
