Let no engine join a new group after an inconclusive probe

It is unsure now until it answers, and is still not down.

The new test fails without the change (a group is formed) and passes with it; the other tests of node control pass.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -258,7 +258,7 @@
                         if let Some(probe_state) = owned.probes.get_mut(host) {
                             probe_state.due = now + PROBE_TIMEOUT / 2;
                         }
-                        return;
+                        ProbeFailure::Inconclusive
                     }
                 };
                 owned.planner.record_probe_failure(host, sent_at, mark);
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -306,6 +306,22 @@
     assert!(!rig.engines.compositions().is_empty());
 }
 
+/// The last answer of an engine that is out of reach may be older than its membership in a group of the
+/// next owner.
+#[tokio::test(start_paused = true)]
+async fn engines_out_of_reach_join_no_new_group() {
+    let rig = Rig::start().await;
+    rig.list(&["a1", "a2", "a3"]);
+    rig.run(Duration::from_millis(1_200)).await;
+    assert!(rig.engines.compositions().is_empty());
+    *rig.engines.probe_error.lock() = Some(ProbeError::Inconclusive);
+    rig.run(Duration::from_secs(5)).await;
+    assert!(rig.engines.compositions().is_empty());
+    *rig.engines.probe_error.lock() = None;
+    rig.run(Duration::from_secs(3)).await;
+    assert!(!rig.engines.compositions().is_empty());
+}
+
 /// An owner that was cut off from all engines took them for down, broke up their groups and told all
 /// processes to keep away from the heads.
 #[tokio::test(start_paused = true)]
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -47,6 +47,8 @@
     unanswered_since: Option<Tick>,
     failed_probes: u32,
     refused: bool,
+    /// Whether a probe since the last answer was inconclusive.
+    unsure: bool,
     pub(super) last_order: Option<SentOrder>,
     /// Model of the last group that the engine finished joining since its start, or of a prewarming
     /// group that exceeded its time limit. The engine joins another group of that model fast.
@@ -71,6 +73,7 @@
             unanswered_since: None,
             failed_probes: 0,
             refused: false,
+            unsure: false,
             last_order: None,
             last_group_model: None,
             staging: None,
@@ -177,12 +180,17 @@
         self.unanswered_since = None;
         self.failed_probes = 0;
         self.refused = false;
+        self.unsure = false;
     }
 
     pub(super) fn record_probe_failure(&mut self, probed_at: Tick, failure: ProbeFailure) {
         if self.last_answered.is_some_and(|answered| probed_at < answered) {
             return;
         }
+        if failure == ProbeFailure::Inconclusive {
+            self.unsure = true;
+            return;
+        }
         self.unanswered_since.get_or_insert(probed_at);
         self.failed_probes += 1;
         self.refused |= failure == ProbeFailure::Refused;
@@ -248,6 +256,7 @@
             && self.state.is_some()
             && self.confirmed
             && self.failed_probes == 0
+            && !self.unsure
             && !self.is_down(now, settings)
     }
 
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -126,6 +126,9 @@
     Refused,
     /// The probe got no answer in time.
     Silent,
+    /// The owner's own links may be the cause. The host is not down, and joins no new group until it
+    /// answers.
+    Inconclusive,
 }
 
 base::value_type!(
