Judge a failed dial for a peer in one place, and read the next query once

No behaviour changes. In node, the loop over a reader's queries wrote its response and read the next byte in two branches.

--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -408,23 +408,21 @@
     clock: &SharedClock,
 ) -> io::Result<()> {
     loop {
-        if table == CONFIG_QUERY {
+        let response = if table == CONFIG_QUERY {
             let mut query = [0; ConfigQuery::BYTES];
             stream.read_exact(&mut query).await?;
-            let response = offer.answer(ConfigQuery::decode(&query), clock).await?;
-            write_response(&mut stream, &response).await?;
-            table = stream.read_u8().await?;
-            continue;
-        }
-        let Some(shared_table) = SharedTable::from_byte(table) else {
-            return Err(io::Error::other(format!("unknown table number {table}")));
+            offer.answer(ConfigQuery::decode(&query), clock).await?
+        } else {
+            let Some(table) = SharedTable::from_byte(table) else {
+                return Err(io::Error::other(format!("unknown table number {table}")));
+            };
+            let era = StoreEra(stream.read_u64().await?);
+            let after = WatchPosition { era, version: stream.read_u64().await? };
+            match table {
+                SharedTable::Servers => respond(&caches.servers, clock, after).await,
+                SharedTable::Rows => respond(&caches.rows, clock, after).await,
+            }?
         };
-        let era = StoreEra(stream.read_u64().await?);
-        let after = WatchPosition { era, version: stream.read_u64().await? };
-        let response = match shared_table {
-            SharedTable::Servers => respond(&caches.servers, clock, after).await,
-            SharedTable::Rows => respond(&caches.rows, clock, after).await,
-        }?;
         write_response(&mut stream, &response).await?;
         table = stream.read_u8().await?;
     }
--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -77,7 +77,7 @@
     Reached,
     /// It refused one too, or there is none.
     Refused,
-    /// It was not dialed or did not answer.
+    /// It did not answer.
     Unknown,
 }
 
@@ -171,29 +171,27 @@
             Ok(Err(_)) => ForwardReply::Refused,
             Err(_) => ForwardReply::Silent,
         };
-        let mut is_sound = {
+        let is_sound = {
             let mut tracker = self.tracker.lock();
             tracker.note_failed(server, service);
             tracker.is_sound_since(service, began)
         };
-        let mut control = ControlOutcome::Unknown;
-        if !is_sound {
-            control = self.dial_another(listed).await;
-            is_sound = control == ControlOutcome::Reached;
-        }
-        if !is_sound {
-            let is_doubtful = self.tracker.lock().has_detour(service, began);
-            let is_refused = control == ControlOutcome::Refused && !is_doubtful;
-            let all_refuse = outcome == ForwardReply::Refused && is_refused;
-            return Err(if all_refuse {
+        let control =
+            if is_sound { ControlOutcome::Reached } else { self.dial_another(listed).await };
+        let mut tracker = self.tracker.lock();
+        Err(match (control, outcome) {
+            (ControlOutcome::Reached, _) => {
+                // The next peer that asks is answered at once.
+                tracker.note_down(server, self.clock.now());
+                outcome
+            }
+            (ControlOutcome::Refused, ForwardReply::Refused)
+                if !tracker.has_detour(service, began) =>
+            {
                 ForwardReply::ServiceRefused
-            } else {
-                ForwardReply::Unreachable
-            });
-        }
-        // The next peer that asks is answered at once.
-        self.tracker.lock().note_down(server, self.clock.now());
-        Err(outcome)
+            }
+            _ => ForwardReply::Unreachable,
+        })
     }
 
     /// Dials another server of the same service.
--- a/crates/reach/src/tracker.rs
+++ b/crates/reach/src/tracker.rs
@@ -8,6 +8,9 @@
     },
 };
 
+/// Keeps the factor of the time between two rechecks within its type.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// Times of a [`PathTracker`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrackerSettings {
@@ -216,6 +219,3 @@
         self.detours.retain(|_, detour| now.since(detour.used_at) < forget_after);
     }
 }
-
-/// Keeps the factor of the time between two rechecks within its type.
-const MAX_DOUBLINGS: u32 = 8;
