Log and measure how late a process is, and how late work ends after a caller left

The logs could not tell the three hypotheses of the incident apart: a late process, a hidden close and a full link all look like a request that ends late.

- loop_lag_seconds and the line late: a periodic task that ran anyway ten times a second says how much later than scheduled it ran.
- slow-step: work of 30 ms or more during which nothing else runs, by name.
- slow-write: a response to another process that waits 200 ms for the link.

No logic is changed; the volume is bounded by the budget of log lines and the period of the task. Tests: node metrics (a_late_loop_is_shown).

--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         config_tracker::{ConfigClaim, millis},
+        loop_lag::time_step,
         peer_link::{LinkError, PeerLink, TimedOutSnafu, UnreadableSnafu},
         ports::{ConfigStamp, ConfigUpdate},
     },
@@ -189,7 +190,8 @@
         if let Some(encoded) = self.encoded.get() {
             return Ok(encoded.clone());
         }
-        let encoded = postcard::to_stdvec(&*self.update).map_err(io::Error::other)?;
+        let encoded = time_step("config encoded", || postcard::to_stdvec(&*self.update));
+        let encoded = encoded.map_err(io::Error::other)?;
         Ok(self.encoded.get_or_init(|| Bytes::from(encoded)).clone())
     }
 }
@@ -226,7 +228,10 @@
         postcard::take_from_bytes(&response).context(UnreadableSnafu)?;
     let update: Option<ConfigUpdate> = match rest {
         [] => None,
-        encoded => Some(postcard::from_bytes(encoded).context(UnreadableSnafu)?),
+        encoded => {
+            let decoded = time_step("config decoded", || postcard::from_bytes(encoded));
+            Some(decoded.context(UnreadableSnafu)?)
+        }
     };
     // A process with an older configuration can't confirm this one.
     let claimed_age = head.claim.age().filter(|_| head.claim.stamp >= query.known.stamp);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::{
+        loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::HeadLoad,
         ports::{EngineAccess, EngineReport, ProbeError, ServerEntry, ServerStanding},
@@ -184,7 +185,7 @@
                 }
                 Some(server) = stalls.recv() => control.probe_soon(&server),
             }
-            control.step();
+            time_step("control", || control.step());
         }
         control.release_domains().await;
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -4,6 +4,7 @@
     crate::{
         config_share::{ConfigAnswer, fetch_config},
         config_tracker::ConfigOrigin,
+        loop_lag::time_step,
         ports::{PlatformWatch, WatchError, WatchPage, WatchPosition},
         view::NodeView,
     },
@@ -115,7 +116,8 @@
     view.set_config_origin(ConfigOrigin::peer(peer, depth));
     let position = WatchPosition::default();
     let changes = Vec::from_iter(update);
-    view.apply_config_page(WatchPage { changes, position, is_snapshot: false, age });
+    let page = WatchPage { changes, position, is_snapshot: false, age };
+    time_step("config", || view.apply_config_page(page));
     true
 }
 
@@ -154,7 +156,7 @@
                 after = Some(page.position);
                 history_gone &= page.is_snapshot;
                 let has_news = page.has_news();
-                apply(page);
+                time_step(what, || apply(page));
                 if has_news {
                     sleep(pause()).await;
                 }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -75,7 +75,8 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
-                _ = expire.tick() => {
+                scheduled = expire.tick() => {
+                    self.view.loop_lag.note(scheduled.elapsed());
                     self.pauses.note_alive(self.shared.clock.now());
                     self.view.expire();
                     self.shared.poison.evaluate();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod http;
 pub mod logs;
+pub mod loop_lag;
 pub mod members;
 pub mod membership;
 pub mod metrics;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -107,6 +107,7 @@
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
+        view.loop_lag.register(&mut registry);
         Self {
             registry,
             open_requests,
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -9,6 +9,7 @@
         accept::accept_until,
         config_share::{CONFIG_QUERY, ConfigAnswer, ConfigOffer, ConfigQuery, poll_config},
         config_tracker::{ConfigOrigin, millis},
+        loop_lag::time_step,
         page_cache::{CacheLookup, PageCache},
         peer_link::{LinkError, PeerLink, UnreadableSnafu},
         ports::{
@@ -53,6 +54,9 @@
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of watchers queried before the store is read.
 const MAX_WATCHERS: usize = 2;
+/// Duration from which on a response to another process has a log line: the link of this process or of
+/// the other one is full.
+const LOGGED_WRITE: Duration = Duration::from_millis(200);
 /// The table whose changes a reader requests, encoded as the first byte of the request. The era and
 /// the version of the position up to which the reader knows the table follow, as big-endian numbers
 /// of eight bytes. 1, 2, 4 and 5 were the tables of earlier formats.
@@ -286,7 +290,7 @@
     request[1..9].copy_from_slice(&after.era.0.to_be_bytes());
     request[9..].copy_from_slice(&after.version.to_be_bytes());
     let response = link.exchange(&request, MAX_QUERY_WAIT + RESPONSE_MARGIN).await?;
-    postcard::from_bytes(&response).context(UnreadableSnafu)
+    time_step("page decoded", || postcard::from_bytes(&response)).context(UnreadableSnafu)
 }
 
 impl<W: PlatformWatch> PlatformWatch for SharedWatch<W> {
@@ -430,8 +434,14 @@
 
 async fn write_response(stream: &mut TcpStream, response: &[u8]) -> io::Result<()> {
     let bytes = u32::try_from(response.len()).map_err(io::Error::other)?;
+    let began = Instant::now();
     stream.write_u32(bytes).await?;
-    stream.write_all(response).await
+    stream.write_all(response).await?;
+    let took = began.elapsed();
+    if took >= LOGGED_WRITE {
+        info!(decision = "slow-write", bytes, took_ms = took.as_millis() as u64, "state");
+    }
+    Ok(())
 }
 
 /// Returns an encoded [`SharedAnswer`].
@@ -441,7 +451,7 @@
     after: WatchPosition,
 ) -> io::Result<Vec<u8>> {
     let answer = wait_for_changes(cache, clock, after).await;
-    postcard::to_stdvec(&answer).map_err(io::Error::other)
+    time_step("page encoded", || postcard::to_stdvec(&answer)).map_err(io::Error::other)
 }
 
 /// The changes since a position, after waiting up to [`MAX_QUERY_WAIT`] for one.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -12,6 +12,7 @@
         config_ages::ConfigAges,
         config_share::ConfigOffer,
         config_tracker::ConfigTracker,
+        loop_lag::LoopLag,
         members::MemberTable,
         owners::OwnedRow,
         peers::{HeadLoad, LeavingNotice},
@@ -64,6 +65,8 @@
     pub store_reads: StoreReads,
     /// How old the configuration became.
     pub config_ages: ConfigAges,
+    /// How late the tasks of this process run.
+    pub loop_lag: LoopLag,
 }
 
 /// The content of the local view.
@@ -118,6 +121,7 @@
             changed: Notify::new(),
             store_reads: StoreReads::default(),
             config_ages: ConfigAges::default(),
+            loop_lag: LoopLag::default(),
         }
     }
 
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -15,6 +15,7 @@
 struct MetricsRig {
     clock: Arc<ManualClock>,
     shared: Arc<RelayShared>,
+    view: Arc<NodeView>,
     metrics: NodeMetrics,
 }
 
@@ -25,8 +26,8 @@
         let shared = Arc::new(relay_shared(clock.clone()));
         let members = MemberTable::new(HostId::new("n0").unwrap());
         let view = Arc::new(NodeView::new(members, shared.clone()));
-        let metrics = NodeMetrics::new(view, shared.clone());
-        Self { clock, shared, metrics }
+        let metrics = NodeMetrics::new(view.clone(), shared.clone());
+        Self { clock, shared, view, metrics }
     }
 
     /// The value of a metric, given with its labels.
@@ -74,3 +75,12 @@
     rig.clock.advance(Duration::from_millis(1_500));
     assert_eq!(rig.value(name), "3.5");
 }
+
+#[test]
+fn a_late_loop_is_shown() {
+    let rig = MetricsRig::new();
+    rig.view.loop_lag.note(Duration::from_millis(3));
+    rig.view.loop_lag.note(Duration::from_millis(700));
+    assert_eq!(rig.value("gypsumfork_loop_lag_seconds_bucket{le=\"0.004\"}"), "1");
+    assert_eq!(rig.value("gypsumfork_loop_lag_seconds_count"), "2");
+}
--- a/crates/relay/src/caller_socket.rs
+++ b/crates/relay/src/caller_socket.rs
@@ -2,6 +2,7 @@
 //! closed so that the last answer arrives.
 
 use {
+    crate::presence::CallerPresence,
     parking_lot::Mutex,
     socket2::SockRef,
     std::{
@@ -52,6 +53,7 @@
 
 struct SocketState {
     write: Mutex<OwnedWriteHalf>,
+    presence: Arc<CallerPresence>,
     opened_at: Instant,
     /// Whether anything was ever read.
     is_used: AtomicBool,
@@ -64,10 +66,11 @@
 
 impl CallerSocket {
     /// Wraps an accepted connection.
-    pub(crate) fn new(stream: TcpStream) -> (Self, SocketWatch) {
+    pub(crate) fn new(stream: TcpStream, presence: Arc<CallerPresence>) -> (Self, SocketWatch) {
         let (read, write) = stream.into_split();
         let state = Arc::new(SocketState {
             write: Mutex::new(write),
+            presence,
             opened_at: Instant::now(),
             is_used: AtomicBool::new(false),
             has_input: AtomicBool::new(false),
@@ -163,6 +166,7 @@
             self.state.has_input.store(true, Ordering::Relaxed);
         } else if read.is_err() || buffer.remaining() > 0 {
             self.state.is_closed.store(true, Ordering::Relaxed);
+            self.state.presence.note_left();
         }
         Poll::Ready(read)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 mod next_server;
 mod poison_watch;
+mod presence;
 mod pump;
 mod question_desk;
 pub mod request;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,10 @@
 const FIRST_BUCKET_S: f64 = 0.01;
 const BUCKETS: u16 = 11;
 
+/// Upper bound of the first bucket of departures. Bounds double from 1 ms to 4 s.
+const FIRST_DEPARTURE_BUCKET_S: f64 = 0.001;
+const DEPARTURE_BUCKETS: u16 = 13;
+
 /// Labels of requests that have ended. `outcome` is an argument of `RelayService::note_end` or the
 /// code of a refusal.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -48,11 +52,14 @@
     first_event: Family<KindLabels, Histogram>,
     answer: Family<KindLabels, Histogram>,
     crash_checks: Family<CrashLabels, Counter>,
+    departures: Histogram,
 }
 
 impl Default for RelayMetrics {
     fn default() -> Self {
         let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        let departure_bounds =
+            exponential_buckets(FIRST_DEPARTURE_BUCKET_S, 2.0, DEPARTURE_BUCKETS);
         Self {
             ends: Family::default(),
             sends: Family::default(),
@@ -60,6 +67,7 @@
             first_event: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
             crash_checks: Family::default(),
+            departures: Histogram::new(departure_bounds),
         }
     }
 }
@@ -76,6 +84,9 @@
         registry.register("answer_seconds", help, self.answer.clone());
         let help = "Checks whether a server crashed that broke a connection, by result";
         registry.register("crash_checks", help, self.crash_checks.clone());
+        let help = "Time from seeing that a caller left to closing the connection to its server, \
+                    in seconds";
+        registry.register("caller_departure_seconds", help, self.departures.clone());
     }
 
     pub(crate) fn note_send(&self, kind: RequestKind, is_retry: bool) {
@@ -86,6 +97,11 @@
         }
     }
 
+    /// The times for which connections to servers outlived their callers.
+    pub(crate) fn departures(&self) -> Histogram {
+        self.departures.clone()
+    }
+
     pub(crate) fn note_crash_check(&self, crashed: bool) {
         let crashed = if crashed { "true" } else { "false" };
         self.crash_checks.get_or_create(&CrashLabels { crashed }).inc();
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -35,7 +35,7 @@
 /// chunk, so that the caller can tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("stream truncated before its last event"))]
-pub struct StreamTruncated;
+pub(crate) struct StreamTruncated;
 
 /// Pieces that are buffered for a slow caller; when the buffer is full, reading from the server
 /// pauses.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -8,6 +8,7 @@
     crate::{
         codec::{AnswerFacts, RequestCodec, Verdict},
         loss::LossCause,
+        presence::DepartureTimer,
         request::RequestId,
         server::{BackendServer, InFlight},
     },
@@ -80,6 +81,7 @@
     server: &BackendServer,
     request: Request<Full<Bytes>>,
     wait: HeadWait<impl Fn() -> bool>,
+    departure: DepartureTimer,
     is_sent: &AtomicBool,
 ) -> SendOutcome {
     let stream = match paths.connect(server.target(&id.0)).await {
@@ -93,6 +95,7 @@
         return SendOutcome::Lost(LossCause::NoHandshake);
     };
     let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+        let _departure = departure;
         // Its errors also reach the sender or the body, which report them.
         let _ = connection.await;
     }));
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
         caller_socket::{CallerSocket, SocketWatch},
         codec::RequestCodec,
         config::CallerLimits,
+        presence::CallerPresence,
         service::RelayService,
     },
     hyper::{server::conn::http1, service::service_fn},
@@ -85,8 +86,9 @@
     }
     let limits = service.shared.config.load().as_ref().map(|config| config.limits);
     let limits = limits.unwrap_or_default();
-    let (socket, watch) = CallerSocket::new(stream);
-    if let Err(error) = serve_requests(socket, &watch, limits, service).await {
+    let presence = Arc::<CallerPresence>::default();
+    let (socket, watch) = CallerSocket::new(stream, presence.clone());
+    if let Err(error) = serve_requests(socket, &watch, presence, limits, service).await {
         debug!(%error, "a caller's connection failed");
     }
     watch.close(limits.body_bytes).await;
@@ -96,13 +98,14 @@
 async fn serve_requests<C: RequestCodec>(
     socket: CallerSocket,
     watch: &SocketWatch,
+    presence: Arc<CallerPresence>,
     limits: CallerLimits,
     service: Arc<RelayService<C>>,
 ) -> Result<(), hyper::Error> {
     let stop = service.shared.stop.clone();
     let handler = service_fn(move |request| {
-        let service = service.clone();
-        async move { Ok::<_, Infallible>(service.answer(request).await) }
+        let (service, presence) = (service.clone(), presence.clone());
+        async move { Ok::<_, Infallible>(service.answer(request, presence).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,6 +5,7 @@
         buffered::collect_answer,
         codec::{BackendCall, RequestCodec, Verdict},
         crash::check_crash,
+        presence::CallerPresence,
         pump::{RelayBody, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
         send::{HeadWait, LiveAnswer, SendOutcome, send_call},
@@ -100,7 +101,11 @@
 
     /// Answers one request. Dropping the future closes the connection to the server, which cancels
     /// the work there.
-    pub async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<RelayBody> {
+    pub(crate) async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        presence: Arc<CallerPresence>,
+    ) -> Response<RelayBody> {
         let began = self.shared.clock.now();
         let (head, body) = request.into_parts();
         let caller = match self.codec.read_caller(&head) {
@@ -111,7 +116,9 @@
             }
         };
         let clock = self.shared.clock.clone();
-        let trace = RequestTrace::begin(&self.shared.work, clock, caller.id.clone(), began);
+        let presence = presence.begin_work();
+        let id = caller.id.clone();
+        let trace = RequestTrace::begin(&self.shared.work, clock, id, began, presence);
         let trace = Arc::new(trace);
         let admitted = tokio::select! {
             biased;
@@ -236,6 +243,7 @@
                 left_ms = remaining.as_millis() as u64, "request");
             let sent_at = self.shared.clock.now();
             let is_sent = &progress.is_sending;
+            let departure = ctx.trace.presence.time_departure(self.shared.metrics.departures());
             let outcome = send_call(
                 &self.codec,
                 &self.shared.paths,
@@ -243,6 +251,7 @@
                 &server,
                 request,
                 wait,
+                departure,
                 is_sent,
             )
             .await;
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -1,7 +1,10 @@
 //! Makes sure that each request has a last line in the log.
 
 use {
-    crate::request::{RequestId, RequestKind},
+    crate::{
+        presence::PresenceGuard,
+        request::{RequestId, RequestKind},
+    },
     base::{SharedClock, Tick},
     std::sync::Arc,
     stop::{OpenRequest, OpenWork, WorkEnd, WorkGuard},
@@ -15,6 +18,7 @@
     pub(crate) began: Tick,
     clock: SharedClock,
     guard: WorkGuard,
+    pub(crate) presence: PresenceGuard,
 }
 
 impl RequestTrace {
@@ -23,9 +27,10 @@
         clock: SharedClock,
         id: RequestId,
         began: Tick,
+        presence: PresenceGuard,
     ) -> Self {
         let guard = work.begin(id.0.clone(), began);
-        Self { id, began, clock, guard }
+        Self { id, began, clock, guard, presence }
     }
 
     pub(crate) fn set_kind(&self, kind: RequestKind) {
@@ -55,7 +60,8 @@
 impl Drop for RequestTrace {
     fn drop(&mut self) {
         let Some(request) = self.guard.request() else { return };
+        let left_for_ms = self.presence.left_for().map(|span| span.as_millis() as u64);
         info!(id = %self.id, decision = "dropped", kind = request.kind, stage = %request.stage,
-            took_ms = self.took_ms(), "request");
+            took_ms = self.took_ms(), left_for_ms, "request");
     }
 }
