See that a caller left behind further bytes, and end its work

What callers saw: nothing; servers worked on for callers that had closed, reset or half-closed their connection with a second request or a stray line behind the request at work, and requests that were read after their caller had left reached a server.

Cause: the HTTP library sees the end of a connection only while it reads, and reads nothing behind a request that is not answered yet. Class: an end that is only noticed by whoever happens to read.

Fix: the new crate caller has the state of a caller in one place. Its socket reads up to 4 kB ahead while a request is at work; the task that serves the connection waits for the caller's leaving beside the connection and drops it, with all that works for it. Behind more bytes the runtime is asked for the hang-up each 100 ms. The same cause was in gf-gateway, which uses the crate too.

Requests that are sent together are still answered in turn.

--- a/crates/relay/src/presence.rs
+++ b/crates/caller/src/presence.rs
@@ -15,44 +15,49 @@
 /// The presence of the caller of one connection. The connection's socket finds out that the caller has
 /// left; that ends the connection, and with it the requests that are at work.
 #[derive(Debug, Default)]
-pub(crate) struct CallerPresence {
+pub struct CallerPresence {
     /// Requests that are at work.
     at_work: AtomicUsize,
     left_at: OnceLock<Instant>,
 }
 
 impl CallerPresence {
+    /// Whether a request of the caller is at work.
+    pub fn is_at_work(&self) -> bool {
+        self.at_work.load(Ordering::Relaxed) > 0
+    }
+
     /// Counts a request as at work until the guard is dropped.
-    pub(crate) fn begin_work(self: Arc<Self>) -> PresenceGuard {
+    pub fn begin_work(self: Arc<Self>) -> PresenceGuard {
         self.at_work.fetch_add(1, Ordering::Relaxed);
         PresenceGuard { presence: self }
     }
 
     /// Records that the caller has left.
-    pub(crate) fn note_left(&self) {
+    pub fn note_left(&self) {
         self.left_at.get_or_init(Instant::now);
     }
 
     /// How long ago the caller was seen to leave; `None` if it is still there.
-    pub(crate) fn left_for(&self) -> Option<Duration> {
+    pub fn left_for(&self) -> Option<Duration> {
         self.left_at.get().map(Instant::elapsed)
     }
 }
 
 /// A request that is at work for a caller.
 #[derive(Debug)]
-pub(crate) struct PresenceGuard {
+pub struct PresenceGuard {
     presence: Arc<CallerPresence>,
 }
 
 impl PresenceGuard {
     /// How long ago the caller was seen to leave; `None` if it is still there.
-    pub(crate) fn left_for(&self) -> Option<Duration> {
+    pub fn left_for(&self) -> Option<Duration> {
         self.presence.left_for()
     }
 
     /// Measures how long the connection to a server outlives the caller.
-    pub(crate) fn time_departure(&self, histogram: Histogram) -> DepartureTimer {
+    pub fn time_departure(&self, histogram: Histogram) -> DepartureTimer {
         DepartureTimer { presence: self.presence.clone(), histogram }
     }
 }
@@ -65,7 +70,7 @@
 
 /// Dropped together with a connection to a server, it records how long the caller had left by then.
 #[derive(Debug)]
-pub(crate) struct DepartureTimer {
+pub struct DepartureTimer {
     presence: Arc<CallerPresence>,
     histogram: Histogram,
 }
--- a/crates/relay/src/caller_socket.rs
+++ b/crates/caller/src/socket.rs
@@ -1,11 +1,14 @@
-//! The socket of a caller's connection, which can be asked whether a request has arrived, and is
-//! closed so that the last answer arrives.
+//! The socket of a caller's connection, which can be asked whether a request has arrived and whether
+//! the caller has left, and is closed so that the last answer arrives.
 
 use {
     crate::presence::CallerPresence,
+    bytes::{Buf, BytesMut},
+    futures::FutureExt,
     parking_lot::Mutex,
     socket2::SockRef,
     std::{
+        future::poll_fn,
         io::{self, IoSlice},
         mem::MaybeUninit,
         pin::Pin,
@@ -17,7 +20,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
+        io::{AsyncRead, AsyncWrite, AsyncWriteExt, Interest, ReadBuf},
         net::{
             TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -33,6 +36,13 @@
 /// Time after which bytes that have arrived are read, if the reader waits for them.
 const READ_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Most bytes behind a request that are read before it is answered, to see whether its caller closes
+/// the connection. Holds most further requests that a caller sends along.
+const MAX_AHEAD_BYTES: usize = 4 * 1024;
+/// How often a connection with more unread bytes is asked whether the caller has closed it. The
+/// runtime does not wake a task for that while bytes are unread.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest time for which a connection is read on after its last answer, and longest pause between
 /// bytes in it.
 const LINGER_TIME: Duration = Duration::from_secs(2);
@@ -41,17 +51,17 @@
 const DISCARD_BYTES: usize = 16 * 1024;
 
 /// A caller's socket; the connection that is served on it owns it.
-pub(crate) struct CallerSocket {
-    read: OwnedReadHalf,
+pub struct CallerSocket {
     state: Arc<SocketState>,
 }
 
-/// Tells whether a caller's socket is idle, and closes it.
-pub(crate) struct SocketWatch {
+/// Tells whether a caller's socket is idle and whether the caller has left, and closes it.
+pub struct SocketWatch {
     state: Arc<SocketState>,
 }
 
 struct SocketState {
+    read: Mutex<ReadSide>,
     write: Mutex<OwnedWriteHalf>,
     presence: Arc<CallerPresence>,
     opened_at: Instant,
@@ -64,11 +74,29 @@
     written: Notify,
 }
 
+struct ReadSide {
+    half: OwnedReadHalf,
+    /// Bytes that were read before the connection asked for them.
+    ahead: BytesMut,
+    /// Whether the connection waits for bytes; it then notices itself that the caller has left.
+    is_awaited: bool,
+}
+
+/// Why reading ahead ended.
+enum AheadEnd {
+    /// The caller has closed the connection, or it broke.
+    Left,
+    /// As many bytes wait as may be read ahead.
+    Full,
+}
+
 impl CallerSocket {
     /// Wraps an accepted connection.
-    pub(crate) fn new(stream: TcpStream, presence: Arc<CallerPresence>) -> (Self, SocketWatch) {
-        let (read, write) = stream.into_split();
+    pub fn new(stream: TcpStream, presence: Arc<CallerPresence>) -> (Self, SocketWatch) {
+        let (half, write) = stream.into_split();
+        let read = ReadSide { half, ahead: BytesMut::new(), is_awaited: false };
         let state = Arc::new(SocketState {
+            read: Mutex::new(read),
             write: Mutex::new(write),
             presence,
             opened_at: Instant::now(),
@@ -77,7 +105,7 @@
             is_closed: AtomicBool::new(false),
             written: Notify::new(),
         });
-        (Self { read, state: state.clone() }, SocketWatch { state })
+        (Self { state: state.clone() }, SocketWatch { state })
     }
 
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
@@ -93,7 +121,7 @@
     /// Closes the connection so that the caller gets its last answer, once nothing else uses it. The
     /// kernel discards what was not sent yet when a connection is closed with unread bytes, so up to
     /// `limit` bytes are read first.
-    pub(crate) async fn close(self, limit: usize) {
+    pub async fn close(self, limit: usize) {
         let Some(state) = Arc::into_inner(self.state) else { return };
         let mut write = state.write.into_inner();
         if state.is_closed.into_inner() {
@@ -107,9 +135,23 @@
         let _ = timeout(LINGER_TIME, discard(write.as_ref(), limit)).await;
     }
 
+    /// Waits until the caller has left while a request of it is at work, also behind bytes that the
+    /// connection does not read before it has answered. Must be polled by the task that serves the
+    /// connection, after it.
+    pub async fn left(&self) {
+        loop {
+            match poll_fn(|context| self.state.poll_ahead(context)).await {
+                AheadEnd::Left => break,
+                AheadEnd::Full if self.state.is_read_closed() => break,
+                AheadEnd::Full => sleep(CLOSE_CHECK_INTERVAL).await,
+            }
+        }
+        self.state.note_closed();
+    }
+
     /// Waits until all that has arrived was answered, and a new connection has had the time for its
     /// first request.
-    pub(crate) async fn idle(&self) {
+    pub async fn idle(&self) {
         let state = &self.state;
         if !state.is_used.load(Ordering::Relaxed) {
             sleep_until(state.opened_at + FIRST_REQUEST_TIME).await;
@@ -145,28 +187,86 @@
 }
 
 impl SocketState {
-    /// Whether the kernel holds bytes for this socket. The runtime may not know of them yet.
+    /// Whether bytes wait to be read by the connection. The runtime may not know of them yet.
     fn has_unread(&self) -> bool {
+        if !self.read.lock().ahead.is_empty() {
+            return true;
+        }
         let write = self.write.lock();
         let mut byte = [MaybeUninit::uninit()];
         SockRef::from(write.as_ref()).peek(&mut byte).is_ok_and(|count| count > 0)
     }
+
+    /// Reads ahead while a request is at work and the connection does not read itself.
+    fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<AheadEnd> {
+        let mut side = self.read.lock();
+        if !self.presence.is_at_work() || side.is_awaited {
+            return Poll::Pending;
+        }
+        let ReadSide { half, ahead, .. } = &mut *side;
+        loop {
+            let room = MAX_AHEAD_BYTES.saturating_sub(ahead.len());
+            if room == 0 {
+                return Poll::Ready(AheadEnd::Full);
+            }
+            let mut bytes = [0; MAX_AHEAD_BYTES];
+            let mut buffer = ReadBuf::new(&mut bytes[..room]);
+            match ready!(Pin::new(&mut *half).poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => ahead.extend_from_slice(buffer.filled()),
+                Ok(()) | Err(_) => return Poll::Ready(AheadEnd::Left),
+            }
+        }
+    }
+
+    /// Whether the runtime has heard that the caller closed its side, although bytes are unread.
+    fn is_read_closed(&self) -> bool {
+        let side = self.read.lock();
+        match side.half.ready(Interest::READABLE).now_or_never() {
+            Some(Ok(ready)) => ready.is_read_closed(),
+            Some(Err(_)) => true,
+            None => false,
+        }
+    }
+
+    fn note_closed(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        self.presence.note_left();
+    }
+}
+
+impl ReadSide {
+    /// Reads for the connection: first what was read ahead.
+    fn poll_read(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.ahead.is_empty() {
+            let read = Pin::new(&mut self.half).poll_read(context, buffer);
+            self.is_awaited = read.is_pending();
+            return read;
+        }
+        let count = self.ahead.len().min(buffer.remaining());
+        buffer.put_slice(&self.ahead[..count]);
+        self.ahead.advance(count);
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for CallerSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let state = &self.state;
         let before = buffer.filled().len();
-        let read = ready!(Pin::new(&mut self.read).poll_read(context, buffer));
+        let read = ready!(state.read.lock().poll_read(context, buffer));
         if buffer.filled().len() > before {
-            self.state.is_used.store(true, Ordering::Relaxed);
-            self.state.has_input.store(true, Ordering::Relaxed);
+            state.is_used.store(true, Ordering::Relaxed);
+            state.has_input.store(true, Ordering::Relaxed);
         } else if read.is_err() || buffer.remaining() > 0 {
-            self.state.is_closed.store(true, Ordering::Relaxed);
-            self.state.presence.note_left();
+            state.note_closed();
         }
         Poll::Ready(read)
     }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -12,9 +12,11 @@
         serve::{refusal_response, serve_completion},
         service_serve::{SERVICES_PREFIX, serve_service},
     },
+    caller::{CallerPresence, CallerSocket},
     dropshot::Body,
     engine::{CompletionKind, wire},
     http::{HeaderValue, Method, Request, Response, header},
+    http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
@@ -129,29 +131,49 @@
     // This fails only on a broken connection, which the server closes when it reads from it.
     let _ = stream.set_nodelay(true);
     let stop = core.stop.clone();
+    let presence = Arc::<CallerPresence>::default();
+    let (socket, watch) = CallerSocket::new(stream, presence.clone());
     let service = service_fn(move |request| {
-        let core = core.clone();
-        async move { Ok::<_, Infallible>(handle_request(&core, request, remote).await) }
+        let (core, work) = (core.clone(), presence.clone().begin_work());
+        async move {
+            let response = handle_request(&core, request, remote).await;
+            // The request is at work until its body has been sent.
+            let guarded = response.map(|body| {
+                Body::wrap(body.map_frame(move |frame| {
+                    let _work = &work;
+                    frame
+                }))
+            });
+            Ok::<_, Infallible>(guarded)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
     // An error means that the connection broke, so it cannot be reported to the caller.
-    tokio::select! {
-        result = connection.as_mut() => return drop(result),
-        () = stop.reached(StopPhase::Draining) => {}
-    }
+    let serving = async {
+        tokio::select! {
+            result = connection.as_mut() => return drop(result),
+            () = stop.reached(StopPhase::Draining) => {}
+        }
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return drop(result),
+            () = stop.reached(StopPhase::Ending) => {}
+            () = sleep(CLOSE_DELAY) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        drop(connection.await);
+    };
     tokio::select! {
         biased;
-        result = connection.as_mut() => return drop(result),
-        () = stop.reached(StopPhase::Ending) => {}
-        () = sleep(CLOSE_DELAY) => {}
+        () = serving => {}
+        // Dropping the connection ends its request, and with it the work for it.
+        () = watch.left() => {}
     }
-    connection.as_mut().graceful_shutdown();
-    drop(connection.await);
 }
 
 async fn handle_request(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,7 +14,6 @@
 mod admission;
 mod buffered;
 mod caller_body;
-mod caller_socket;
 mod caution;
 pub mod choose;
 pub mod codec;
@@ -28,7 +27,6 @@
 pub mod metrics;
 mod next_server;
 mod poison_watch;
-mod presence;
 mod pump;
 mod question_desk;
 pub mod request;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -8,11 +8,11 @@
     crate::{
         codec::{AnswerFacts, RequestCodec, Verdict},
         loss::LossCause,
-        presence::DepartureTimer,
         request::RequestId,
         server::{BackendServer, InFlight},
     },
     bytes::Bytes,
+    caller::DepartureTimer,
     http::{Request, response},
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,13 +1,8 @@
 //! Accepts and serves callers' connections.
 
 use {
-    crate::{
-        caller_socket::{CallerSocket, SocketWatch},
-        codec::RequestCodec,
-        config::CallerLimits,
-        presence::CallerPresence,
-        service::RelayService,
-    },
+    crate::{codec::RequestCodec, config::CallerLimits, service::RelayService},
+    caller::{CallerPresence, CallerSocket, SocketWatch},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, io, pin::pin, sync::Arc, time::Duration},
@@ -121,11 +116,19 @@
             () = stop.reached(StopPhase::Ending) => {}
         }
     };
-    tokio::select! {
-        result = connection.as_mut() => result,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            () = closing => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
+    };
+    tokio::select! {
+        biased;
+        result = served => result,
+        // Dropping the connection ends its request, and with it the work at the server.
+        () = watch.left() => Ok(()),
     }
 }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -1,11 +1,9 @@
 //! Makes sure that each request has a last line in the log.
 
 use {
-    crate::{
-        presence::PresenceGuard,
-        request::{RequestId, RequestKind},
-    },
+    crate::request::{RequestId, RequestKind},
     base::{SharedClock, Tick},
+    caller::PresenceGuard,
     std::sync::Arc,
     stop::{OpenRequest, OpenWork, WorkEnd, WorkGuard},
     tracing::info,
