End a forward when the process that asked for it is killed

Cause: one result stood for errors of reading and of writing. The two are told apart now: a failed read ends the forward, a failed write does not, since the server's answer may still be whole.

Test: reach forwards, the_server_learns_at_once_that_the_asking_process_was_killed.

--- a/crates/reach/src/forward.rs
+++ b/crates/reach/src/forward.rs
@@ -41,7 +41,7 @@
 const MAX_FORWARDS: usize = 400;
 /// Longest time for which the rest of a request is read after the server has ended its answer.
 const LINGER_LIMIT: Duration = Duration::from_millis(500);
-/// Bytes that are read from the server at once.
+/// Bytes that are read at once.
 const READ_BYTES: usize = 8 * 1024;
 
 /// Why a forward ended early.
@@ -239,23 +239,27 @@
     mut from_peer: OwnedReadHalf,
     to_peer: FrameSink,
 ) -> Result<(), ForwardError> {
-    let (from_server, mut to_server) = connection.into_split();
-    let upload = async {
-        // It ends when the asking process closes the connection, which cancels the request. Where the
-        // server takes no more bytes, its answer may still be whole.
-        if tokio::io::copy(&mut from_peer, &mut to_server).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    };
+    let (from_server, to_server) = connection.into_split();
     tokio::select! {
         ended = download(from_server, to_peer) => ended?,
-        () = upload => return Ok(()),
+        () = upload(&mut from_peer, to_server) => return Ok(()),
     }
     // Closing with unread bytes of the request would reset the connection and lose the answer's end.
     let _ = timeout(LINGER_LIMIT, tokio::io::copy(&mut from_peer, &mut tokio::io::sink())).await;
     Ok(())
 }
 
+/// Passes the request on. Returns when the asking process closes the connection or is killed, which
+/// cancels the request. Where the server takes no more bytes, its answer may still be whole.
+async fn upload(from_peer: &mut OwnedReadHalf, mut to_server: OwnedWriteHalf) {
+    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+    let mut is_taken = true;
+    while from_peer.read_buf(&mut buffer).await.is_ok_and(|count| count > 0) {
+        is_taken = is_taken && to_server.write_all(&buffer).await.is_ok();
+        buffer.clear();
+    }
+}
+
 async fn download(
     mut from_server: OwnedReadHalf,
     mut to_peer: FrameSink,
--- a/crates/reach/tests/forwards.rs
+++ b/crates/reach/tests/forwards.rs
@@ -7,6 +7,7 @@
         ConnectError, FORWARD_QUERY, ListedServer, PeerHost, ServerDialer, ServerDirectory,
         ServerPaths, ServerStream, ServerTarget, TcpDialer,
     },
+    socket2::SockRef,
     std::{
         io,
         net::SocketAddr,
@@ -226,6 +227,18 @@
     assert!(ended.is_ok(), "the server's connection is still open");
 }
 
+/// The connection of an asking process that was killed ended by a reset, which the peer took for a
+/// failure of the server's side, so that the server worked on until it sent the next bytes.
+#[tokio::test]
+async fn the_server_learns_at_once_that_the_asking_process_was_killed() {
+    let Forwarded { at_caller, mut at_server, .. } = forwarded().await;
+    SockRef::from(at_caller.socket()).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(at_caller);
+    let mut rest = Vec::new();
+    let ended = timeout(LEFT_WITHIN, at_server.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "the server's connection is still open");
+}
+
 /// A sound server may be silent for more than a second.
 #[tokio::test]
 async fn a_silent_connection_stays_open() {
