Pace the control loop, so that owners have time for their callers

Cause: the loop planned anew for each answer of an engine, and each plan copied the whole server list and compared each engine with each. Class: a duty whose work grows with the number of events and the size of the system takes the time of the process that serves callers.

Fix: what arrives is handled in one step; after a step the loop pauses for three times as long as the step took, 20 ms at least, so that planning takes at most a quarter of the time on hosts of any speed. A step copies only the engines of domains that the process owns, and looks them up in sets. New counter control_steps.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,17 +1,21 @@
 //! Runs the planners of the fabric domains that this process owns.
 
 mod claims;
+mod pace;
+
+pub use pace::StepCounter;
 
 use {
     crate::{
+        control::pace::StepPace,
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::HeadLoad,
         ports::{EngineAccess, EngineReport, ProbeError, ServerEntry, ServerStanding},
         rows::RowOwner,
-        view::NodeView,
+        view::{EngineDomain, NodeView},
     },
-    base::{FabricDomainId, ModelName, SharedClock, Term, Tick},
+    base::{FabricDomainId, FailureDomainId, ModelName, SharedClock, Term, Tick},
     infra::TableStore,
     limit::NamedLimit,
     plan::staged::{
@@ -27,7 +31,7 @@
     },
     tokio::{
         sync::mpsc,
-        time::{MissedTickBehavior, interval},
+        time::{Instant, MissedTickBehavior, interval, sleep_until},
     },
     tokio_util::sync::CancellationToken,
     tracing::info,
@@ -171,10 +175,18 @@
         };
         let mut ticks = interval(STEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pace = StepPace::new(Instant::now());
+        let view = control.view.clone();
         loop {
-            let view = control.view.clone();
             tokio::select! {
                 () = stop.cancelled() => break,
+                () = sleep_until(pace.next_at()), if pace.is_due() => {
+                    let began = Instant::now();
+                    time_step("control", || control.step());
+                    pace.note_step(began, Instant::now());
+                    view.control_steps.note();
+                    continue;
+                }
                 _ = ticks.tick() => {}
                 () = view.changed.notified() => {}
                 Some(event) = received.recv() => {
@@ -185,7 +197,7 @@
                 }
                 Some(server) = stalls.recv() => control.probe_soon(&server),
             }
-            time_step("control", || control.step());
+            pace.note_change();
         }
         control.release_domains().await;
     }
@@ -315,14 +327,14 @@
         }
         let domains = self.view.with(|state| state.engine_domains());
         let sizes: BTreeMap<FabricDomainId, usize> =
-            domains.iter().map(|(domain, entries)| (domain.clone(), entries.len())).collect();
+            domains.iter().map(|(name, domain)| (name.clone(), domain.engines)).collect();
         let engines = sizes.values().sum();
         if engines > self.engine_count {
             self.last_engine_added_at = now;
         }
         self.engine_count = engines;
-        for (domain, entries) in &domains {
-            self.step_domain(domain, entries, &sizes, now);
+        for (name, EngineDomain { failure_domain, .. }) in &domains {
+            self.step_domain(name, failure_domain, &sizes, now);
         }
         // An owned domain stays even while none of its engines is listed: a new planner under the
         // same term would assign the same group names and epochs again.
@@ -354,25 +366,27 @@
         let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads });
     }
 
-    /// Plans one domain, claims it or stops planning it. `entries` are its listed engines, and
+    /// Plans one domain, claims it or stops planning it. `failure_domain` is that of its engines, and
     /// `sizes` has the number of listed engines of every domain.
     fn step_domain(
         &mut self,
         domain: &FabricDomainId,
-        entries: &[ServerEntry],
+        failure_domain: &FailureDomainId,
         sizes: &BTreeMap<FabricDomainId, usize>,
         now: Tick,
     ) {
-        let failure_domain = entries.first().map(|entry| entry.failure_domain.clone());
         let (step, era) = self.view.with(|state| {
             let (known, era) = (state.domains.get(domain), state.row_era());
-            let failure_domain = failure_domain.as_ref();
+            let failure_domain = Some(failure_domain);
             let step =
                 owner_step(domain, failure_domain, known, &self.own, &state.members, era, now);
             (step, era)
         });
         match step {
-            OwnerStep::Own(term) => self.plan_domain(domain, term, entries, sizes, now),
+            OwnerStep::Own(term) => {
+                let entries = self.view.with(|state| state.engines_of(domain));
+                self.plan_domain(domain, term, &entries, sizes, now);
+            }
             OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, era, now),
             OwnerStep::NotOwner => {
                 if self.domains.remove(domain).is_some() {
@@ -440,9 +454,9 @@
         };
         owned.slots = engine.slots;
         owned.planner.apply_host_list(&hosts, now);
-        owned
-            .listed_states
-            .retain(|id, _| entries.iter().chain(&delisted).any(|entry| entry.id == *id));
+        let known: BTreeSet<&ServerId> =
+            entries.iter().chain(&delisted).map(|entry| &entry.id).collect();
+        owned.listed_states.retain(|id, _| known.contains(id));
         for entry in entries.iter().chain(&delisted) {
             let Some(facts) = &entry.facts else { continue };
             if owned.listed_states.get(&entry.id) != Some(facts) {
@@ -507,7 +521,8 @@
     fn send_due_probes(&mut self, domain: &FabricDomainId, now: Tick) {
         let Some(owned) = self.domains.get_mut(domain) else { return };
         let hosts: Vec<StagedHost> = owned.planner.known_hosts().cloned().collect();
-        owned.probes.retain(|id, _| hosts.iter().any(|host| host.host == *id));
+        let known: BTreeSet<&ServerId> = hosts.iter().map(|host| &host.host).collect();
+        owned.probes.retain(|id, _| known.contains(id));
         for host in &hosts {
             let probe_state = owned
                 .probes
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -108,6 +108,7 @@
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
         view.loop_lag.register(&mut registry);
+        view.control_steps.register(&mut registry);
         Self {
             registry,
             open_requests,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -12,6 +12,7 @@
         config_ages::ConfigAges,
         config_share::ConfigOffer,
         config_tracker::ConfigTracker,
+        control::StepCounter,
         loop_lag::LoopLag,
         members::MemberTable,
         owners::OwnedRow,
@@ -24,7 +25,7 @@
         server_list::{ServerList, ServerListChanges},
         store_reads::StoreReads,
     },
-    base::{FabricDomainId, HostId, ModelName, StoreEra, Tick},
+    base::{FabricDomainId, FailureDomainId, HostId, ModelName, StoreEra, Tick},
     parking_lot::Mutex,
     plan::staged::{EngineState, MemberPhase, Membership},
     relay::{BackendServer, RelayShared, ServerCounters, ServerId, ServerLoad, ServerTable},
@@ -49,6 +50,15 @@
 /// does not show it as open; several report intervals.
 const REPORTED_HEAD_TTL: Duration = Duration::from_millis(1_500);
 
+/// A fabric domain with listed model engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineDomain {
+    /// Number of engines.
+    pub engines: usize,
+    /// Failure domain of their hosts.
+    pub failure_domain: FailureDomainId,
+}
+
 /// The local view behind a lock that is held only briefly.
 pub struct NodeView {
     state: Mutex<ViewState>,
@@ -67,6 +77,8 @@
     pub config_ages: ConfigAges,
     /// How late the tasks of this process run.
     pub loop_lag: LoopLag,
+    /// How often the control loop planned.
+    pub control_steps: StepCounter,
 }
 
 /// The content of the local view.
@@ -122,6 +134,7 @@
             store_reads: StoreReads::default(),
             config_ages: ConfigAges::default(),
             loop_lag: LoopLag::default(),
+            control_steps: StepCounter::default(),
         }
     }
 
@@ -298,17 +311,27 @@
         self.config.is_some() && self.servers_loaded
     }
 
-    /// The listed model engines by fabric domain.
-    pub fn engine_domains(&self) -> BTreeMap<FabricDomainId, Vec<ServerEntry>> {
-        let mut domains: BTreeMap<FabricDomainId, Vec<ServerEntry>> = BTreeMap::new();
+    /// The fabric domains with listed model engines.
+    pub fn engine_domains(&self) -> BTreeMap<FabricDomainId, EngineDomain> {
+        let mut domains: BTreeMap<FabricDomainId, EngineDomain> = BTreeMap::new();
         for entry in self.servers.entries() {
-            if let Some(domain) = &entry.fabric_domain {
-                domains.entry(domain.clone()).or_default().push(entry.clone());
+            let Some(name) = &entry.fabric_domain else { continue };
+            if let Some(domain) = domains.get_mut(name) {
+                domain.engines += 1;
+            } else {
+                let failure_domain = entry.failure_domain.clone();
+                domains.insert(name.clone(), EngineDomain { engines: 1, failure_domain });
             }
         }
         domains
     }
 
+    /// The listed model engines of a fabric domain.
+    pub fn engines_of(&self, domain: &FabricDomainId) -> Vec<ServerEntry> {
+        let in_domain = |entry: &&ServerEntry| entry.fabric_domain.as_ref() == Some(domain);
+        self.servers.entries().filter(in_domain).cloned().collect()
+    }
+
     /// The fabric domains that one incarnation of a process owns.
     pub fn domains_of(&self, owner: &RowOwner) -> BTreeSet<FabricDomainId> {
         let owns = |row: &OwnedRow| row.row.owner.as_ref() == Some(owner);
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -26,7 +26,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -85,6 +85,9 @@
     states: parking_lot::Mutex<BTreeMap<HostId, EngineState>>,
     /// The outcome of each probe; `None` while engines answer.
     probe_error: parking_lot::Mutex<Option<ProbeError>>,
+    /// Upper bound of the time that an engine takes to answer, a different one for each probe.
+    probe_time_ms: AtomicU64,
+    probes: AtomicU64,
 }
 
 impl EngineAccess for AcceptingEngines {
@@ -99,6 +102,11 @@
             sleep(limit).await;
             return Err(error);
         }
+        let number = self.probes.fetch_add(1, Ordering::Relaxed);
+        let probe_time_ms = self.probe_time_ms.load(Ordering::Relaxed);
+        if probe_time_ms > 0 {
+            sleep(Duration::from_millis(number % probe_time_ms + 1)).await;
+        }
         let idle =
             EngineState { boot_id: Some(1), membership: None, model: None, staged: Vec::new() };
         let facts = self.states.lock().get(host).cloned().unwrap_or(idle);
@@ -366,3 +374,18 @@
         assert_ne!(*epoch, first[0].1);
     }
 }
+
+/// An owner planned anew for each answer of an engine. With two hundred engines it used all of a small
+/// host's processor time: callers' requests, and that callers had left, were noticed more than a second late.
+#[tokio::test(start_paused = true)]
+async fn an_owner_of_many_engines_leaves_time_for_callers() {
+    let rig = Rig::start().await;
+    let names: Vec<String> = (0..200).map(|number| format!("a{number}")).collect();
+    rig.list(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    rig.engines.probe_time_ms.store(300, Ordering::Relaxed);
+    rig.run(Duration::from_secs(2)).await;
+    let before = rig.view.control_steps.count();
+    rig.run(Duration::from_secs(2)).await;
+    let steps = rig.view.control_steps.count() - before;
+    assert!((20..=100).contains(&steps), "{steps} steps in two seconds");
+}
