--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -45,6 +45,11 @@
         Ok(None)
     }
 
+    /// Bytes of the incomplete event that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Id of the last complete event that had one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, check_crash},
         events::{EventSplitter, have_content},
@@ -57,7 +58,7 @@
 
 /// A part of a stream on its way from the pump to the caller's connection.
 enum Piece {
-    Events(Bytes),
+    Events { bytes: Bytes, _share: BufferShare },
     End,
 }
 
@@ -81,7 +82,9 @@
         }
         match self.pieces.poll_recv(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Piece::Events(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(Piece::Events { bytes, .. })) => {
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
             Poll::Ready(Some(Piece::End)) => {
                 self.ended = true;
                 Poll::Ready(None)
@@ -140,6 +143,8 @@
     ctx: CallContext,
     progress: CallProgress,
     splitter: EventSplitter,
+    /// For the incomplete event in the splitter.
+    share: BufferShare,
     pieces: mpsc::Sender<Piece>,
     /// Whether an event was passed on to the caller, from any server.
     first_event_sent: bool,
@@ -164,12 +169,14 @@
         let body = PieceBody { pieces: received, ended: false }.boxed_unsync();
         let response = service.close_if_leaving(Response::from_parts(head, body));
         let splitter = EventSplitter::new(None);
+        let share = service.shared.buffers.open();
         ctx.trace.start_streaming();
         let pump = Self {
             service,
             ctx,
             progress,
             splitter,
+            share,
             pieces,
             first_event_sent: false,
             answered: AnswerProgress::default(),
@@ -186,7 +193,7 @@
             let end = self.forward(&mut answer).await;
             drop(answer);
             let end = match end {
-                ForwardEnd::Whole => self.pass_on(Piece::End).await.err().unwrap_or(end),
+                ForwardEnd::Whole => self.pass_on(Piece::End, 1).await.err().unwrap_or(end),
                 _ => end,
             };
             let why = match end {
@@ -216,6 +223,7 @@
             server.counters.note_failure(now, FAILURE_BACKOFF);
             self.service.shared.report_stall(&server);
             self.splitter.discard_partial();
+            self.share.resize(0);
             let after = self.splitter.last_id();
             info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
                 sound = self.answered.is_sound(), after = after.unwrap_or(0), "request");
@@ -323,6 +331,9 @@
             let Ok(events) = self.splitter.push(bytes) else {
                 return ForwardEnd::Broken(LossCause::EventTooLong);
             };
+            if !self.share.resize(self.splitter.buffered()) {
+                return ForwardEnd::Broken(LossCause::TooLarge);
+            }
             let now = clock.now();
             let Some(events) = events.filter(|events| have_content(events)) else {
                 // Bytes that complete no event with content are no progress.
@@ -342,20 +353,30 @@
                 answer.server.counters.note_success(wait);
                 self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
             }
-            if let Err(end) = self.pass_on(Piece::Events(events)).await {
+            if let Err(end) = self.pass_on_events(events).await {
                 return end;
             }
         }
     }
 
-    /// Passes a piece on to the caller's connection. Where the caller reads too slowly, it waits
+    /// Passes events on. Where too much is buffered, at most one piece of the stream waits for its caller.
+    async fn pass_on_events(&self, bytes: Bytes) -> Result<(), ForwardEnd> {
+        let mut share = self.service.shared.buffers.open();
+        let free_pieces = if share.resize(bytes.len()) { 1 } else { MAX_BUFFERED_PIECES };
+        self.pass_on(Piece::Events { bytes, _share: share }, free_pieces).await
+    }
+
+    /// Passes a piece on to the caller's connection once it has room for `free_pieces`. Where the caller reads too slowly, it waits
     /// until the request or the process ends.
-    async fn pass_on(&self, piece: Piece) -> Result<(), ForwardEnd> {
+    async fn pass_on(&self, piece: Piece, free_pieces: usize) -> Result<(), ForwardEnd> {
         let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
         tokio::select! {
             biased;
-            sent = timeout(remaining, self.pieces.send(piece)) => match sent {
-                Ok(Ok(())) => Ok(()),
+            permits = timeout(remaining, self.pieces.reserve_many(free_pieces)) => match permits {
+                Ok(Ok(mut permits)) => {
+                    permits.next().expect("at least one was reserved").send(piece);
+                    Ok(())
+                }
                 Ok(Err(_)) => Err(ForwardEnd::CallerLeft),
                 Err(_) => Err(ForwardEnd::OutOfTime),
             },
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -63,8 +63,8 @@
     pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
     pub clock: SharedClock,
-    /// Memory for answers that are being buffered.
-    pub(crate) buffers: BufferBudget,
+    /// Memory for what is buffered of answers.
+    pub(crate) buffers: Arc<BufferBudget>,
     /// Passes what requests show about servers to a task of the node.
     pub signs: mpsc::Sender<ServerSign>,
 }
@@ -86,7 +86,7 @@
             limits: LimitWatch::new(clock.clone()),
             paths: Arc::default(),
             clock,
-            buffers: BufferBudget::default(),
+            buffers: Arc::default(),
             signs,
         }
     }
