--- a/crates/caller/src/presence.rs
+++ b/crates/caller/src/presence.rs
@@ -51,9 +51,9 @@
 }
 
 impl PresenceGuard {
-    /// How long ago the caller was seen to leave; `None` if it is still there.
-    pub fn left_for(&self) -> Option<Duration> {
-        self.presence.left_for()
+    /// How long ago the caller was seen to leave, in whole milliseconds; `None` if it is still there.
+    pub fn left_for_ms(&self) -> Option<u64> {
+        self.presence.left_for().map(|span| span.as_millis() as u64)
     }
 
     /// Measures how long the connection to a server outlives the caller.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -3,11 +3,10 @@
 mod claims;
 mod pace;
 
-pub use pace::StepCounter;
+pub use pace::{StepCounter, StepPace};
 
 use {
     crate::{
-        control::pace::StepPace,
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::HeadLoad,
--- a/crates/node/src/control/pace.rs
+++ b/crates/node/src/control/pace.rs
@@ -12,39 +12,41 @@
 /// The pause after a step as a factor of the time that the step took: planning takes at most a quarter of
 /// the process's time, on hosts of any speed.
 const PAUSE_FACTOR: u32 = 3;
+/// Longest pause, also after a step during which the process was stopped.
+const MAX_PAUSE: Duration = Duration::from_millis(200);
 
 /// When the next step is due.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StepPace {
+pub struct StepPace {
     next_at: Instant,
     is_due: bool,
 }
 
 impl StepPace {
     /// The first step is due at `now`.
-    pub(super) fn new(now: Instant) -> Self {
+    pub fn new(now: Instant) -> Self {
         Self { next_at: now, is_due: true }
     }
 
     /// Earliest time of the next step.
-    pub(super) fn next_at(&self) -> Instant {
+    pub fn next_at(&self) -> Instant {
         self.next_at
     }
 
     /// Whether anything has changed since the last step.
-    pub(super) fn is_due(&self) -> bool {
+    pub fn is_due(&self) -> bool {
         self.is_due
     }
 
     /// Records that something has changed.
-    pub(super) fn note_change(&mut self) {
+    pub fn note_change(&mut self) {
         self.is_due = true;
     }
 
     /// Records a step.
-    pub(super) fn note_step(&mut self, began: Instant, ended: Instant) {
+    pub fn note_step(&mut self, began: Instant, ended: Instant) {
         self.is_due = false;
-        self.next_at = ended + MIN_PAUSE.max((ended - began) * PAUSE_FACTOR);
+        self.next_at = ended + ((ended - began) * PAUSE_FACTOR).clamp(MIN_PAUSE, MAX_PAUSE);
     }
 }
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -14,7 +14,7 @@
     node::{
         ConfigUpdate, EngineAccess, EngineReport, EngineService, ModelRule, ProbeError, RowChange,
         ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
-        control::ControlLoop,
+        control::{ControlLoop, StepPace},
         members::MemberTable,
         rows::{MemberRow, RowName, RowOwner},
         view::NodeView,
@@ -389,3 +389,19 @@
     let steps = rig.view.control_steps.count() - before;
     assert!((20..=100).contains(&steps), "{steps} steps in two seconds");
 }
+
+/// A process that was stopped in the middle of a step must plan again soon.
+#[test]
+fn the_pause_after_a_step_is_bounded() {
+    let began = tokio::time::Instant::now();
+    let mut pace = StepPace::new(began);
+    assert!(pace.is_due());
+    for (took_ms, pause_ms) in [(0, 20), (2, 20), (30, 90), (4_000, 200)] {
+        let ended = began + Duration::from_millis(took_ms);
+        pace.note_step(began, ended);
+        assert!(!pace.is_due());
+        assert_eq!(pace.next_at() - ended, Duration::from_millis(pause_ms), "after {took_ms} ms");
+        pace.note_change();
+        assert!(pace.is_due());
+    }
+}
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -65,7 +65,7 @@
         let took = self.shared.clock.now().since(ctx.began);
         self.shared.metrics.note_end(ctx.kind, outcome, took);
         let took_ms = took.as_millis() as u64;
-        let left_for_ms = ctx.trace.presence.left_for().map(|span| span.as_millis() as u64);
+        let left_for_ms = ctx.trace.presence.left_for_ms();
         info!(id = %ctx.id, decision = "ended", outcome, status, took_ms, left_for_ms, "request");
         ctx.trace.end(end);
     }
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -366,8 +366,8 @@
         self.pass_on(Piece::Events { bytes, _share: share }, free_pieces).await
     }
 
-    /// Passes a piece on to the caller's connection once it has room for `free_pieces`. Where the caller reads too slowly, it waits
-    /// until the request or the process ends.
+    /// Passes a piece on to the caller's connection once it has room for `free_pieces`. Where the caller
+    /// reads too slowly, it waits until the request or the process ends.
     async fn pass_on(&self, piece: Piece, free_pieces: usize) -> Result<(), ForwardEnd> {
         let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
         tokio::select! {
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -58,7 +58,7 @@
 impl Drop for RequestTrace {
     fn drop(&mut self) {
         let Some(request) = self.guard.request() else { return };
-        let left_for_ms = self.presence.left_for().map(|span| span.as_millis() as u64);
+        let left_for_ms = self.presence.left_for_ms();
         info!(id = %self.id, decision = "dropped", kind = request.kind, stage = %request.stage,
             took_ms = self.took_ms(), left_for_ms, "request");
     }
