Reproduce the reset of a killed process in the test of forwards

It now writes its query over a plain socket, which is reset at once; it fails on the code before and passes.

--- a/crates/reach/tests/forwards.rs
+++ b/crates/reach/tests/forwards.rs
@@ -4,8 +4,8 @@
     base::{HostId, ServiceName},
     futures::future::{BoxFuture, FutureExt, pending, ready},
     reach::{
-        ConnectError, FORWARD_QUERY, ListedServer, PeerHost, ServerDialer, ServerDirectory,
-        ServerPaths, ServerStream, ServerTarget, TcpDialer,
+        ConnectError, FORWARD_QUERY, ForwardQuery, ListedServer, PeerHost, ServerDialer,
+        ServerDirectory, ServerPaths, ServerStream, ServerTarget, TcpDialer,
     },
     socket2::SockRef,
     std::{
@@ -227,13 +227,23 @@
     assert!(ended.is_ok(), "the server's connection is still open");
 }
 
-/// The connection of an asking process that was killed ended by a reset, which the peer took for a
-/// failure of the server's side, so that the server worked on until it sent the next bytes.
+/// The connection of an asking process that is killed with unread bytes ends by a reset, which the peer
+/// took for a failure of the server's side: the server worked on until it sent its next bytes.
 #[tokio::test]
 async fn the_server_learns_at_once_that_the_asking_process_was_killed() {
-    let Forwarded { at_caller, mut at_server, .. } = forwarded().await;
-    SockRef::from(at_caller.socket()).set_linger(Some(Duration::ZERO)).unwrap();
-    drop(at_caller);
+    let (listener, address) = listen().await;
+    let peer = TestProcess::start("peer", Links::Sound, &[("a", address)]).await;
+    let query = ForwardQuery { server: HostId::new("a").unwrap(), purpose: "r1".into() };
+    let query = postcard::to_stdvec(&query).unwrap();
+    // A stream that a process drops ends in order first.
+    let mut asking = TcpStream::connect(peer.host.address).await.unwrap();
+    asking.write_u8(FORWARD_QUERY).await.unwrap();
+    asking.write_u16(query.len() as u16).await.unwrap();
+    asking.write_all(&query).await.unwrap();
+    let (mut at_server, _) = listener.accept().await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    SockRef::from(&asking).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(asking);
     let mut rest = Vec::new();
     let ended = timeout(LEFT_WITHIN, at_server.read_to_end(&mut rest)).await;
     assert!(ended.is_ok(), "the server's connection is still open");
