Say why an answer was given up and why nobody else took the request

The record of streams cut around a stop has one line about a lost request, `not-resumed`, `failed`. It is the same for all servers full, none left, the retry budget, a limit, the attempts and suspects of a crash, and the line of the break does not say how long the server had been silent, whether it worked on other requests, or whether a peer passed its connection on. So the three hypotheses of docs/incidents/streams-cut-around-a-stop.md could not be told apart, and no counter remains where logs are cut.

No decision changes.

--- a/crates/relay/src/caution.rs
+++ b/crates/relay/src/caution.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         codec::RequestCodec,
+        obstacle::SendObstacle,
         request::{Refusal, RefusalKind},
         server::BackendServer,
         service::{CallContext, CallProgress, RelayService},
@@ -38,7 +39,7 @@
         info!(id = %ctx.id, decision = "held-back", suspect = %ctx.suspects.request(), healthy,
             listed, "request");
         if progress.may_have_run {
-            return Err(self.final_refusal(ctx, progress));
+            return Err(self.final_refusal(ctx, progress, SendObstacle::Suspect));
         }
         let wait = trial.wait(now);
         let spread = MIN_RETURN_SPREAD.max(wait / 4).mul_f64(rand::random());
@@ -57,7 +58,7 @@
             Some(refused) if !progress.may_have_run => {
                 Refusal::until(refused.suspect.kind().into(), refused.left)
             }
-            _ => self.final_refusal(ctx, progress),
+            _ => self.final_refusal(ctx, progress, SendObstacle::Suspect),
         })
     }
 
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -42,8 +42,11 @@
     NoCandidate,
 }
 
-fn is_allowed(server: &BackendServer, facts: &ChoiceFacts<'_>) -> bool {
-    server.counters.accepts(facts.now) && !facts.tried.contains(&server.id)
+impl ChoiceFacts<'_> {
+    /// Whether the server accepts requests and was not tried.
+    pub(crate) fn allows(&self, server: &BackendServer) -> bool {
+        server.counters.accepts(self.now) && !self.tried.contains(&server.id)
+    }
 }
 
 /// Compares two random servers that are healthy and not full, and prefers the cheaper one. Servers
@@ -53,7 +56,7 @@
     servers: impl Iterator<Item = &'a BackendServer>,
     facts: &ChoiceFacts<'_>,
 ) -> ServerChoice<'a> {
-    let untried: Vec<&BackendServer> = servers.filter(|server| is_allowed(server, facts)).collect();
+    let untried: Vec<&BackendServer> = servers.filter(|server| facts.allows(server)).collect();
     if untried.is_empty() {
         return ServerChoice::NoCandidate;
     }
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         codec::RequestCodec,
+        obstacle::SendObstacle,
         pump::{RelayBody, full_body},
         request::{Refusal, RefusalKind, RequestId},
         service::{CallContext, RelayService},
@@ -29,7 +30,8 @@
             } else if let Some(effect) = StopEffect::of_refusal(refusal.kind) {
                 self.log_stopped(trace, effect);
             } else {
-                info!(id = %id, decision = "refused", why = refusal.kind.code(), took_ms,
+                let obstacle = refusal.obstacle.map(SendObstacle::label);
+                info!(id = %id, decision = "refused", why = refusal.kind.code(), obstacle, took_ms,
                     "request");
             }
             trace.end(if refusal.kind.may_have_run() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod loss;
 pub mod metrics;
 mod next_server;
+mod obstacle;
 mod poison_watch;
 mod pump;
 mod question_desk;
@@ -47,6 +48,7 @@
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     metrics::RelayMetrics,
+    obstacle::SendObstacle,
     poison_watch::{PoisonWatch, TurnQuestion},
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
     retry::{RetryBudget, RetryLimits},
--- a/crates/relay/src/loss.rs
+++ b/crates/relay/src/loss.rs
@@ -38,11 +38,10 @@
     pub(crate) fn is_broken_connection(self) -> bool {
         matches!(self, Self::ConnectionBroke | Self::NoEvent | Self::PartialEvent | Self::Truncated)
     }
-}
 
-impl fmt::Display for LossCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+    /// The value of this cause in logs and metric labels.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
             Self::NoHandshake => "no handshake",
             Self::NoAnswer => "no answer in time",
             Self::ConnectionBroke => "connection broke",
@@ -56,6 +55,12 @@
             Self::LengthTooLarge => "announced length is too large",
             Self::Truncated => "answer truncated",
             Self::TooLarge => "answer too large",
-        })
+        }
+    }
+}
+
+impl fmt::Display for LossCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.label())
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of requests.
 
 use {
-    crate::request::RequestKind,
+    crate::{loss::LossCause, obstacle::SendObstacle, request::RequestKind},
     prometheus_client::{
         encoding::EncodeLabelSet,
         metrics::{
@@ -36,6 +36,23 @@
     kind: &'static str,
 }
 
+/// Labels of answers that were lost.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LossLabels {
+    kind: &'static str,
+    /// [`LossCause::label`].
+    why: &'static str,
+}
+
+/// Labels of requests that were not sent, or not sent again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ObstacleLabels {
+    /// "first", or "further" if the request had been sent before.
+    send: &'static str,
+    /// [`SendObstacle::label`].
+    why: &'static str,
+}
+
 /// Labels of checks whether a server crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CrashLabels {
@@ -49,6 +66,8 @@
     ends: Family<EndLabels, Counter>,
     sends: Family<KindLabels, Counter>,
     retries: Family<KindLabels, Counter>,
+    losses: Family<LossLabels, Counter>,
+    obstacles: Family<ObstacleLabels, Counter>,
     first_event: Family<KindLabels, Histogram>,
     answer: Family<KindLabels, Histogram>,
     crash_checks: Family<CrashLabels, Counter>,
@@ -64,6 +83,8 @@
             ends: Family::default(),
             sends: Family::default(),
             retries: Family::default(),
+            losses: Family::default(),
+            obstacles: Family::default(),
             first_event: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
             crash_checks: Family::default(),
@@ -78,6 +99,10 @@
         registry.register("requests", "Requests by kind and outcome", self.ends.clone());
         registry.register("sends", "Sends to backend servers", self.sends.clone());
         registry.register("repeats", "Sends beyond the first of a request", self.retries.clone());
+        let help = "Answers of servers that were lost or given up, by reason";
+        registry.register("answers_lost", help, self.losses.clone());
+        let help = "Requests sent to no server, or to no further one, by reason";
+        registry.register("sends_prevented", help, self.obstacles.clone());
         let help = "Time from a request to the first event of its stream, in seconds";
         registry.register("first_event_seconds", help, self.first_event.clone());
         let help = "Time from a request to the end of its answer, in seconds";
@@ -97,6 +122,17 @@
         }
     }
 
+    pub(crate) fn note_loss(&self, kind: RequestKind, cause: LossCause) {
+        let labels = LossLabels { kind: kind.label(), why: cause.label() };
+        self.losses.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn note_obstacle(&self, obstacle: SendObstacle, sent_before: bool) {
+        let send = if sent_before { "further" } else { "first" };
+        let labels = ObstacleLabels { send, why: obstacle.label() };
+        self.obstacles.get_or_create(&labels).inc();
+    }
+
     /// The times for which connections to servers outlived their callers.
     pub(crate) fn departures(&self) -> Histogram {
         self.departures.clone()
--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -5,6 +5,7 @@
     crate::{
         choose::{ChoiceFacts, ServerChoice, choose_beside_limits},
         codec::RequestCodec,
+        obstacle::SendObstacle,
         server::{BackendServer, ServerTable},
         service::{CallContext, CallProgress, DEFAULT_RETRY_AFTER, MIN_REMAINING, RelayService},
     },
@@ -40,16 +41,15 @@
             })
     }
 
-    /// The server for the next send, or `None` if the route allows no further send, no server can
-    /// take the request or the retry budget is used up. Asks other processes first where they share
+    /// The server for the next send, or why there is none. Asks other processes first where they share
     /// the limit of the server.
     pub(crate) async fn next_server(
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
-    ) -> Option<BackendServer> {
+    ) -> Result<BackendServer, SendObstacle> {
         if progress.sends >= ctx.attempts {
-            return None;
+            return Err(SendObstacle::Attempts);
         }
         let mut is_paid = progress.sends == 0;
         let mut denials = 0;
@@ -58,7 +58,7 @@
             let (server, room) = self.choose(ctx, progress, denials < MAX_DENIALS, now)?;
             let processes = self.shared.processes.load(Ordering::Relaxed);
             if !is_paid && !self.shared.budget.try_take(&ctx.service, processes, now) {
-                return None;
+                return Err(SendObstacle::RetryBudget);
             }
             is_paid = true;
             let limits = &self.shared.limits;
@@ -69,7 +69,7 @@
                 ServerRoom::Full => false,
             };
             if may_send {
-                return Some(server);
+                return Ok(server);
             }
             denials += 1;
         }
@@ -83,7 +83,7 @@
         progress: &CallProgress,
         may_ask: bool,
         now: Tick,
-    ) -> Option<(BackendServer, ServerRoom)> {
+    ) -> Result<(BackendServer, ServerRoom), SendObstacle> {
         let table = self.shared.servers.load();
         let sample = rand::random();
         let facts = ChoiceFacts { tried: &progress.tried, sample, now };
@@ -96,8 +96,13 @@
             ServerRoom::Unlimited | ServerRoom::Full => false,
         });
         match choose_beside_limits(unlimited, limited, &facts) {
-            ServerChoice::Server(server) => Some((server.clone(), room(server))),
-            ServerChoice::Full | ServerChoice::NoCandidate => None,
+            ServerChoice::Server(server) => Ok((server.clone(), room(server))),
+            ServerChoice::Full => Err(SendObstacle::Full),
+            // The candidates of the choice leave out those at their limits.
+            ServerChoice::NoCandidate if candidates().any(|server| facts.allows(server)) => {
+                Err(SendObstacle::Limit)
+            }
+            ServerChoice::NoCandidate => Err(SendObstacle::NoServer),
         }
     }
 
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -7,8 +7,10 @@
         crash::{AnswerProgress, check_crash},
         events::{EventSplitter, have_content},
         loss::LossCause,
+        obstacle::SendObstacle,
         request::RequestKind,
         send::LiveAnswer,
+        server::BackendServer,
         service::{CallContext, CallProgress, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
@@ -48,7 +50,7 @@
 /// A stream without an event for this long is reported as stalled to the owner of its fabric domain,
 /// which can query all members of the group. Longer than the time between two events of a fully
 /// loaded model engine. Also the most by which [`IdleTime`] grows at once.
-const STALL_THRESHOLD: Duration = Duration::from_millis(250);
+pub(crate) const STALL_THRESHOLD: Duration = Duration::from_millis(250);
 /// After this many timeouts in a row without an event, a stream is resumed elsewhere even if its
 /// server makes progress on other requests.
 const MAX_EVENT_TIMEOUTS: u32 = 3;
@@ -150,6 +152,8 @@
     first_event_sent: bool,
     /// The answer of the current server.
     answered: AnswerProgress,
+    /// How long the current server has sent no event.
+    idle: IdleTime,
 }
 
 impl<C: RequestCodec> StreamPump<C> {
@@ -170,6 +174,7 @@
         let response = service.close_if_leaving(Response::from_parts(head, body));
         let splitter = EventSplitter::new(None);
         let share = service.shared.buffers.open();
+        let idle = IdleTime::new(service.shared.clock.now());
         ctx.trace.start_streaming();
         let pump = Self {
             service,
@@ -180,6 +185,7 @@
             pieces,
             first_event_sent: false,
             answered: AnswerProgress::default(),
+            idle,
         };
         tokio::spawn(pump.run(answer));
         response
@@ -188,8 +194,9 @@
     async fn run(mut self, first: Box<LiveAnswer>) {
         let mut answer = first;
         loop {
-            let server = answer.server.clone();
+            let (server, forwarded) = (answer.server.clone(), answer.is_forwarded);
             self.answered = AnswerProgress::default();
+            self.idle = IdleTime::new(self.service.shared.clock.now());
             let end = self.forward(&mut answer).await;
             drop(answer);
             let end = match end {
@@ -219,14 +226,7 @@
                 self.progress.crashes += 1;
                 check_crash(&self.service.shared, &self.ctx, &server).await;
             }
-            let now = self.service.shared.clock.now();
-            server.counters.note_failure(now, FAILURE_BACKOFF);
-            self.service.shared.report_stall(&server);
-            self.splitter.discard_partial();
-            self.share.resize(0);
-            let after = self.splitter.last_id();
-            info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
-                sound = self.answered.is_sound(), after = after.unwrap_or(0), "request");
+            self.note_broken(&server, forwarded, why);
             match self.resume().await {
                 Some(next) => answer = next,
                 None => return,
@@ -234,6 +234,23 @@
         }
     }
 
+    /// Records that the stream of a server is incomplete, and forgets its incomplete event.
+    fn note_broken(&mut self, server: &BackendServer, forwarded: bool, why: LossCause) {
+        let shared = &self.service.shared;
+        let now = shared.clock.now();
+        let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
+        server.counters.note_failure(now, FAILURE_BACKOFF);
+        shared.report_stall(server);
+        shared.metrics.note_loss(self.ctx.kind, why);
+        self.splitter.discard_partial();
+        self.share.resize(0);
+        let after = self.splitter.last_id();
+        let idle_ms = self.idle.total.as_millis() as u64;
+        info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
+            sound = self.answered.is_sound(), after = after.unwrap_or(0), idle_ms, busy, forwarded,
+            "request");
+    }
+
     /// Sends the request again so that another server continues after the last forwarded event. If
     /// that fails, logs the end of the request and returns `None`.
     async fn resume(&mut self) -> Option<Box<LiveAnswer>> {
@@ -270,7 +287,8 @@
             }
             Err(refusal) => {
                 let why = refusal.kind.code();
-                info!(id = %self.ctx.id, decision = "not-resumed", why, "request");
+                let obstacle = refusal.obstacle.map(SendObstacle::label);
+                info!(id = %self.ctx.id, decision = "not-resumed", why, obstacle, "request");
                 self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumed", 0);
                 None
             }
@@ -288,7 +306,6 @@
         let clock = self.service.shared.clock.clone();
         let service = self.service.clone();
         let mut ending = pin!(service.ending());
-        let mut idle = IdleTime::new(clock.now());
         loop {
             let remaining = self.ctx.expires_at.since(clock.now());
             if remaining.is_zero() {
@@ -320,7 +337,7 @@
                     return ForwardEnd::Whole;
                 }
                 Err(_) => {
-                    let idle = idle.extend(clock.now());
+                    let idle = self.idle.extend(clock.now());
                     if self.should_resume_elsewhere(answer, idle, event_timeout) {
                         return ForwardEnd::Broken(LossCause::Silent);
                     }
@@ -337,12 +354,13 @@
             let now = clock.now();
             let Some(events) = events.filter(|events| have_content(events)) else {
                 // Bytes that complete no event with content are no progress.
-                if self.should_resume_elsewhere(answer, idle.extend(now), event_timeout) {
+                let idle = self.idle.extend(now);
+                if self.should_resume_elsewhere(answer, idle, event_timeout) {
                     return ForwardEnd::Broken(LossCause::NoProgress);
                 }
                 continue;
             };
-            idle = IdleTime::new(now);
+            self.idle = IdleTime::new(now);
             if self.answered.note_event(now) {
                 self.service.shared.poison.note_sound(&self.ctx.suspects);
             }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,6 +1,7 @@
 //! The decoded head of a caller's request, and the reasons for refusing one.
 
 use {
+    crate::obstacle::SendObstacle,
     base::ModelName,
     poison::{PromptParts, SuspectKind},
     serde::{Deserialize, Serialize},
@@ -183,16 +184,18 @@
     pub kind: RefusalKind,
     /// How long the caller should wait before it retries; `None` where a retry does not help.
     pub retry_after: Option<Duration>,
+    /// Why the request was not sent, or not sent again; `None` if that is not the reason.
+    pub obstacle: Option<SendObstacle>,
 }
 
 impl Refusal {
     /// Creates a refusal without `retry_after`.
     pub fn new(kind: RefusalKind) -> Self {
-        Self { kind, retry_after: None }
+        Self { kind, retry_after: None, obstacle: None }
     }
 
     /// Creates a refusal that asks the caller to retry after `retry_after`.
     pub fn until(kind: RefusalKind, retry_after: Duration) -> Self {
-        Self { kind, retry_after: Some(retry_after) }
+        Self { retry_after: Some(retry_after), ..Self::new(kind) }
     }
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -37,6 +37,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) server: BackendServer,
+    /// Whether a peer passes the connection on.
+    pub(crate) is_forwarded: bool,
     _driver: AbortOnDropHandle<()>,
     _in_flight: InFlight,
 }
@@ -88,6 +90,7 @@
         Ok(stream) => stream,
         Err(error) => return SendOutcome::NotSent(error),
     };
+    let is_forwarded = stream.is_forwarded();
     let in_flight = server.counters.start();
     let handshake =
         http1::Builder::new().max_buf_size(ANSWER_HEAD_BYTES).handshake(TokioIo::new(stream));
@@ -113,7 +116,14 @@
         Verdict::Foreign => SendOutcome::Lost(LossCause::Foreign),
         Verdict::Answered => {
             let server = server.clone();
-            let answer = LiveAnswer { head, body, server, _driver: driver, _in_flight: in_flight };
+            let answer = LiveAnswer {
+                head,
+                body,
+                server,
+                is_forwarded,
+                _driver: driver,
+                _in_flight: in_flight,
+            };
             SendOutcome::Answer(Box::new(answer), facts)
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,7 +5,8 @@
         buffered::collect_answer,
         codec::{BackendCall, RequestCodec, Verdict},
         crash::check_crash,
-        pump::{RelayBody, StreamPump, full_body},
+        obstacle::SendObstacle,
+        pump::{RelayBody, STALL_THRESHOLD, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
         send::{HeadWait, LiveAnswer, SendOutcome, send_call},
         server::{BackendServer, ServerId},
@@ -188,6 +189,7 @@
                 Err(why) => {
                     progress.may_have_run = true;
                     server.counters.note_failure(self.shared.clock.now(), ANSWERED_BACKOFF);
+                    self.shared.metrics.note_loss(ctx.kind, why);
                     info!(id = %ctx.id, decision = "broken", server = %server.id, %why,
                         "request");
                     if why.is_broken_connection() {
@@ -195,7 +197,7 @@
                         check_crash(&self.shared, ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
-                        return Err(self.final_refusal(ctx, progress));
+                        return Err(self.unresolved_refusal(ctx));
                     }
                 }
             }
@@ -212,20 +214,21 @@
     ) -> Result<Box<LiveAnswer>, Refusal> {
         loop {
             if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
-                return Err(self.final_refusal(ctx, progress));
+                return Err(self.final_refusal(ctx, progress, SendObstacle::Time));
             }
             if !self.can_finish(ctx) {
                 return Err(self.cut_short(progress));
             }
             self.check_suspects(ctx, progress).await?;
-            let Some(server) = self.next_server(ctx, progress).await else {
-                return Err(self.final_refusal(ctx, progress));
+            let server = match self.next_server(ctx, progress).await {
+                Ok(server) => server,
+                Err(obstacle) => return Err(self.final_refusal(ctx, progress, obstacle)),
             };
             let now = self.shared.clock.now();
             let remaining = ctx.expires_at.since(now);
             if remaining < MIN_REMAINING {
                 // It ran out while another process was asked.
-                return Err(self.final_refusal(ctx, progress));
+                return Err(self.final_refusal(ctx, progress, SendObstacle::Time));
             }
             if !self.can_finish(ctx) {
                 // The stop began while another process was asked.
@@ -290,13 +293,18 @@
                     progress.may_have_run = true;
                     server.counters.note_failure(self.shared.clock.now(), FAILURE_BACKOFF);
                     self.shared.report_stall(&server);
-                    info!(id = %ctx.id, decision = "lost", server = %server.id, %why, "request");
+                    self.shared.metrics.note_loss(ctx.kind, why);
+                    let now = self.shared.clock.now();
+                    let waited_ms = now.since(sent_at).as_millis() as u64;
+                    let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
+                    info!(id = %ctx.id, decision = "lost", server = %server.id, %why, waited_ms,
+                        busy, "request");
                     if why.is_broken_connection() {
                         progress.crashes += 1;
                         check_crash(&self.shared, ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
-                        return Err(self.final_refusal(ctx, progress));
+                        return Err(self.unresolved_refusal(ctx));
                     }
                 }
             }
@@ -343,9 +351,21 @@
         request
     }
 
-    /// The refusal of a request that is not sent again. It tells the caller whether a server may
-    /// have run the request.
-    pub(crate) fn final_refusal(&self, ctx: &CallContext, progress: &CallProgress) -> Refusal {
+    /// The refusal of a request that may have run and must not be sent again.
+    fn unresolved_refusal(&self, ctx: &CallContext) -> Refusal {
+        let is_over = ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING;
+        Refusal::new(if is_over { RefusalKind::TimedOut } else { RefusalKind::Failed })
+    }
+
+    /// The refusal of a request that is not sent, or not sent again, because of `obstacle`. It tells
+    /// the caller whether a server may have run the request.
+    pub(crate) fn final_refusal(
+        &self,
+        ctx: &CallContext,
+        progress: &CallProgress,
+        obstacle: SendObstacle,
+    ) -> Refusal {
+        self.shared.metrics.note_obstacle(obstacle, progress.sends > 0);
         let now = self.shared.clock.now();
         let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
         let usual = match ctx.kind {
@@ -359,12 +379,13 @@
                 Refusal::until(RefusalKind::NoServer, span)
             }
         };
-        match (progress.may_have_run, out_of_time) {
+        let refusal = match (progress.may_have_run, out_of_time) {
             (true, true) => Refusal::new(RefusalKind::TimedOut),
             (true, false) => Refusal::new(RefusalKind::Failed),
             (false, true) => Refusal::new(RefusalKind::TimedOutUnsent),
             (false, false) => no_server,
-        }
+        };
+        Refusal { obstacle: Some(obstacle), ..refusal }
     }
 
     pub(crate) fn codec(&self) -> &C {
--- a/crates/relay/tests/stop_lines.rs
+++ b/crates/relay/tests/stop_lines.rs
@@ -4,13 +4,13 @@
 mod support;
 
 use {
-    parking_lot::Mutex,
-    prometheus_client::{encoding::text::encode, registry::Registry},
     relay::RequestKind,
-    std::{io, sync::Arc, time::Duration},
-    support::{Behavior, ScriptedServer, TestRelay},
+    std::time::Duration,
+    support::{
+        Behavior, ScriptedServer, TestRelay,
+        log_text::{LogText, metrics_text},
+    },
     tokio::time::sleep,
-    tracing::subscriber::DefaultGuard,
 };
 
 const KEY: &str = "x-key: k\r\n";
@@ -22,59 +22,13 @@
 /// What each line about a request that a stop refused or ended says besides its decision.
 const FIELDS: [&str; 6] = ["id", "kind", "stage", "took_ms", "after_signal_ms", "stop_left_ms"];
 
-/// The log lines of the present thread.
-#[derive(Clone, Default)]
-struct LogText(Arc<Mutex<Vec<u8>>>);
-
-impl io::Write for LogText {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl LogText {
-    fn capture() -> (Self, DefaultGuard) {
-        let text = Self::default();
-        let writer = text.clone();
-        let subscriber = tracing_subscriber::fmt()
-            .json()
-            .flatten_event(true)
-            .with_writer(move || writer.clone())
-            .finish();
-        (text, tracing::subscriber::set_default(subscriber))
+/// The only line with a decision, which has all of [`FIELDS`].
+fn only_line(log: &LogText, decision: &str) -> serde_json::Value {
+    let line = log.only_line(decision);
+    for field in FIELDS {
+        assert!(line.get(field).is_some(), "{field} is missing in {line}");
     }
-
-    /// The lines with a decision.
-    fn lines(&self, decision: &str) -> Vec<serde_json::Value> {
-        let bytes = self.0.lock().clone();
-        let lines = String::from_utf8(bytes).unwrap();
-        let parsed = lines.lines().map(|line| serde_json::from_str(line).unwrap());
-        parsed.filter(|line: &serde_json::Value| line["decision"] == decision).collect()
-    }
-
-    /// The only line with a decision, which has all of [`FIELDS`].
-    fn only_line(&self, decision: &str) -> serde_json::Value {
-        let mut lines = self.lines(decision);
-        assert_eq!(lines.len(), 1, "{lines:?}");
-        let line = lines.remove(0);
-        for field in FIELDS {
-            assert!(line.get(field).is_some(), "{field} is missing in {line}");
-        }
-        line
-    }
-}
-
-fn metrics_text(relay: &TestRelay) -> String {
-    let mut registry = Registry::default();
-    relay.shared.metrics.register(&mut registry);
-    let mut text = String::new();
-    encode(&mut text, &registry).unwrap();
-    text
+    line
 }
 
 #[tokio::test]
@@ -85,7 +39,7 @@
     let _leaving = relay.stop(Duration::from_millis(400));
     sleep(Duration::from_millis(50)).await;
     relay.ask(KEY).await;
-    let line = log.only_line("refused");
+    let line = only_line(&log, "refused");
     assert_eq!(line["why"], "stopping");
     assert_eq!(line["kind"], "unsafe");
     assert!((50..400).contains(&line["after_signal_ms"].as_i64().unwrap()), "{line}");
@@ -106,7 +60,7 @@
         draining.end();
     };
     tokio::join!(relay.ask(KEY), stopped);
-    let line = log.only_line("refused");
+    let line = only_line(&log, "refused");
     assert_eq!(line["why"], "cut-short");
     assert_eq!(line["level"], "WARN");
     assert!(line["after_signal_ms"].as_i64().unwrap() <= -50, "before the signal: {line}");
@@ -124,7 +78,7 @@
         relay.stop(Duration::from_secs(5)).drain().end();
     };
     tokio::join!(relay.ask(KEY), stopped);
-    let line = log.only_line("cut-by-stop");
+    let line = only_line(&log, "cut-by-stop");
     assert_eq!(line["after"], 7);
     assert_eq!(line["stage"], "streaming");
     let ended = log.lines("ended");
@@ -148,6 +102,6 @@
         relay.stop(Duration::from_millis(400))
     };
     let (_, _leaving) = tokio::join!(relay.ask(KEY), stopped);
-    assert_eq!(log.only_line("cut-by-stop")["after"], 7);
+    assert_eq!(only_line(&log, "cut-by-stop")["after"], 7);
     assert_eq!(log.lines("ended")[0]["outcome"], "cut: stopping");
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a relay between a caller and scripted servers on loopback.
 
 pub(crate) mod crashing_servers;
+pub(crate) mod log_text;
 
 use {
     base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, WorkspaceId},
@@ -50,6 +51,8 @@
     Hang,
     /// Sends the pieces with a pause before each, then keeps the connection.
     Paced(&'static [&'static str], Duration),
+    /// Sends the first text, and the second one after a pause, then keeps the connection.
+    Interrupted(&'static str, Duration, &'static str),
     /// Sends the first text, then the second one again and again until the connection closes, with
     /// a pause after each.
     Endless(&'static str, &'static str, Duration),
@@ -114,6 +117,11 @@
                 let _ = stream.write_all(piece.as_bytes()).await;
             }
         }
+        Behavior::Interrupted(first, pause, rest) => {
+            let _ = stream.write_all(first.as_bytes()).await;
+            sleep(pause).await;
+            let _ = stream.write_all(rest.as_bytes()).await;
+        }
         Behavior::Endless(first, filler, pause) => {
             let mut next = first;
             while stream.write_all(next.as_bytes()).await.is_ok() {
