Keep a request at its server until another one has answered it

What callers saw: around a stop, and beside any load, streams of sound servers that fell silent for a second were cut with seconds left, and requests without an answer yet were told that they had failed.

Cause: silence ended the present answer as soon as some server was neither tried nor in back-off. Whether one had room, whether the retry budget and the limits allowed a send, and whether it would take the request, was asked after the old answer was gone. The class is a hand-over in which the giver lets go before the taker holds on.

Now a further send needs a ServerPlace, which is taken from capacity, limit, retry budget and time together and given back unused; it is sent beside the present answer, and whichever answers first keeps the request. Without a place the request stays. A server's failure is passed on where nobody else takes the request.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,18 +21,22 @@
 mod crash;
 mod ending;
 pub mod events;
+mod exchange;
 mod identity;
 mod limit_watch;
 mod loss;
 pub mod metrics;
 mod next_server;
 mod obstacle;
+mod place;
 mod poison_watch;
 mod pump;
 mod question_desk;
+mod reader;
 pub mod request;
 pub mod retry;
 mod send;
+mod sends;
 pub mod serve;
 pub mod server;
 pub mod service;
@@ -51,7 +55,7 @@
     obstacle::SendObstacle,
     poison_watch::{PoisonWatch, TurnQuestion},
     request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
-    retry::{RetryBudget, RetryLimits},
+    retry::{RetryBudget, RetryLimits, RetryPermit},
     serve::serve_callers,
     server::{BackendServer, ServerCounters, ServerId, ServerLoad, ServerTable},
     service::RelayService,
--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -1,12 +1,12 @@
-//! Finds the server for the next send of a request, and when its caller should return if there is
-//! none.
+//! Finds a place for the next send of a request, and when its caller should return if there is none.
 
 use {
     crate::{
         choose::{ChoiceFacts, ServerChoice, choose_beside_limits},
         codec::RequestCodec,
         obstacle::SendObstacle,
-        server::{BackendServer, ServerTable},
+        place::{PlaceError, ServerPlace},
+        server::BackendServer,
         service::{CallContext, CallProgress, DEFAULT_RETRY_AFTER, MIN_REMAINING, RelayService},
     },
     base::Tick,
@@ -22,45 +22,50 @@
 const MAX_LIMIT_RETURN: Duration = Duration::from_secs(5);
 
 impl<C: RequestCodec> RelayService<C> {
-    /// Whether a server other than `server` is neither tried nor in back-off.
-    pub(crate) fn has_other_server(
+    /// Takes a place for the next send, if there is one and the request is sure to end in time. Asks
+    /// other processes first where they share the limit of a server.
+    pub(crate) async fn take_place(
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
-        server: &BackendServer,
-    ) -> bool {
-        let table = self.shared.servers.load();
-        let now = self.shared.clock.now();
-        let mut others = self.open_candidates(&table, ctx, now);
-        self.can_finish(ctx)
-            && others.any(|other| {
-                other.id != server.id
-                    && !progress.tried.contains(&other.id)
-                    && other.counters.accepts(now)
-                    && !other.counters.in_backoff(now)
-            })
+    ) -> Result<ServerPlace, PlaceError> {
+        self.check_time(ctx)?;
+        self.check_suspects(ctx, progress).await.map_err(PlaceError::HeldBack)?;
+        let place = self.find_place(ctx, progress).await?;
+        // It may have run out while another process was asked.
+        self.check_time(ctx)?;
+        Ok(place)
+    }
+
+    /// Whether the request has time left, also until this process ends.
+    fn check_time(&self, ctx: &CallContext) -> Result<(), SendObstacle> {
+        if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
+            return Err(SendObstacle::Time);
+        }
+        if self.can_finish(ctx) { Ok(()) } else { Err(SendObstacle::Stop) }
     }
 
-    /// The server for the next send, or why there is none. Asks other processes first where they share
-    /// the limit of the server.
-    pub(crate) async fn next_server(
+    async fn find_place(
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
-    ) -> Result<BackendServer, SendObstacle> {
+    ) -> Result<ServerPlace, SendObstacle> {
         if progress.sends >= ctx.attempts {
             return Err(SendObstacle::Attempts);
         }
-        let mut is_paid = progress.sends == 0;
+        let is_retry = progress.sends > 0;
+        let mut permit = None;
         let mut denials = 0;
         loop {
             let now = self.shared.clock.now();
             let (server, room) = self.choose(ctx, progress, denials < MAX_DENIALS, now)?;
-            let processes = self.shared.processes.load(Ordering::Relaxed);
-            if !is_paid && !self.shared.budget.try_take(&ctx.service, processes, now) {
-                return Err(SendObstacle::RetryBudget);
+            if is_retry && permit.is_none() {
+                let processes = self.shared.processes.load(Ordering::Relaxed);
+                permit = self.shared.budget.take_permit(&ctx.service, processes, now);
+                if permit.is_none() {
+                    return Err(SendObstacle::RetryBudget);
+                }
             }
-            is_paid = true;
             let limits = &self.shared.limits;
             let may_send = match room {
                 ServerRoom::Unlimited => true,
@@ -69,7 +74,7 @@
                 ServerRoom::Full => false,
             };
             if may_send {
-                return Ok(server);
+                return Ok(ServerPlace::take(server, permit));
             }
             denials += 1;
         }
@@ -106,36 +111,6 @@
         }
     }
 
-    /// The candidates for a request that have room for it below their limits.
-    fn open_candidates<'a>(
-        &'a self,
-        table: &'a ServerTable,
-        ctx: &'a CallContext,
-        now: Tick,
-    ) -> impl Iterator<Item = &'a BackendServer> {
-        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
-        // Which process would be asked does not matter, so the sample may be any number.
-        servers
-            .filter(move |server| self.shared.limits.room(&server.id, 0, now) != ServerRoom::Full)
-    }
-
-    /// Whether a retry is possible: the route allows a further send, enough time remains, also until
-    /// this process ends, and some server is neither tried nor in back-off.
-    /// Does not consult the retry budget.
-    pub(crate) fn has_retry_target(&self, ctx: &CallContext, progress: &CallProgress) -> bool {
-        let table = self.shared.servers.load();
-        let now = self.shared.clock.now();
-        let mut servers = self.open_candidates(&table, ctx, now);
-        progress.sends < ctx.attempts
-            && self.can_finish(ctx)
-            && ctx.expires_at.since(now) >= MIN_REMAINING
-            && servers.any(|server| {
-                let counters = &server.counters;
-                let tried = progress.tried.contains(&server.id);
-                !tried && counters.accepts(now) && !counters.in_backoff(now)
-            })
-    }
-
     /// When the caller should return if every server that accepts requests has a limit: a random time
     /// around the one in which one process may send them one more request. `None` if some server
     /// has no limit or none accepts requests.
--- a/crates/relay/src/obstacle.rs
+++ b/crates/relay/src/obstacle.rs
@@ -24,6 +24,14 @@
 }
 
 impl SendObstacle {
+    /// Whether it may be gone before the request's time is over.
+    pub(crate) fn may_pass(self) -> bool {
+        match self {
+            Self::NoServer | Self::Full | Self::Limit | Self::RetryBudget => true,
+            Self::Attempts | Self::Time | Self::Stop | Self::Suspect => false,
+        }
+    }
+
     /// The value of this obstacle in logs and metric labels.
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -1,17 +1,19 @@
-//! Forwards a stream of events to the caller and resumes it at another server when its server fails.
+//! Forwards a stream of events to the caller and resumes it at another server when its server fails,
+//! or once another server has it while its own is silent.
 
 use {
     crate::{
         buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, check_crash},
-        events::{EventSplitter, have_content},
         loss::LossCause,
         obstacle::SendObstacle,
+        place::{PlaceSearch, ServerPlace},
+        reader::{EventReader, ReadStep},
         request::RequestKind,
         send::LiveAnswer,
         server::BackendServer,
-        service::{CallContext, CallProgress, FIRST_EVENT_TIMEOUT, RelayService},
+        service::{CallContext, CallProgress, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
     base::Tick,
@@ -22,6 +24,7 @@
     snafu::Snafu,
     std::{
         pin::{Pin, pin},
+        slice,
         sync::Arc,
         task::{Context, Poll},
         time::Duration,
@@ -43,20 +46,17 @@
 /// Pieces that are buffered for a slow caller; when the buffer is full, reading from the server
 /// pauses.
 const MAX_BUFFERED_PIECES: usize = 4;
-/// A stream without a further event for this long is resumed at another server, if its current
-/// server makes no progress on other requests either. Two events of a stream from a fully loaded
-/// model engine are less than 200 ms apart.
+/// A stream without a further event for this long looks for another server, if its current server
+/// makes no progress on other requests either. Two events of a stream from a fully loaded model engine
+/// are less than 200 ms apart.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 /// A stream without an event for this long is reported as stalled to the owner of its fabric domain,
 /// which can query all members of the group. Longer than the time between two events of a fully
 /// loaded model engine. Also the most by which [`IdleTime`] grows at once.
 pub(crate) const STALL_THRESHOLD: Duration = Duration::from_millis(250);
-/// After this many timeouts in a row without an event, a stream is resumed elsewhere even if its
-/// server makes progress on other requests.
+/// After this many timeouts in a row without an event, a stream looks for another server even if its own
+/// makes progress on other requests.
 const MAX_EVENT_TIMEOUTS: u32 = 3;
-/// Back-off of a server that could not be reached, did not answer or whose stream broke; about the
-/// time in which the owner of its fabric domain finds the cause.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(800);
 
 /// A part of a stream on its way from the pump to the caller's connection.
 enum Piece {
@@ -112,6 +112,8 @@
     CallerLeft,
     /// The stream is incomplete and continues at another server, if at all.
     Broken(LossCause),
+    /// The server was silent, and another one has answered: the stream continues there.
+    Moved { next: Box<LiveAnswer>, why: LossCause },
     /// The caller's deadline or the route's timeout has passed.
     OutOfTime,
     /// This process ends before the stream does.
@@ -144,16 +146,14 @@
     service: Arc<RelayService<C>>,
     ctx: CallContext,
     progress: CallProgress,
-    splitter: EventSplitter,
-    /// For the incomplete event in the splitter.
-    share: BufferShare,
+    reader: EventReader,
     pieces: mpsc::Sender<Piece>,
-    /// Whether an event was passed on to the caller, from any server.
-    first_event_sent: bool,
     /// The answer of the current server.
     answered: AnswerProgress,
     /// How long the current server has sent no event.
     idle: IdleTime,
+    /// Since the last event.
+    search: PlaceSearch,
 }
 
 impl<C: RequestCodec> StreamPump<C> {
@@ -172,20 +172,18 @@
         let (pieces, received) = mpsc::channel(MAX_BUFFERED_PIECES);
         let body = PieceBody { pieces: received, ended: false }.boxed_unsync();
         let response = service.close_if_leaving(Response::from_parts(head, body));
-        let splitter = EventSplitter::new(None);
-        let share = service.shared.buffers.open();
+        let reader = EventReader::new(service.shared.buffers.open());
         let idle = IdleTime::new(service.shared.clock.now());
         ctx.trace.start_streaming();
         let pump = Self {
             service,
             ctx,
             progress,
-            splitter,
-            share,
+            reader,
             pieces,
-            first_event_sent: false,
             answered: AnswerProgress::default(),
             idle,
+            search: PlaceSearch::default(),
         };
         tokio::spawn(pump.run(answer));
         response
@@ -197,6 +195,7 @@
             let (server, forwarded) = (answer.server.clone(), answer.is_forwarded);
             self.answered = AnswerProgress::default();
             self.idle = IdleTime::new(self.service.shared.clock.now());
+            self.search = PlaceSearch::default();
             let end = self.forward(&mut answer).await;
             drop(answer);
             let end = match end {
@@ -220,12 +219,14 @@
                     self.note_stopped();
                     return;
                 }
+                ForwardEnd::Moved { next, why } => {
+                    self.note_moved(&server, &next.server, why).await;
+                    answer = next;
+                    continue;
+                }
                 ForwardEnd::Broken(why) => why,
             };
-            if why.is_broken_connection() && !self.answered.is_sound() {
-                self.progress.crashes += 1;
-                check_crash(&self.service.shared, &self.ctx, &server).await;
-            }
+            self.note_crash(&server, why).await;
             self.note_broken(&server, forwarded, why);
             match self.resume().await {
                 Some(next) => answer = next,
@@ -234,6 +235,29 @@
         }
     }
 
+    /// Checks whether a server whose connection ended has crashed.
+    async fn note_crash(&mut self, server: &BackendServer, why: LossCause) {
+        if why.is_broken_connection() && !self.answered.is_sound() {
+            self.progress.crashes += 1;
+            check_crash(&self.service.shared, &self.ctx, server).await;
+        }
+    }
+
+    /// Records that the stream goes on at another server, and forgets the incomplete event of the one
+    /// that it left.
+    async fn note_moved(&mut self, from: &BackendServer, to: &BackendServer, why: LossCause) {
+        self.note_crash(from, why).await;
+        if !matches!(why, LossCause::Silent | LossCause::NoProgress) {
+            self.service.note_stalled(from);
+        }
+        self.service.shared.metrics.note_loss(self.ctx.kind, why);
+        self.reader.discard_partial();
+        let after = self.reader.last_id().unwrap_or(0);
+        let idle_ms = self.idle.total.as_millis() as u64;
+        info!(id = %self.ctx.id, decision = "moved", from = %from.id, to = %to.id, %why, after,
+            idle_ms, "request");
+    }
+
     /// Records that the stream of a server is incomplete, and forgets its incomplete event.
     fn note_broken(&mut self, server: &BackendServer, forwarded: bool, why: LossCause) {
         let shared = &self.service.shared;
@@ -242,9 +266,8 @@
         server.counters.note_failure(now, FAILURE_BACKOFF);
         shared.report_stall(server);
         shared.metrics.note_loss(self.ctx.kind, why);
-        self.splitter.discard_partial();
-        self.share.resize(0);
-        let after = self.splitter.last_id();
+        self.reader.discard_partial();
+        let after = self.reader.last_id();
         let idle_ms = self.idle.total.as_millis() as u64;
         info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
             sound = self.answered.is_sound(), after = after.unwrap_or(0), idle_ms, busy, forwarded,
@@ -258,11 +281,11 @@
             self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumable", 0);
             return None;
         }
-        if self.first_event_sent && self.splitter.last_id().is_none() {
+        if !self.reader.is_resumable() {
             self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: events without ids", 0);
             return None;
         }
-        self.progress.last_event = self.splitter.last_id();
+        self.progress.last_event = self.reader.last_id();
         let resumed = tokio::select! {
             () = self.pieces.closed() => {
                 self.service.note_end(&self.ctx, WorkEnd::Abandoned, "caller left", 0);
@@ -296,7 +319,7 @@
     }
 
     fn note_stopped(&self) {
-        let effect = StopEffect::Cut { last_event: self.splitter.last_id() };
+        let effect = StopEffect::Cut { last_event: self.reader.last_id() };
         self.service.log_stopped(&self.ctx.trace, effect);
         self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: stopping", 0);
     }
@@ -311,8 +334,6 @@
             if remaining.is_zero() {
                 return ForwardEnd::OutOfTime;
             }
-            let event_timeout =
-                if self.first_event_sent { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
             let frame = tokio::select! {
                 biased;
                 () = self.pieces.closed() => return ForwardEnd::CallerLeft,
@@ -320,63 +341,53 @@
                 frame = timeout(STALL_THRESHOLD.min(remaining), answer.body.frame()) => frame,
                 () = &mut ending => return ForwardEnd::Stopping,
             };
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return ForwardEnd::Broken(LossCause::ConnectionBroke),
-                Ok(None) if self.splitter.discard_partial() => {
-                    return ForwardEnd::Broken(LossCause::PartialEvent);
-                }
-                Ok(None) if !self.first_event_sent => {
-                    return ForwardEnd::Broken(LossCause::NoEvent);
-                }
-                Ok(None) => {
-                    // The end of the connection alone may also be that of the server.
-                    if answer.is_framed() {
-                        self.service.shared.poison.note_sound(&self.ctx.suspects);
-                    }
-                    return ForwardEnd::Whole;
-                }
-                Err(_) => {
-                    let idle = self.idle.extend(clock.now());
-                    if self.should_resume_elsewhere(answer, idle, event_timeout) {
-                        return ForwardEnd::Broken(LossCause::Silent);
-                    }
-                    continue;
-                }
-            };
-            let Ok(bytes) = frame.into_data() else { continue };
-            let Ok(events) = self.splitter.push(bytes) else {
-                return ForwardEnd::Broken(LossCause::EventTooLong);
-            };
-            if !self.share.resize(self.splitter.buffered()) {
-                return ForwardEnd::Broken(LossCause::TooLarge);
-            }
-            let now = clock.now();
-            let Some(events) = events.filter(|events| have_content(events)) else {
+            let read = frame.map(|frame| self.reader.read(frame));
+            let step = match read {
+                Ok(ReadStep::Events(events)) => ForwardStep::Events(events),
+                Ok(ReadStep::End(Err(why))) => ForwardStep::Ends(ForwardEnd::Broken(why)),
+                Ok(ReadStep::End(Ok(()))) => ForwardStep::Whole,
                 // Bytes that complete no event with content are no progress.
-                let idle = self.idle.extend(now);
-                if self.should_resume_elsewhere(answer, idle, event_timeout) {
-                    return ForwardEnd::Broken(LossCause::NoProgress);
-                }
-                continue;
+                Ok(ReadStep::NoEvent) => self.search(answer, LossCause::NoProgress).await,
+                Err(_) => self.search(answer, LossCause::Silent).await,
             };
-            self.idle = IdleTime::new(now);
-            if self.answered.note_event(now) {
-                self.service.shared.poison.note_sound(&self.ctx.suspects);
-            }
-            answer.server.counters.note_progress(now);
-            if !self.first_event_sent {
-                self.first_event_sent = true;
-                let wait = now.since(self.ctx.began);
-                answer.server.counters.note_success(wait);
-                self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
-            }
+            let events = match step {
+                ForwardStep::Stays => continue,
+                ForwardStep::Events(events) => events,
+                ForwardStep::Whole => return self.note_whole(answer),
+                ForwardStep::Ends(end) => return end,
+            };
+            self.note_events(answer);
             if let Err(end) = self.pass_on_events(events).await {
                 return end;
             }
         }
     }
 
+    /// Records that the server has ended its stream after a complete event.
+    fn note_whole(&self, answer: &LiveAnswer) -> ForwardEnd {
+        // The end of the connection alone may also be that of the server.
+        if answer.is_framed() {
+            self.service.shared.poison.note_sound(&self.ctx.suspects);
+        }
+        ForwardEnd::Whole
+    }
+
+    /// Records that the server has sent events.
+    fn note_events(&mut self, answer: &LiveAnswer) {
+        let now = self.service.shared.clock.now();
+        self.idle = IdleTime::new(now);
+        self.search = PlaceSearch::default();
+        if self.answered.note_event(now) {
+            self.service.shared.poison.note_sound(&self.ctx.suspects);
+        }
+        answer.server.counters.note_progress(now);
+        if self.reader.note_first() {
+            let wait = now.since(self.ctx.began);
+            answer.server.counters.note_success(wait);
+            self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
+        }
+    }
+
     /// Passes events on. Where too much is buffered, at most one piece of the stream waits for its caller.
     async fn pass_on_events(&self, bytes: Bytes) -> Result<(), ForwardEnd> {
         let mut share = self.service.shared.buffers.open();
@@ -402,23 +413,84 @@
         }
     }
 
-    /// Whether the stream should move to another server after `idle` without an event, where
-    /// `limit` is the timeout that applies to the next event. Also reports a stall if the server
-    /// makes no progress on any request of this process.
-    fn should_resume_elsewhere(
-        &self,
-        answer: &LiveAnswer,
-        idle: Duration,
-        limit: Duration,
-    ) -> bool {
+    /// Looks for another server where the present one has sent no event for too long, and waits for
+    /// either to go on. The present one keeps the stream until the other one has answered.
+    async fn search(&mut self, answer: &mut LiveAnswer, why: LossCause) -> ForwardStep {
         let now = self.service.shared.clock.now();
-        let server_progresses = answer.server.counters.progressed_within(now, STALL_THRESHOLD);
-        if !server_progresses {
-            self.service.shared.report_stall(&answer.server);
+        let idle = self.idle.extend(now);
+        if !self.is_stalled(&answer.server, idle) || !self.search.is_due(now) {
+            return ForwardStep::Stays;
         }
-        if idle < limit || (server_progresses && idle < MAX_EVENT_TIMEOUTS * limit) {
-            return false;
+        self.progress.last_event = self.reader.last_id();
+        match self.service.take_place(&self.ctx, &self.progress).await {
+            Ok(place) => self.race(answer, place, why).await,
+            Err(error) => {
+                if let Some(obstacle) = self.search.note_none(&error, now) {
+                    self.service.log_kept(&self.ctx, slice::from_ref(&answer.server), obstacle);
+                }
+                ForwardStep::Stays
+            }
+        }
+    }
+
+    /// Whether the stream should look for another server after `idle` without an event. Also reports a
+    /// server that makes no progress on any request of this process.
+    fn is_stalled(&self, server: &BackendServer, idle: Duration) -> bool {
+        let limit = if self.reader.has_first() { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
+        let now = self.service.shared.clock.now();
+        let is_busy = server.counters.progressed_within(now, STALL_THRESHOLD);
+        let is_stalled = idle >= limit * if is_busy { MAX_EVENT_TIMEOUTS } else { 1 };
+        let may_move = is_stalled && self.ctx.kind.is_retryable() && self.reader.is_resumable();
+        if !is_busy && may_move && self.search.is_new() {
+            self.service.note_stalled(server);
+        } else if !is_busy {
+            self.service.shared.report_stall(server);
         }
-        self.ctx.kind.is_retryable() && self.service.has_retry_target(&self.ctx, &self.progress)
+        may_move
     }
+
+    /// Sends the request to a place at another server, and forwards whichever goes on first.
+    async fn race(
+        &mut self,
+        answer: &mut LiveAnswer,
+        place: ServerPlace,
+        why: LossCause,
+    ) -> ForwardStep {
+        let service = self.service.clone();
+        let mut broken = None;
+        let mut sending = pin!(service.send_from(place, &self.ctx, &mut self.progress));
+        let mut ending = pin!(service.ending());
+        loop {
+            tokio::select! {
+                biased;
+                () = self.pieces.closed() => return ForwardStep::Ends(ForwardEnd::CallerLeft),
+                frame = answer.body.frame(), if broken.is_none() => match self.reader.read(frame) {
+                    ReadStep::Events(events) => return ForwardStep::Events(events),
+                    ReadStep::NoEvent => {}
+                    ReadStep::End(Err(why)) => broken = Some(why),
+                    ReadStep::End(Ok(())) => return ForwardStep::Whole,
+                },
+                sent = &mut sending => return match (sent, broken) {
+                    (Ok(next), _) if next.head.status.is_success() => {
+                        ForwardStep::Ends(ForwardEnd::Moved { next, why: broken.unwrap_or(why) })
+                    }
+                    (_, Some(why)) => ForwardStep::Ends(ForwardEnd::Broken(why)),
+                    (_, None) => ForwardStep::Stays,
+                },
+                () = &mut ending => return ForwardStep::Ends(ForwardEnd::Stopping),
+            }
+        }
+    }
+}
+
+/// What came of waiting for a server, and perhaps of the search for another one.
+enum ForwardStep {
+    /// Nothing: the stream stays at its server.
+    Stays,
+    /// The server has sent these events.
+    Events(Bytes),
+    /// The server has ended the stream after a complete event.
+    Whole,
+    /// Forwarding from the server has ended.
+    Ends(ForwardEnd),
 }
--- a/crates/relay/src/retry.rs
+++ b/crates/relay/src/retry.rs
@@ -5,6 +5,7 @@
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, VecDeque},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -71,6 +72,31 @@
         trim(&mut log.requests, now, limits.window);
     }
 
+    /// Counts one retry, which is given back if the permit is dropped unspent. `None` where
+    /// [`Self::try_take`] fails.
+    pub fn take_permit(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        processes: usize,
+        now: Tick,
+    ) -> Option<RetryPermit> {
+        let permit = || RetryPermit {
+            budget: self.clone(),
+            service: service.clone(),
+            taken_at: now,
+            is_spent: false,
+        };
+        self.try_take(service, processes, now).then(permit)
+    }
+
+    fn give_back(&self, service: &ServiceName, taken_at: Tick) {
+        let mut logs = self.logs.lock();
+        let Some(log) = logs.get_mut(service) else { return };
+        if let Some(index) = log.retries.iter().rposition(|at| *at == taken_at) {
+            log.retries.remove(index);
+        }
+    }
+
     /// Counts one retry if the limit allows it, and returns false otherwise. `processes` is the
     /// number of processes that share the slack.
     pub fn try_take(&self, service: &ServiceName, processes: usize, now: Tick) -> bool {
@@ -90,6 +116,30 @@
     }
 }
 
+/// A retry that was taken from a budget. Dropped unspent, it gives the retry back.
+#[derive(Debug)]
+pub struct RetryPermit {
+    budget: Arc<RetryBudget>,
+    service: ServiceName,
+    taken_at: Tick,
+    is_spent: bool,
+}
+
+impl RetryPermit {
+    /// Uses the retry.
+    pub fn spend(mut self) {
+        self.is_spent = true;
+    }
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            self.budget.give_back(&self.service, self.taken_at);
+        }
+    }
+}
+
 fn trim(times: &mut VecDeque<Tick>, now: Tick, window: Duration) {
     while times.front().is_some_and(|time| now.since(*time) > window) {
         times.pop_front();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -8,6 +8,7 @@
     crate::{
         codec::{AnswerFacts, RequestCodec, Verdict},
         loss::LossCause,
+        place::ServerPlace,
         request::RequestId,
         server::{BackendServer, InFlight},
     },
@@ -18,13 +19,8 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     reach::{ConnectError, ServerPaths},
-    std::{
-        future::Future,
-        pin::pin,
-        sync::atomic::{AtomicBool, Ordering},
-        time::Duration,
-    },
-    tokio::time::{error::Elapsed, timeout},
+    std::sync::atomic::{AtomicBool, Ordering},
+    tokio::time::{Instant, timeout_at},
     tokio_util::task::AbortOnDropHandle,
 };
 
@@ -64,34 +60,25 @@
     Answer(Box<LiveAnswer>, AnswerFacts),
 }
 
-/// How long to wait for the head of an answer.
-pub(crate) struct HeadWait<F> {
-    /// Time after which another server is the better choice.
-    pub(crate) patience: Duration,
-    /// Time after which no answer counts; longer than `patience` or equal.
-    pub(crate) total: Duration,
-    /// Asked once the patience is over: whether the request can go to another server.
-    pub(crate) may_move: F,
-}
-
-/// Sends a request and waits for the head of the answer. Sets `is_sent` before the first byte of
-/// the request leaves this process.
+/// Sends a request and waits for the head of the answer until `ends_at`. Sets `is_sent` before the first
+/// byte of the request leaves this process.
 pub(crate) async fn send_call<C: RequestCodec>(
     codec: &C,
     paths: &ServerPaths,
     id: &RequestId,
-    server: &BackendServer,
+    place: ServerPlace,
     request: Request<Full<Bytes>>,
-    wait: HeadWait<impl Fn() -> bool>,
+    ends_at: Instant,
     departure: DepartureTimer,
     is_sent: &AtomicBool,
 ) -> SendOutcome {
+    let server = place.server().clone();
     let stream = match paths.connect(server.target(&id.0)).await {
         Ok(stream) => stream,
         Err(error) => return SendOutcome::NotSent(error),
     };
     let is_forwarded = stream.is_forwarded();
-    let in_flight = server.counters.start();
+    let in_flight = place.depart();
     let handshake =
         http1::Builder::new().max_buf_size(ANSWER_HEAD_BYTES).handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
@@ -103,8 +90,7 @@
         let _ = connection.await;
     }));
     is_sent.store(true, Ordering::Relaxed);
-    let sending = sender.send_request(request);
-    let answer = match wait_for_head(sending, wait).await {
+    let answer = match timeout_at(ends_at, sender.send_request(request)).await {
         Err(_) => return SendOutcome::Lost(LossCause::NoAnswer),
         Ok(Err(_)) => return SendOutcome::Lost(LossCause::ConnectionBroke),
         Ok(Ok(answer)) => answer,
@@ -115,7 +101,6 @@
         Verdict::NotRun | Verdict::OtherServer => SendOutcome::NotRun(facts),
         Verdict::Foreign => SendOutcome::Lost(LossCause::Foreign),
         Verdict::Answered => {
-            let server = server.clone();
             let answer = LiveAnswer {
                 head,
                 body,
@@ -128,16 +113,3 @@
         }
     }
 }
-
-async fn wait_for_head<T>(
-    sending: impl Future<Output = T>,
-    wait: HeadWait<impl Fn() -> bool>,
-) -> Result<T, Elapsed> {
-    let mut sending = pin!(sending);
-    match timeout(wait.patience, sending.as_mut()).await {
-        Err(_) if !(wait.may_move)() => {
-            timeout(wait.total.saturating_sub(wait.patience), sending).await
-        }
-        outcome => outcome,
-    }
-}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -3,13 +3,13 @@
 use {
     crate::{
         buffered::collect_answer,
-        codec::{BackendCall, RequestCodec, Verdict},
+        codec::RequestCodec,
         crash::check_crash,
         obstacle::SendObstacle,
-        pump::{RelayBody, STALL_THRESHOLD, StreamPump, full_body},
+        pump::{RelayBody, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
-        send::{HeadWait, LiveAnswer, SendOutcome, send_call},
-        server::{BackendServer, ServerId},
+        send::LiveAnswer,
+        server::ServerId,
         shared::RelayShared,
         trace::RequestTrace,
     },
@@ -21,10 +21,7 @@
     hyper::body::Incoming,
     poison::RequestSuspects,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
+        sync::{Arc, atomic::AtomicBool},
         time::Duration,
     },
     stop::{StopPhase, WorkEnd},
@@ -33,12 +30,12 @@
 
 /// Back-off of a server that could not be reached, did not answer or whose stream broke; about the
 /// time in which the owner of its fabric domain finds the cause.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(800);
+pub(crate) const FAILURE_BACKOFF: Duration = Duration::from_millis(800);
 /// Back-off of a server that answered, but refused the request, failed it or sent an incomplete
 /// answer; a slot becomes free about this often.
-const ANSWERED_BACKOFF: Duration = Duration::from_millis(100);
-/// A resumable stream without a first event for this long is retried on another server, if its
-/// current server makes no progress on other requests either.
+pub(crate) const ANSWERED_BACKOFF: Duration = Duration::from_millis(100);
+/// A resumable stream without a first event for this long looks for another server. One whose answer
+/// has begun does so only if its server makes no progress on other requests either.
 pub(crate) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(700);
 /// `retry_after` for streams when no group can serve the model; a repair takes about this long.
 const STREAM_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -82,12 +79,12 @@
 pub(crate) struct CallProgress {
     /// Servers to which the request was sent or no connection could be made.
     pub(crate) tried: Vec<ServerId>,
-    /// Number of servers to which the request was sent.
+    /// Number of servers to which the request was sent, those included that it is being sent to.
     pub(crate) sends: u32,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
     /// Whether a request has left this process and its outcome is not known.
-    pub(crate) is_sending: AtomicBool,
+    pub(crate) is_sending: Arc<AtomicBool>,
     /// Servers whose connection broke before they had answered.
     pub(crate) crashes: u32,
     /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
@@ -165,14 +162,6 @@
             if streams && answer.head.status.is_success() {
                 return Ok(FetchedAnswer::Stream(answer));
             }
-            let failed = answer.head.status.is_server_error();
-            if failed && ctx.kind.is_retryable() && self.has_retry_target(ctx, progress) {
-                let status = answer.head.status.as_u16();
-                info!(id = %ctx.id, decision = "again", server = %answer.server.id, status,
-                    why = "server failed", "request");
-                answer.server.counters.note_failure(self.shared.clock.now(), ANSWERED_BACKOFF);
-                continue;
-            }
             let remaining = ctx.expires_at.since(self.shared.clock.now());
             let server = answer.server.clone();
             match collect_answer(&self.codec, &self.shared.buffers, answer, remaining).await {
@@ -204,155 +193,8 @@
         }
     }
 
-    /// Sends the request to one server after another until one returns an answer head. Fails when no
-    /// server is left, when time or the retry budget runs out, or when a retry could run the request
-    /// twice.
-    pub(crate) async fn send_until_answered(
-        &self,
-        ctx: &CallContext,
-        progress: &mut CallProgress,
-    ) -> Result<Box<LiveAnswer>, Refusal> {
-        loop {
-            if ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING {
-                return Err(self.final_refusal(ctx, progress, SendObstacle::Time));
-            }
-            if !self.can_finish(ctx) {
-                return Err(self.cut_short(progress));
-            }
-            self.check_suspects(ctx, progress).await?;
-            let server = match self.next_server(ctx, progress).await {
-                Ok(server) => server,
-                Err(obstacle) => return Err(self.final_refusal(ctx, progress, obstacle)),
-            };
-            let now = self.shared.clock.now();
-            let remaining = ctx.expires_at.since(now);
-            if remaining < MIN_REMAINING {
-                // It ran out while another process was asked.
-                return Err(self.final_refusal(ctx, progress, SendObstacle::Time));
-            }
-            if !self.can_finish(ctx) {
-                // The stop began while another process was asked.
-                return Err(self.cut_short(progress));
-            }
-            let wait = HeadWait {
-                patience: self.head_timeout(ctx, progress, &server, remaining),
-                total: remaining,
-                may_move: || self.can_finish(ctx),
-            };
-            self.shared.metrics.note_send(ctx.kind, progress.sends > 0);
-            let request = self.write_call(ctx, progress, &server, remaining);
-            info!(id = %ctx.id, decision = "sent", route = %ctx.route, server = %server.id,
-                load = server.counters.load(now), send = progress.sends + 1,
-                left_ms = remaining.as_millis() as u64, "request");
-            let sent_at = self.shared.clock.now();
-            let is_sent = &progress.is_sending;
-            let departure = ctx.trace.presence.time_departure(self.shared.metrics.departures());
-            let outcome = send_call(
-                &self.codec,
-                &self.shared.paths,
-                &ctx.id,
-                &server,
-                request,
-                wait,
-                departure,
-                is_sent,
-            )
-            .await;
-            progress.is_sending.store(false, Ordering::Relaxed);
-            match outcome {
-                SendOutcome::Answer(answer, facts) => {
-                    progress.note_send(&server);
-                    progress.may_have_run = true;
-                    let now = self.shared.clock.now();
-                    server.counters.note_progress(now);
-                    self.shared.note_facts(&server, &facts, sent_at, now);
-                    return Ok(answer);
-                }
-                SendOutcome::NotSent(error) => {
-                    progress.tried.push(server.id.clone());
-                    server.counters.note_failure(self.shared.clock.now(), FAILURE_BACKOFF);
-                    self.shared.report_stall(&server);
-                    info!(id = %ctx.id, decision = "not-sent", server = %server.id,
-                        why = %error, "request");
-                }
-                SendOutcome::NotRun(facts) => {
-                    progress.note_send(&server);
-                    let now = self.shared.clock.now();
-                    server.counters.note_failure(now, ANSWERED_BACKOFF);
-                    let why = if facts.verdict == Verdict::OtherServer {
-                        "another server has the address"
-                    } else {
-                        self.shared.note_facts(&server, &facts, sent_at, now);
-                        "server did not run the request"
-                    };
-                    info!(id = %ctx.id, decision = "not-run", server = %server.id, why,
-                        "request");
-                }
-                SendOutcome::Lost(why) => {
-                    progress.note_send(&server);
-                    progress.may_have_run = true;
-                    server.counters.note_failure(self.shared.clock.now(), FAILURE_BACKOFF);
-                    self.shared.report_stall(&server);
-                    self.shared.metrics.note_loss(ctx.kind, why);
-                    let now = self.shared.clock.now();
-                    let waited_ms = now.since(sent_at).as_millis() as u64;
-                    let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
-                    info!(id = %ctx.id, decision = "lost", server = %server.id, %why, waited_ms,
-                        busy, "request");
-                    if why.is_broken_connection() {
-                        progress.crashes += 1;
-                        check_crash(&self.shared, ctx, &server).await;
-                    }
-                    if !ctx.kind.is_retryable() {
-                        return Err(self.unresolved_refusal(ctx));
-                    }
-                }
-            }
-        }
-    }
-
-    /// How long to wait for an answer head. Shorter than the remaining time if the request can be
-    /// retried on another server.
-    fn head_timeout(
-        &self,
-        ctx: &CallContext,
-        progress: &CallProgress,
-        server: &BackendServer,
-        remaining: Duration,
-    ) -> Duration {
-        let no_other_server = !self.has_other_server(ctx, progress, server);
-        if !ctx.kind.is_retryable() || progress.sends + 1 >= ctx.attempts || no_other_server {
-            return remaining;
-        }
-        match ctx.kind {
-            RequestKind::Stream { .. } => FIRST_EVENT_TIMEOUT.min(remaining),
-            _ => remaining / 2,
-        }
-    }
-
-    fn write_call(
-        &self,
-        ctx: &CallContext,
-        progress: &CallProgress,
-        server: &BackendServer,
-        remaining: Duration,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(ctx.body.clone()));
-        *request.method_mut() = ctx.method.clone();
-        *request.uri_mut() = ctx.uri.clone();
-        *request.headers_mut() = ctx.headers.clone();
-        let call = BackendCall {
-            server: &server.id,
-            workspace: ctx.workspace.as_ref(),
-            time_left: remaining,
-            last_event: progress.last_event,
-        };
-        self.codec.write_call(request.headers_mut(), &call);
-        request
-    }
-
     /// The refusal of a request that may have run and must not be sent again.
-    fn unresolved_refusal(&self, ctx: &CallContext) -> Refusal {
+    pub(crate) fn unresolved_refusal(&self, ctx: &CallContext) -> Refusal {
         let is_over = ctx.expires_at.since(self.shared.clock.now()) < MIN_REMAINING;
         Refusal::new(if is_over { RefusalKind::TimedOut } else { RefusalKind::Failed })
     }
@@ -400,10 +242,3 @@
     /// A stream that has begun.
     Stream(Box<LiveAnswer>),
 }
-
-impl CallProgress {
-    fn note_send(&mut self, server: &BackendServer) {
-        self.tried.push(server.id.clone());
-        self.sends += 1;
-    }
-}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -42,7 +42,7 @@
     /// The servers that accept requests now, by service.
     pub servers: ArcSwap<ServerTable>,
     /// This process's share of the retry limit.
-    pub budget: RetryBudget,
+    pub budget: Arc<RetryBudget>,
     /// Number of processes that share the retry limit.
     pub processes: AtomicUsize,
     /// Whether callers already use the system. Set by the first request that has a route and, where
@@ -76,7 +76,7 @@
             config: ArcSwapOption::empty(),
             standing: watch::Sender::default(),
             servers: ArcSwap::from_pointee(ServerTable::default()),
-            budget,
+            budget: Arc::new(budget),
             processes: AtomicUsize::new(1),
             in_traffic: AtomicBool::new(false),
             stop: StopWatch::default(),
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -177,6 +177,22 @@
     assert!(budget.try_take(&service, 1, later));
 }
 
+/// A request that asked for a second server and stayed at the first one used up a retry of others.
+#[test]
+fn a_retry_that_is_not_used_is_given_back() {
+    let service = ServiceName::new("s").unwrap();
+    let budget = Arc::new(RetryBudget::new(retry_limits(), Tick(0)));
+    budget.set_limits(RetryLimits { ratio: 0.0, slack: 2.5, ..retry_limits() });
+    let first = budget.take_permit(&service, 1, NOW).unwrap();
+    let second = budget.take_permit(&service, 1, NOW).unwrap();
+    assert!(budget.take_permit(&service, 1, NOW).is_none());
+    drop(first);
+    let third = budget.take_permit(&service, 1, NOW).unwrap();
+    second.spend();
+    third.spend();
+    assert!(!budget.try_take(&service, 1, NOW), "both were used");
+}
+
 fn route(name: &str, prefix: &str) -> RouteRule {
     RouteRule {
         name: name.into(),
