Leave a stream only for another server's first event, and count servers reached

Cause: a head counted as an answer, and sends, attempts and failures were counted where they began or ended rather than where they took effect.

Now a stream that another server may still serve is answered by the first event; the attempts count servers that the request reached, recorded as it departs (SendRecord); a search runs beside the reading of the present stream and ends with the request's time; a server's failure waits for half of the time left at most; a place is taken again after an outcome that it did not know of, and a turn at a suspect is asked for last.

Not mended: a bound of all answers together still leaves a sound stream.

--- a/crates/relay/src/caution.rs
+++ b/crates/relay/src/caution.rs
@@ -4,9 +4,10 @@
     crate::{
         codec::RequestCodec,
         obstacle::SendObstacle,
+        progress::CallProgress,
         request::{Refusal, RefusalKind},
         server::BackendServer,
-        service::{CallContext, CallProgress, RelayService},
+        service::{CallContext, RelayService},
     },
     base::Tick,
     std::time::Duration,
@@ -23,7 +24,7 @@
         ctx: &CallContext,
         progress: &CallProgress,
     ) -> Result<(), Refusal> {
-        if progress.sends > 0 {
+        if progress.record.reached_count() > 0 {
             self.check_resend(ctx, progress)?;
         }
         let Some(trial) = self.shared.poison.trial(&ctx.suspects) else { return Ok(()) };
@@ -49,7 +50,7 @@
     fn check_resend(&self, ctx: &CallContext, progress: &CallProgress) -> Result<(), Refusal> {
         let poison = &self.shared.poison;
         let refused = poison.refused(&ctx.suspects);
-        let is_likely = progress.crashes > 0 && poison.has_likely_part(&ctx.suspects);
+        let is_likely = progress.record.has_break() && poison.has_likely_part(&ctx.suspects);
         if refused.is_none() && !is_likely {
             return Ok(());
         }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -1,7 +1,10 @@
 //! Tells whether a server crashed while it worked on requests.
 
 use {
-    crate::{server::BackendServer, service::CallContext, shared::RelayShared},
+    crate::{
+        loss::LossCause, progress::SendRecord, server::BackendServer, service::CallContext,
+        shared::RelayShared,
+    },
     base::Tick,
     futures::stream::{FuturesUnordered, StreamExt},
     rand::seq::IteratorRandom,
@@ -77,6 +80,22 @@
     let _ = timeout(CHECK_WAIT, check).await;
 }
 
+/// Records that the stream of a server is incomplete because of `why`: where its connection ended, the
+/// request may have crashed it, unless the answer `is_sound`.
+pub(crate) async fn note_break(
+    shared: &Arc<RelayShared>,
+    ctx: &CallContext,
+    record: &SendRecord,
+    server: &BackendServer,
+    why: LossCause,
+    is_sound: bool,
+) {
+    if why.is_broken_connection() && !is_sound {
+        record.note_break();
+        check_crash(shared, ctx, server).await;
+    }
+}
+
 /// Whether this process reaches any other server. One that all servers refuse is more likely cut off
 /// than all of them crashed. True if there is no other.
 async fn reaches_another(shared: &RelayShared, server: &BackendServer) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,38 +8,57 @@
     crate::{
         codec::{BackendCall, RequestCodec, Verdict},
         crash::check_crash,
+        first_event::wait_for_event,
         loss::LossCause,
         obstacle::SendObstacle,
         place::{PlaceError, PlaceSearch, ServerPlace},
+        progress::CallProgress,
         pump::STALL_THRESHOLD,
         request::{Refusal, RequestKind},
         send::{LiveAnswer, SendOutcome, send_call},
         sends::{OpenSends, SendReport},
-        server::BackendServer,
+        server::{BackendServer, ServerId},
         service::{
-            ANSWERED_BACKOFF, CallContext, CallProgress, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT,
-            RelayService,
+            ANSWERED_BACKOFF, CallContext, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService,
         },
     },
     bytes::Bytes,
     futures::FutureExt,
     http::Request,
     http_body_util::Full,
-    std::{future::pending, sync::atomic::Ordering, time::Duration},
+    std::{future::pending, time::Duration},
     tokio::time::{Instant, sleep_until},
     tracing::info,
 };
 
+/// What counts as the answer to a stream. For other requests it is the head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamSign {
+    /// The head, unless the stream may still get its answer from another server.
+    Head,
+    /// The first event, or the whole end of a stream that is resumed.
+    Event,
+}
+
 /// What one outcome means for its request.
 enum ExchangeStep {
     /// The request has its answer.
     Answered(Box<LiveAnswer>),
+    /// The head of a stream is there, and its first event is not.
+    Begins(Box<LiveAnswer>),
     /// A server failed a request that another one may still answer.
     Failed(Box<LiveAnswer>),
     /// There is no answer of that server.
     Unanswered,
 }
 
+/// The failure of a server that is passed on if no other server answers in time.
+struct HeldFailure {
+    answer: Box<LiveAnswer>,
+    until: Instant,
+    is_noted: bool,
+}
+
 impl<C: RequestCodec> RelayService<C> {
     /// Sends the request until a server returns an answer head. Fails when no place is left, when
     /// time runs out, or when a further send could run the request twice. The failure of a server is
@@ -49,65 +68,74 @@
         ctx: &CallContext,
         progress: &mut CallProgress,
     ) -> Result<Box<LiveAnswer>, Refusal> {
-        match self.take_place(ctx, progress).await {
-            Ok(place) => self.send_from(place, ctx, progress).await,
+        match self.take_place(ctx, progress, &[]).await {
+            Ok(place) => self.send_from(place, ctx, progress, StreamSign::Head).await,
             Err(error) => Err(self.refusal_without_place(ctx, progress, error)),
         }
     }
 
     /// Like [`Self::send_until_answered`], from a place that was taken.
-    pub(crate) async fn send_from(
+    async fn send_from(
         &self,
         place: ServerPlace,
         ctx: &CallContext,
         progress: &mut CallProgress,
+        sign: StreamSign,
     ) -> Result<Box<LiveAnswer>, Refusal> {
         let mut sends = OpenSends::default();
         let mut search = PlaceSearch::default();
-        let mut failed: Option<Box<LiveAnswer>> = None;
+        let mut failure: Option<HeldFailure> = None;
         let mut place = Some(place);
         let mut search_at = None;
-        let mut is_patient = true;
+        let mut silent = Vec::new();
         loop {
             // What arrived while a place was looked for comes first: it may make the place needless.
             let mut report = sends.ready();
             if report.is_none() {
                 if let Some(place) = place.take() {
-                    if let Some(answer) = &failed {
-                        self.log_again(ctx, answer);
-                    }
+                    self.note_again(ctx, failure.as_mut());
                     self.start_send(ctx, progress, place, &mut sends);
-                    is_patient = true;
                     search_at = self.patience(ctx).map(|patience| Instant::now() + patience);
                 }
-                report = wait_for_report(&mut sends, search_at).await;
+                let failure_until = failure.as_ref().map(|failure| failure.until);
+                let until = search_at.into_iter().chain(failure_until).min();
+                report = wait_for_report(&mut sends, until).await;
             }
             match report {
                 Some(report) => {
-                    let is_last = sends.is_empty();
-                    progress.is_sending.store(!is_last, Ordering::Relaxed);
-                    match self.take_report(ctx, progress, report).await? {
+                    progress.record.set_open(!sends.is_empty());
+                    let is_alone = sends.is_empty() && sign == StreamSign::Head;
+                    match self.take_report(ctx, progress, report, is_alone).await? {
                         ExchangeStep::Answered(answer) => {
                             self.note_left(ctx, &sends, &answer.server);
                             return Ok(answer);
                         }
-                        ExchangeStep::Failed(answer) => failed = Some(answer),
+                        ExchangeStep::Begins(answer) => {
+                            self.await_event(ctx, progress, answer, &mut sends);
+                            continue;
+                        }
+                        ExchangeStep::Failed(answer) => {
+                            let left = ctx.expires_at.since(self.shared.clock.now());
+                            let until = Instant::now() + left / 2;
+                            failure = Some(HeldFailure { answer, until, is_noted: false });
+                        }
                         ExchangeStep::Unanswered => {}
                     }
+                    // It was taken before this outcome was known.
+                    place = None;
                 }
-                None if is_patient => {
-                    is_patient = false;
-                    self.note_silent(&sends);
-                }
-                None => {}
+                None => self.note_silent(&sends, &mut silent),
             }
-            if place.is_some() {
-                continue;
+            if let Some(held) = failure.take_if(|failure| failure.until <= Instant::now()) {
+                return Ok(held.answer);
             }
-            match self.take_place(ctx, progress).await {
+            match self.take_place(ctx, progress, sends.servers()).await {
                 Ok(found) => place = Some(found),
                 Err(error) if sends.is_empty() => {
-                    return failed.ok_or_else(|| self.refusal_without_place(ctx, progress, error));
+                    return match failure {
+                        Some(held) => Ok(held.answer),
+                        None => Err(self.refusal_without_place(ctx, progress, error)),
+                    };
                 }
                 Err(error) => {
                     let now = self.shared.clock.now();
@@ -120,10 +148,43 @@
         }
     }
 
+    /// Sends a stream to another server beside the one that has it. Fails with the reason if there is no
+    /// place, and without one if no server has answered.
+    pub(crate) async fn send_elsewhere(
+        &self,
+        ctx: &CallContext,
+        progress: &mut CallProgress,
+    ) -> Result<Box<LiveAnswer>, Option<PlaceError>> {
+        let place = self.take_place(ctx, progress, &[]).await.map_err(Some)?;
+        self.send_from(place, ctx, progress, StreamSign::Event).await.map_err(|_| None)
+    }
+
+    /// Waits on for the first event of a stream whose head was received.
+    fn await_event<'a>(
+        &'a self,
+        ctx: &CallContext,
+        progress: &CallProgress,
+        answer: Box<LiveAnswer>,
+        sends: &mut OpenSends<'a>,
+    ) {
+        let sent_at = self.shared.clock.now();
+        let ends_at = Instant::now() + ctx.expires_at.since(sent_at);
+        let is_resumed = progress.last_event.is_some();
+        let buffers = &self.shared.buffers;
+        let shares = [buffers.open(), buffers.open()];
+        let server = answer.server.clone();
+        let target = server.clone();
+        let report = async move {
+            let outcome = wait_for_event(answer, is_resumed, shares, ends_at).await;
+            SendReport { server: target, sent_at, outcome }
+        };
+        sends.push(server, report.boxed());
+    }
+
     fn start_send<'a>(
         &'a self,
         ctx: &'a CallContext,
-        progress: &mut CallProgress,
+        progress: &CallProgress,
         place: ServerPlace,
         sends: &mut OpenSends<'a>,
     ) {
@@ -131,21 +192,20 @@
         let remaining = ctx.expires_at.since(sent_at);
         let ends_at = Instant::now() + remaining;
         let server = place.server().clone();
-        self.shared.metrics.note_send(ctx.kind, progress.sends > 0);
+        let before = progress.record.reached_count().max(sends.servers().len());
+        self.shared.metrics.note_send(ctx.kind, before > 0);
         let request = self.write_call(ctx, progress, &server, remaining);
-        progress.tried.push(server.id.clone());
-        progress.sends += 1;
         info!(id = %ctx.id, decision = "sent", route = %ctx.route, server = %server.id,
-            load = server.counters.load(sent_at), send = progress.sends,
+            load = server.counters.load(sent_at), send = before + 1,
             left_ms = remaining.as_millis() as u64, "request");
         let departure = ctx.trace.presence.time_departure(self.shared.metrics.departures());
-        let is_sent = progress.is_sending.clone();
+        let record = progress.record.clone();
+        record.note_attempt(&server.id);
         let target = server.clone();
         let report = async move {
             let (codec, paths) = (&self.codec, &self.shared.paths);
             let outcome =
-                send_call(codec, paths, &ctx.id, place, request, ends_at, departure, &is_sent)
-                    .await;
+                send_call(codec, paths, &ctx.id, place, request, ends_at, departure, &record).await;
             SendReport { server: target, sent_at, outcome }
         };
         sends.push(server, report.boxed());
@@ -157,23 +217,30 @@
         ctx: &CallContext,
         progress: &mut CallProgress,
         report: SendReport,
+        is_alone: bool,
     ) -> Result<ExchangeStep, Refusal> {
         let SendReport { server, sent_at, outcome } = report;
         let now = self.shared.clock.now();
+        if !progress.tried.contains(&server.id) {
+            progress.tried.push(server.id.clone());
+        }
         match outcome {
             SendOutcome::Answer(answer, facts) => {
                 progress.may_have_run = true;
                 server.counters.note_progress(now);
                 self.shared.note_facts(&server, &facts, sent_at, now);
-                let failed = answer.head.status.is_server_error() && ctx.kind.is_retryable();
-                Ok(if failed {
+                let status = answer.head.status;
+                Ok(if status.is_server_error() && ctx.kind.is_retryable() {
                     ExchangeStep::Failed(answer)
+                } else if status.is_success() && ctx.kind.is_stream() && !is_alone {
+                    ExchangeStep::Begins(answer)
                 } else {
                     ExchangeStep::Answered(answer)
                 })
             }
+            SendOutcome::Begun(answer) => Ok(ExchangeStep::Answered(answer)),
+            SendOutcome::OutOfTime => Ok(ExchangeStep::Unanswered),
             SendOutcome::NotSent(error) => {
-                progress.sends -= 1;
                 server.counters.note_failure(now, FAILURE_BACKOFF);
                 self.shared.report_stall(&server);
                 info!(id = %ctx.id, decision = "not-sent", server = %server.id, why = %error,
@@ -201,7 +268,7 @@
                 info!(id = %ctx.id, decision = "lost", server = %server.id, %why, waited_ms, busy,
                     "request");
                 if why.is_broken_connection() {
-                    progress.crashes += 1;
+                    progress.record.note_break();
                     check_crash(&self.shared, ctx, &server).await;
                 }
                 if ctx.kind.is_retryable() {
@@ -224,11 +291,15 @@
         }
     }
 
-    /// Records that servers have been silent for too long. One that works on other requests is not
-    /// held back for them.
-    fn note_silent(&self, sends: &OpenSends<'_>) {
+    /// Records that servers have been silent for too long, once for each. One that works on other
+    /// requests is not held back for them.
+    fn note_silent(&self, sends: &OpenSends<'_>, noted: &mut Vec<ServerId>) {
         let now = self.shared.clock.now();
         for server in sends.servers() {
+            if noted.contains(&server.id) {
+                continue;
+            }
+            noted.push(server.id.clone());
             if !server.counters.progressed_within(now, STALL_THRESHOLD) {
                 self.note_stalled(server);
             }
@@ -251,11 +322,14 @@
         }
     }
 
-    fn log_again(&self, ctx: &CallContext, failed: &LiveAnswer) {
-        let now = self.shared.clock.now();
-        failed.server.counters.note_failure(now, ANSWERED_BACKOFF);
-        let status = failed.head.status.as_u16();
-        info!(id = %ctx.id, decision = "again", server = %failed.server.id, status,
+    /// Records, once, that a request goes to another server after one has failed it.
+    fn note_again(&self, ctx: &CallContext, failure: Option<&mut HeldFailure>) {
+        let Some(failure) = failure.filter(|failure| !failure.is_noted) else { return };
+        failure.is_noted = true;
+        let server = &failure.answer.server;
+        server.counters.note_failure(self.shared.clock.now(), ANSWERED_BACKOFF);
+        let status = failure.answer.head.status.as_u16();
+        info!(id = %ctx.id, decision = "again", server = %server.id, status,
             why = "server failed", "request");
     }
 
--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -6,8 +6,9 @@
         codec::RequestCodec,
         obstacle::SendObstacle,
         place::{PlaceError, ServerPlace},
-        server::BackendServer,
-        service::{CallContext, CallProgress, DEFAULT_RETRY_AFTER, MIN_REMAINING, RelayService},
+        progress::CallProgress,
+        server::{BackendServer, ServerId},
+        service::{CallContext, DEFAULT_RETRY_AFTER, MIN_REMAINING, RelayService},
     },
     base::Tick,
     limit::ServerRoom,
@@ -23,15 +24,17 @@
 
 impl<C: RequestCodec> RelayService<C> {
     /// Takes a place for the next send, if there is one and the request is sure to end in time. Asks
-    /// other processes first where they share the limit of a server.
+    /// other processes first where they share the limit of a server. `waiting` are the servers to which
+    /// the request is being sent.
     pub(crate) async fn take_place(
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
+        waiting: &[BackendServer],
     ) -> Result<ServerPlace, PlaceError> {
         self.check_time(ctx)?;
+        let place = self.find_place(ctx, progress, waiting).await?;
         self.check_suspects(ctx, progress).await.map_err(PlaceError::HeldBack)?;
-        let place = self.find_place(ctx, progress).await?;
         // It may have run out while another process was asked.
         self.check_time(ctx)?;
         Ok(place)
@@ -49,16 +52,14 @@
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
+        waiting: &[BackendServer],
     ) -> Result<ServerPlace, SendObstacle> {
-        if progress.sends >= ctx.attempts {
-            return Err(SendObstacle::Attempts);
-        }
-        let is_retry = progress.sends > 0;
+        let is_retry = progress.record.reached_count() > 0 || !waiting.is_empty();
         let mut permit = None;
         let mut denials = 0;
         loop {
             let now = self.shared.clock.now();
-            let (server, room) = self.choose(ctx, progress, denials < MAX_DENIALS, now)?;
+            let (server, room) = self.choose(ctx, progress, waiting, denials < MAX_DENIALS, now)?;
             if is_retry && permit.is_none() {
                 let processes = self.shared.processes.load(Ordering::Relaxed);
                 permit = self.shared.budget.take_permit(&ctx.service, processes, now);
@@ -86,14 +87,25 @@
         &self,
         ctx: &CallContext,
         progress: &CallProgress,
+        waiting: &[BackendServer],
         may_ask: bool,
         now: Tick,
     ) -> Result<(BackendServer, ServerRoom), SendObstacle> {
         let table = self.shared.servers.load();
         let sample = rand::random();
-        let facts = ChoiceFacts { tried: &progress.tried, sample, now };
+        let record = &progress.record;
+        let departing = waiting.iter().filter(|server| !record.has_reached(&server.id)).count();
+        // The attempts of a route are servers: one that was sent to and left may be sent to again.
+        let is_used_up = record.reached_count() + departing >= ctx.attempts as usize;
+        let may_reach = |server: &BackendServer| !is_used_up || record.has_reached(&server.id);
+        let waiting = waiting.iter().map(|server| server.id.clone());
+        let tried: Vec<ServerId> =
+            progress.tried.iter().cloned().chain(waiting).chain(record.unreached()).collect();
+        let facts = ChoiceFacts { tried: &tried, sample, now };
         let room = |server: &BackendServer| self.shared.limits.room(&server.id, sample, now);
-        let candidates = || table.candidates(&ctx.service, ctx.model.as_ref());
+        let candidates = || {
+            table.candidates(&ctx.service, ctx.model.as_ref()).filter(|server| may_reach(server))
+        };
         let unlimited = candidates().filter(|server| room(server) == ServerRoom::Unlimited);
         let limited = candidates().filter(|server| match room(server) {
             ServerRoom::Own => true,
@@ -107,6 +119,7 @@
             ServerChoice::NoCandidate if candidates().any(|server| facts.allows(server)) => {
                 Err(SendObstacle::Limit)
             }
+            ServerChoice::NoCandidate if is_used_up => Err(SendObstacle::Attempts),
             ServerChoice::NoCandidate => Err(SendObstacle::NoServer),
         }
     }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,7 +11,7 @@
     std::time::Duration,
 };
 
-/// The right to send one request to one server. While it is held, the request counts as load of the
+/// The right to send one request to one server. While it is held, the request counts as in flight at the
 /// server and, unless it is the first send, against the retry budget; a place that is dropped unused
 /// gives both back. Room below a limit that the server named is not given back: the process that
 /// granted it has passed its turn on.
@@ -90,11 +90,6 @@
 }
 
 impl PlaceSearch {
-    /// Whether there was no look yet.
-    pub(crate) fn is_new(&self) -> bool {
-        self.looked_at.is_none()
-    }
-
     /// Whether to look now.
     pub(crate) fn is_due(&self, now: Tick) -> bool {
         !self.is_over && self.looked_at.is_none_or(|at| now.since(at) >= SEARCH_INTERVAL)
@@ -105,6 +100,11 @@
         (!self.is_over).then_some(SEARCH_INTERVAL)
     }
 
+    /// Records that another server had a place and did not take the request.
+    pub(crate) fn note_refused(&mut self, now: Tick) {
+        self.looked_at = Some(now);
+    }
+
     /// Records that there was no place. Returns the obstacle if it is another one than before.
     pub(crate) fn note_none(&mut self, error: &PlaceError, now: Tick) -> Option<SendObstacle> {
         let obstacle = error.obstacle();
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -5,15 +5,16 @@
     crate::{
         buffered::BufferShare,
         codec::RequestCodec,
-        crash::{AnswerProgress, check_crash},
+        crash::{AnswerProgress, note_break},
         loss::LossCause,
         obstacle::SendObstacle,
-        place::{PlaceSearch, ServerPlace},
+        place::PlaceSearch,
+        progress::CallProgress,
         reader::{EventReader, ReadStep},
         request::RequestKind,
         send::LiveAnswer,
         server::BackendServer,
-        service::{CallContext, CallProgress, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
+        service::{CallContext, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
     base::Tick,
@@ -30,7 +31,10 @@
         time::Duration,
     },
     stop::WorkEnd,
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
     tracing::info,
 };
 
@@ -154,6 +158,10 @@
     idle: IdleTime,
     /// Since the last event.
     search: PlaceSearch,
+    /// Whether the present silence was noted as a failure of the server.
+    is_stall_noted: bool,
+    /// Whether the end of the server's connection was checked for a crash.
+    is_break_noted: bool,
 }
 
 impl<C: RequestCodec> StreamPump<C> {
@@ -184,6 +192,8 @@
             answered: AnswerProgress::default(),
             idle,
             search: PlaceSearch::default(),
+            is_stall_noted: false,
+            is_break_noted: false,
         };
         tokio::spawn(pump.run(answer));
         response
@@ -196,6 +206,8 @@
             self.answered = AnswerProgress::default();
             self.idle = IdleTime::new(self.service.shared.clock.now());
             self.search = PlaceSearch::default();
+            self.is_stall_noted = false;
+            self.is_break_noted = false;
             let end = self.forward(&mut answer).await;
             drop(answer);
             let end = match end {
@@ -235,11 +247,20 @@
         }
     }
 
-    /// Checks whether a server whose connection ended has crashed.
+    /// Checks, once, whether a server whose connection ended has crashed.
     async fn note_crash(&mut self, server: &BackendServer, why: LossCause) {
-        if why.is_broken_connection() && !self.answered.is_sound() {
-            self.progress.crashes += 1;
-            check_crash(&self.service.shared, &self.ctx, server).await;
+        if !self.is_break_noted {
+            self.is_break_noted = true;
+            let is_sound = self.answered.is_sound();
+            note_break(
+                &self.service.shared,
+                &self.ctx,
+                &self.progress.record,
+                server,
+                why,
+                is_sound,
+            )
+            .await;
         }
     }
 
@@ -338,7 +359,7 @@
                 biased;
                 () = self.pieces.closed() => return ForwardEnd::CallerLeft,
                 // First, so that a stream that is whole does not count as cut.
-                frame = timeout(STALL_THRESHOLD.min(remaining), answer.body.frame()) => frame,
+                frame = timeout(STALL_THRESHOLD.min(remaining), answer.frame()) => frame,
                 () = &mut ending => return ForwardEnd::Stopping,
             };
             let read = frame.map(|frame| self.reader.read(frame));
@@ -377,6 +398,7 @@
         let now = self.service.shared.clock.now();
         self.idle = IdleTime::new(now);
         self.search = PlaceSearch::default();
+        self.is_stall_noted = false;
         if self.answered.note_event(now) {
             self.service.shared.poison.note_sound(&self.ctx.suspects);
         }
@@ -422,26 +444,19 @@
             return ForwardStep::Stays;
         }
         self.progress.last_event = self.reader.last_id();
-        match self.service.take_place(&self.ctx, &self.progress).await {
-            Ok(place) => self.race(answer, place, why).await,
-            Err(error) => {
-                if let Some(obstacle) = self.search.note_none(&error, now) {
-                    self.service.log_kept(&self.ctx, slice::from_ref(&answer.server), obstacle);
-                }
-                ForwardStep::Stays
-            }
-        }
+        self.race(answer, why).await
     }
 
     /// Whether the stream should look for another server after `idle` without an event. Also reports a
     /// server that makes no progress on any request of this process.
-    fn is_stalled(&self, server: &BackendServer, idle: Duration) -> bool {
+    fn is_stalled(&mut self, server: &BackendServer, idle: Duration) -> bool {
         let limit = if self.reader.has_first() { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
         let now = self.service.shared.clock.now();
         let is_busy = server.counters.progressed_within(now, STALL_THRESHOLD);
         let is_stalled = idle >= limit * if is_busy { MAX_EVENT_TIMEOUTS } else { 1 };
         let may_move = is_stalled && self.ctx.kind.is_retryable() && self.reader.is_resumable();
-        if !is_busy && may_move && self.search.is_new() {
+        if !is_busy && may_move && !self.is_stall_noted {
+            self.is_stall_noted = true;
             self.service.note_stalled(server);
         } else if !is_busy {
             self.service.shared.report_stall(server);
@@ -449,35 +464,53 @@
         may_move
     }
 
-    /// Sends the request to a place at another server, and forwards whichever goes on first.
-    async fn race(
-        &mut self,
-        answer: &mut LiveAnswer,
-        place: ServerPlace,
-        why: LossCause,
-    ) -> ForwardStep {
-        let service = self.service.clone();
+    /// Looks for a place at another server, sends the request there, and forwards whichever goes on
+    /// first.
+    async fn race(&mut self, answer: &mut LiveAnswer, why: LossCause) -> ForwardStep {
+        let (service, ctx) = (self.service.clone(), &self.ctx);
+        let record = self.progress.record.clone();
+        let remaining = ctx.expires_at.since(service.shared.clock.now());
         let mut broken = None;
-        let mut sending = pin!(service.send_from(place, &self.ctx, &mut self.progress));
+        let mut sending = pin!(service.send_elsewhere(ctx, &mut self.progress));
         let mut ending = pin!(service.ending());
-        loop {
+        let mut time_over = pin!(sleep(remaining));
+        let sent = loop {
             tokio::select! {
                 biased;
                 () = self.pieces.closed() => return ForwardStep::Ends(ForwardEnd::CallerLeft),
-                frame = answer.body.frame(), if broken.is_none() => match self.reader.read(frame) {
+                frame = answer.frame(), if broken.is_none() => match self.reader.read(frame) {
                     ReadStep::Events(events) => return ForwardStep::Events(events),
                     ReadStep::NoEvent => {}
-                    ReadStep::End(Err(why)) => broken = Some(why),
                     ReadStep::End(Ok(())) => return ForwardStep::Whole,
-                },
-                sent = &mut sending => return match (sent, broken) {
-                    (Ok(next), _) if next.head.status.is_success() => {
-                        ForwardStep::Ends(ForwardEnd::Moved { next, why: broken.unwrap_or(why) })
+                    ReadStep::End(Err(why)) => {
+                        // Known before the request goes to a third server.
+                        self.is_break_noted = true;
+                        let is_sound = self.answered.is_sound();
+                        let (shared, server) = (&service.shared, &answer.server);
+                        note_break(shared, ctx, &record, server, why, is_sound).await;
+                        broken = Some(why);
                     }
-                    (_, Some(why)) => ForwardStep::Ends(ForwardEnd::Broken(why)),
-                    (_, None) => ForwardStep::Stays,
                 },
+                sent = &mut sending => break sent,
                 () = &mut ending => return ForwardStep::Ends(ForwardEnd::Stopping),
+                () = &mut time_over => return ForwardStep::Ends(ForwardEnd::OutOfTime),
+            }
+        };
+        let now = service.shared.clock.now();
+        match (sent, broken) {
+            (Ok(next), _) if next.head.status.is_success() => {
+                ForwardStep::Ends(ForwardEnd::Moved { next, why: broken.unwrap_or(why) })
+            }
+            (_, Some(why)) => ForwardStep::Ends(ForwardEnd::Broken(why)),
+            (Err(Some(error)), None) => {
+                if let Some(obstacle) = self.search.note_none(&error, now) {
+                    service.log_kept(ctx, slice::from_ref(&answer.server), obstacle);
+                }
+                ForwardStep::Stays
+            }
+            (_, None) => {
+                self.search.note_refused(now);
+                ForwardStep::Stays
             }
         }
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -9,17 +9,21 @@
         codec::{AnswerFacts, RequestCodec, Verdict},
         loss::LossCause,
         place::ServerPlace,
+        progress::SendRecord,
         request::RequestId,
         server::{BackendServer, InFlight},
     },
     bytes::Bytes,
     caller::DepartureTimer,
     http::{Request, response},
-    http_body_util::Full,
-    hyper::{body::Incoming, client::conn::http1},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        body::{Frame, Incoming},
+        client::conn::http1,
+    },
     hyper_util::rt::TokioIo,
     reach::{ConnectError, ServerPaths},
-    std::sync::atomic::{AtomicBool, Ordering},
+    std::collections::VecDeque,
     tokio::time::{Instant, timeout_at},
     tokio_util::task::AbortOnDropHandle,
 };
@@ -35,11 +39,21 @@
     pub(crate) server: BackendServer,
     /// Whether a peer passes the connection on.
     pub(crate) is_forwarded: bool,
+    /// What was read of the body before the answer was chosen.
+    pub(crate) early: VecDeque<Bytes>,
     _driver: AbortOnDropHandle<()>,
     _in_flight: InFlight,
 }
 
 impl LiveAnswer {
+    /// The next frame of the body; `None` at its end.
+    pub(crate) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        match self.early.pop_front() {
+            Some(bytes) => Some(Ok(Frame::data(bytes))),
+            None => self.body.frame().await,
+        }
+    }
+
     /// Whether the head or the chunks say where the body ends, rather than the connection.
     pub(crate) fn is_framed(&self) -> bool {
         let headers = &self.head.headers;
@@ -52,16 +66,20 @@
 pub(crate) enum SendOutcome {
     /// No byte of the request left this process.
     NotSent(ConnectError),
+    /// The time of the request was over before there was a connection.
+    OutOfTime,
     /// The server answered that it did not run the request.
     NotRun(AnswerFacts),
     /// The request may have been sent, and no valid answer to it was received.
     Lost(LossCause),
     /// The head of the answer was received.
     Answer(Box<LiveAnswer>, AnswerFacts),
+    /// The answer is a stream whose first event was received after its head.
+    Begun(Box<LiveAnswer>),
 }
 
-/// Sends a request and waits for the head of the answer until `ends_at`. Sets `is_sent` before the first
-/// byte of the request leaves this process.
+/// Sends a request and waits for the head of the answer until `ends_at`. Records the departure before the
+/// first byte of the request leaves this process.
 pub(crate) async fn send_call<C: RequestCodec>(
     codec: &C,
     paths: &ServerPaths,
@@ -70,12 +88,13 @@
     request: Request<Full<Bytes>>,
     ends_at: Instant,
     departure: DepartureTimer,
-    is_sent: &AtomicBool,
+    record: &SendRecord,
 ) -> SendOutcome {
     let server = place.server().clone();
-    let stream = match paths.connect(server.target(&id.0)).await {
-        Ok(stream) => stream,
-        Err(error) => return SendOutcome::NotSent(error),
+    let stream = match timeout_at(ends_at, paths.connect(server.target(&id.0))).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return SendOutcome::NotSent(error),
+        Err(_) => return SendOutcome::OutOfTime,
     };
     let is_forwarded = stream.is_forwarded();
     let in_flight = place.depart();
@@ -89,7 +108,7 @@
         // Its errors also reach the sender or the body, which report them.
         let _ = connection.await;
     }));
-    is_sent.store(true, Ordering::Relaxed);
+    record.note_departure(&server.id);
     let answer = match timeout_at(ends_at, sender.send_request(request)).await {
         Err(_) => return SendOutcome::Lost(LossCause::NoAnswer),
         Ok(Err(_)) => return SendOutcome::Lost(LossCause::ConnectionBroke),
@@ -106,6 +125,7 @@
                 body,
                 server,
                 is_forwarded,
+                early: VecDeque::new(),
                 _driver: driver,
                 _in_flight: in_flight,
             };
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -6,10 +6,10 @@
         codec::RequestCodec,
         crash::check_crash,
         obstacle::SendObstacle,
+        progress::CallProgress,
         pump::{RelayBody, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
         send::LiveAnswer,
-        server::ServerId,
         shared::RelayShared,
         trace::RequestTrace,
     },
@@ -20,10 +20,7 @@
     http_body_util::Full,
     hyper::body::Incoming,
     poison::RequestSuspects,
-    std::{
-        sync::{Arc, atomic::AtomicBool},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     stop::{StopPhase, WorkEnd},
     tracing::info,
 };
@@ -74,23 +71,6 @@
     pub(crate) trace: Arc<RequestTrace>,
 }
 
-/// State of one request that changes with each send.
-#[derive(Default)]
-pub(crate) struct CallProgress {
-    /// Servers to which the request was sent or no connection could be made.
-    pub(crate) tried: Vec<ServerId>,
-    /// Number of servers to which the request was sent, those included that it is being sent to.
-    pub(crate) sends: u32,
-    /// Whether a server may have run the request.
-    pub(crate) may_have_run: bool,
-    /// Whether a request has left this process and its outcome is not known.
-    pub(crate) is_sending: Arc<AtomicBool>,
-    /// Servers whose connection broke before they had answered.
-    pub(crate) crashes: u32,
-    /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
-    pub(crate) last_event: Option<u64>,
-}
-
 impl<C: RequestCodec> RelayService<C> {
     /// Creates a service over shared state.
     pub fn new(codec: C, shared: Arc<RelayShared>) -> Self {
@@ -182,7 +162,7 @@
                     info!(id = %ctx.id, decision = "broken", server = %server.id, %why,
                         "request");
                     if why.is_broken_connection() {
-                        progress.crashes += 1;
+                        progress.record.note_break();
                         check_crash(&self.shared, ctx, &server).await;
                     }
                     if !ctx.kind.is_retryable() {
@@ -207,7 +187,7 @@
         progress: &CallProgress,
         obstacle: SendObstacle,
     ) -> Refusal {
-        self.shared.metrics.note_obstacle(obstacle, progress.sends > 0);
+        self.shared.metrics.note_obstacle(obstacle, progress.record.reached_count() > 0);
         let now = self.shared.clock.now();
         let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
         let usual = match ctx.kind {
--- a/crates/relay/src/stopping.rs
+++ b/crates/relay/src/stopping.rs
@@ -3,12 +3,13 @@
 use {
     crate::{
         codec::RequestCodec,
+        progress::CallProgress,
         request::{Refusal, RefusalKind},
-        service::{CallContext, CallProgress, RelayService},
+        service::{CallContext, RelayService},
         trace::RequestTrace,
     },
     base::Tick,
-    std::{sync::atomic::Ordering, time::Duration},
+    std::time::Duration,
     stop::{OpenRequest, StopPhase, StopWatch},
     tracing::{info, warn},
 };
@@ -108,7 +109,7 @@
 
     /// The refusal of a request that this process can't finish.
     pub(crate) fn cut_short(&self, progress: &CallProgress) -> Refusal {
-        if progress.may_have_run || progress.is_sending.load(Ordering::Relaxed) {
+        if progress.may_have_run || progress.record.is_open() {
             Refusal::new(RefusalKind::CutShort)
         } else {
             self.stop_refusal()
