Take an answer without a length for whole only if its server is sound

Cause: the operating system ends the connections of a killed process in order, and the end of the connection was taken for that of the answer. The class is an end that two events share, taken for the one that is wanted.

Now the process opens a connection to the server 5 ms after such an end. Only if it is accepted, and the list has no other incarnation at the address, is the answer whole, and its prompt's parts sound. Otherwise a stream is resumed or cut, a safe request is sent again, any other one is unresolved (502).

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod events;
 mod exchange;
 mod identity;
+mod idle;
 mod limit_watch;
 mod loss;
 pub mod metrics;
@@ -44,6 +45,7 @@
 pub mod standing;
 mod stopping;
 mod trace;
+mod unframed;
 
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
--- a/crates/relay/src/loss.rs
+++ b/crates/relay/src/loss.rs
@@ -31,12 +31,23 @@
     Truncated,
     /// The answer exceeds the limit.
     TooLarge,
+    /// The answer ended with its connection, and its server is not known to be sound.
+    DoubtfulEnd,
+    /// The same for a server that was leaving.
+    LeavingEnd,
 }
 
 impl LossCause {
     /// Whether the connection ended, as it does when the server crashes.
     pub(crate) fn is_broken_connection(self) -> bool {
-        matches!(self, Self::ConnectionBroke | Self::NoEvent | Self::PartialEvent | Self::Truncated)
+        matches!(
+            self,
+            Self::ConnectionBroke
+                | Self::NoEvent
+                | Self::PartialEvent
+                | Self::Truncated
+                | Self::DoubtfulEnd
+        )
     }
 
     /// The value of this cause in logs and metric labels.
@@ -55,6 +66,8 @@
             Self::LengthTooLarge => "announced length is too large",
             Self::Truncated => "answer truncated",
             Self::TooLarge => "answer too large",
+            Self::DoubtfulEnd => "server not found sound after the end",
+            Self::LeavingEnd => "server left at the end",
         }
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -60,6 +60,13 @@
     crashed: &'static str,
 }
 
+/// Labels of checks whether a server is sound after an answer without a length.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndCheckLabels {
+    /// "true" if the server accepted a connection.
+    sound: &'static str,
+}
+
 /// Counters and histograms, by kind of request.
 #[derive(Debug)]
 pub struct RelayMetrics {
@@ -71,6 +78,7 @@
     first_event: Family<KindLabels, Histogram>,
     answer: Family<KindLabels, Histogram>,
     crash_checks: Family<CrashLabels, Counter>,
+    end_checks: Family<EndCheckLabels, Counter>,
     departures: Histogram,
 }
 
@@ -88,6 +96,7 @@
             first_event: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
             crash_checks: Family::default(),
+            end_checks: Family::default(),
             departures: Histogram::new(departure_bounds),
         }
     }
@@ -109,6 +118,8 @@
         registry.register("answer_seconds", help, self.answer.clone());
         let help = "Checks whether a server crashed that broke a connection, by result";
         registry.register("crash_checks", help, self.crash_checks.clone());
+        let help = "Checks whether a server is sound after an answer without a length, by result";
+        registry.register("end_checks", help, self.end_checks.clone());
         let help = "Time from seeing that a caller left to closing the connection to its server, \
                     in seconds";
         registry.register("caller_departure_seconds", help, self.departures.clone());
@@ -143,6 +154,11 @@
         self.crash_checks.get_or_create(&CrashLabels { crashed }).inc();
     }
 
+    pub(crate) fn note_end_check(&self, is_sound: bool) {
+        let sound = if is_sound { "true" } else { "false" };
+        self.end_checks.get_or_create(&EndCheckLabels { sound }).inc();
+    }
+
     pub(crate) fn note_first_event(&self, kind: RequestKind, wait: Duration) {
         let labels = KindLabels { kind: kind.label() };
         self.first_event.get_or_create(&labels).observe(wait.as_secs_f64());
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,6 +6,7 @@
         buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, check_crash},
+        idle::IdleTime,
         loss::LossCause,
         obstacle::SendObstacle,
         place::{PlaceSearch, ServerPlace},
@@ -16,7 +17,6 @@
         service::{CallContext, CallProgress, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
-    base::Tick,
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
@@ -106,7 +106,7 @@
 
 /// Why forwarding from one server ended.
 enum ForwardEnd {
-    /// The server ended its answer after a complete event.
+    /// The server ended its answer after the last event.
     Whole,
     /// The caller's connection closed.
     CallerLeft,
@@ -120,27 +120,6 @@
     Stopping,
 }
 
-/// How long a stream has had no event. A span in which this process itself was stopped counts as at
-/// most [`STALL_THRESHOLD`], because events may be waiting unread.
-struct IdleTime {
-    total: Duration,
-    checked_at: Tick,
-}
-
-impl IdleTime {
-    /// Starts at an event.
-    fn new(now: Tick) -> Self {
-        Self { total: Duration::ZERO, checked_at: now }
-    }
-
-    /// Adds the time since the last check and returns the sum.
-    fn extend(&mut self, now: Tick) -> Duration {
-        self.total += now.since(self.checked_at).min(STALL_THRESHOLD);
-        self.checked_at = now;
-        self.total
-    }
-}
-
 /// Forwards one stream to a caller, over all servers that serve parts of it.
 pub(crate) struct StreamPump<C> {
     service: Arc<RelayService<C>>,
@@ -253,7 +232,7 @@
         self.service.shared.metrics.note_loss(self.ctx.kind, why);
         self.reader.discard_partial();
         let after = self.reader.last_id().unwrap_or(0);
-        let idle_ms = self.idle.total.as_millis() as u64;
+        let idle_ms = self.idle.total_ms();
         info!(id = %self.ctx.id, decision = "moved", from = %from.id, to = %to.id, %why, after,
             idle_ms, "request");
     }
@@ -268,7 +247,7 @@
         shared.metrics.note_loss(self.ctx.kind, why);
         self.reader.discard_partial();
         let after = self.reader.last_id();
-        let idle_ms = self.idle.total.as_millis() as u64;
+        let idle_ms = self.idle.total_ms();
         info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
             sound = self.answered.is_sound(), after = after.unwrap_or(0), idle_ms, busy, forwarded,
             "request");
@@ -345,7 +324,10 @@
             let step = match read {
                 Ok(ReadStep::Events(events)) => ForwardStep::Events(events),
                 Ok(ReadStep::End(Err(why))) => ForwardStep::Ends(ForwardEnd::Broken(why)),
-                Ok(ReadStep::End(Ok(()))) => ForwardStep::Whole,
+                Ok(ReadStep::End(Ok(()))) => {
+                    let end = end_of_stream(&service, &self.ctx, &self.pieces, answer).await;
+                    ForwardStep::Ends(end)
+                }
                 // Bytes that complete no event with content are no progress.
                 Ok(ReadStep::NoEvent) => self.search(answer, LossCause::NoProgress).await,
                 Err(_) => self.search(answer, LossCause::Silent).await,
@@ -353,7 +335,6 @@
             let events = match step {
                 ForwardStep::Stays => continue,
                 ForwardStep::Events(events) => events,
-                ForwardStep::Whole => return self.note_whole(answer),
                 ForwardStep::Ends(end) => return end,
             };
             self.note_events(answer);
@@ -363,15 +344,6 @@
         }
     }
 
-    /// Records that the server has ended its stream after a complete event.
-    fn note_whole(&self, answer: &LiveAnswer) -> ForwardEnd {
-        // The end of the connection alone may also be that of the server.
-        if answer.is_framed() {
-            self.service.shared.poison.note_sound(&self.ctx.suspects);
-        }
-        ForwardEnd::Whole
-    }
-
     /// Records that the server has sent events.
     fn note_events(&mut self, answer: &LiveAnswer) {
         let now = self.service.shared.clock.now();
@@ -468,7 +440,12 @@
                     ReadStep::Events(events) => return ForwardStep::Events(events),
                     ReadStep::NoEvent => {}
                     ReadStep::End(Err(why)) => broken = Some(why),
-                    ReadStep::End(Ok(())) => return ForwardStep::Whole,
+                    ReadStep::End(Ok(())) => {
+                        match end_of_stream(&service, &self.ctx, &self.pieces, answer).await {
+                            ForwardEnd::Broken(why) => broken = Some(why),
+                            end => return ForwardStep::Ends(end),
+                        }
+                    }
                 },
                 sent = &mut sending => return match (sent, broken) {
                     (Ok(next), _) if next.head.status.is_success() => {
@@ -489,8 +466,29 @@
     Stays,
     /// The server has sent these events.
     Events(Bytes),
-    /// The server has ended the stream after a complete event.
-    Whole,
     /// Forwarding from the server has ended.
     Ends(ForwardEnd),
 }
+
+/// How a stream has ended whose server ended its answer after a complete event: that may also be the end
+/// of the server.
+async fn end_of_stream<C: RequestCodec>(
+    service: &RelayService<C>,
+    ctx: &CallContext,
+    pieces: &mpsc::Sender<Piece>,
+    answer: &LiveAnswer,
+) -> ForwardEnd {
+    let checked = tokio::select! {
+        biased;
+        checked = service.check_end(ctx, answer) => checked,
+        () = pieces.closed() => return ForwardEnd::CallerLeft,
+        () = service.ending() => return ForwardEnd::Stopping,
+    };
+    match checked {
+        Ok(()) => {
+            service.shared.poison.note_sound(&ctx.suspects);
+            ForwardEnd::Whole
+        }
+        Err(why) => ForwardEnd::Broken(why),
+    }
+}
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -14,9 +14,12 @@
     },
     bytes::Bytes,
     caller::DepartureTimer,
-    http::{Request, response},
+    http::{HeaderMap, Request, header, response},
     http_body_util::Full,
-    hyper::{body::Incoming, client::conn::http1},
+    hyper::{
+        body::{Body, Incoming},
+        client::conn::http1,
+    },
     hyper_util::rt::TokioIo,
     reach::{ConnectError, ServerPaths},
     std::sync::atomic::{AtomicBool, Ordering},
@@ -42,12 +45,17 @@
 impl LiveAnswer {
     /// Whether the head or the chunks say where the body ends, rather than the connection.
     pub(crate) fn is_framed(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(http::header::CONTENT_LENGTH)
-            || headers.contains_key(http::header::TRANSFER_ENCODING)
+        self.body.size_hint().exact().is_some() || is_chunked(&self.head.headers)
     }
 }
 
+/// Whether the last transfer coding is `chunked`; with any other one the body ends with the connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Outcome of one send.
 pub(crate) enum SendOutcome {
     /// No byte of the request left this process.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        buffered::collect_answer,
         codec::RequestCodec,
         crash::check_crash,
         obstacle::SendObstacle,
@@ -162,9 +161,8 @@
             if streams && answer.head.status.is_success() {
                 return Ok(FetchedAnswer::Stream(answer));
             }
-            let remaining = ctx.expires_at.since(self.shared.clock.now());
             let server = answer.server.clone();
-            match collect_answer(&self.codec, &self.shared.buffers, answer, remaining).await {
+            match self.collect_whole(ctx, answer).await {
                 Ok(response) => {
                     let now = self.shared.clock.now();
                     server.counters.note_success(now.since(ctx.began));
--- a/crates/relay/tests/unframed_ends.rs
+++ b/crates/relay/tests/unframed_ends.rs
@@ -163,6 +163,22 @@
     assert!(relay.shared.poison.evidence_to_repeat().crashes.is_empty());
 }
 
+/// The same for one that the list no longer has.
+#[tokio::test]
+async fn a_server_that_leaves_the_list_before_its_last_event_has_not_crashed() {
+    let other = ScriptedServer::start(STREAM_REST).await;
+    let (killed, _) = killed_server(FIRST_EVENT, Duration::ZERO).await;
+    let relay = TestRelay::start_with(RESUMABLE, 2, vec![killed]).await;
+    let removed = async {
+        sleep(Duration::from_millis(15)).await;
+        relay.replace_servers(vec![other.address; 3]);
+    };
+    let (answer, ()) = tokio::join!(relay.ask(KEY), removed);
+    assert!(answer.contains("data: B") && answer.ends_with("0\r\n\r\n"), "{answer}");
+    sleep(Duration::from_millis(100)).await;
+    assert!(relay.shared.poison.evidence_to_repeat().crashes.is_empty());
+}
+
 /// A server that started again at once accepted the connection that was to show that it had not ended.
 #[tokio::test]
 async fn another_incarnation_at_the_address_proves_nothing() {
