--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod exchange;
 mod first_event;
 mod identity;
+mod idle;
 mod limit_watch;
 mod loss;
 pub mod metrics;
@@ -46,6 +47,7 @@
 pub mod standing;
 mod stopping;
 mod trace;
+mod unframed;
 
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -6,6 +6,7 @@
         buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, note_break},
+        idle::IdleTime,
         loss::LossCause,
         obstacle::SendObstacle,
         place::PlaceSearch,
@@ -17,7 +18,6 @@
         service::{CallContext, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
-    base::Tick,
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
@@ -110,7 +110,7 @@
 
 /// Why forwarding from one server ended.
 enum ForwardEnd {
-    /// The server ended its answer after a complete event.
+    /// The server ended its answer after the last event.
     Whole,
     /// The caller's connection closed.
     CallerLeft,
@@ -124,27 +124,6 @@
     Stopping,
 }
 
-/// How long a stream has had no event. A span in which this process itself was stopped counts as at
-/// most [`STALL_THRESHOLD`], because events may be waiting unread.
-struct IdleTime {
-    total: Duration,
-    checked_at: Tick,
-}
-
-impl IdleTime {
-    /// Starts at an event.
-    fn new(now: Tick) -> Self {
-        Self { total: Duration::ZERO, checked_at: now }
-    }
-
-    /// Adds the time since the last check and returns the sum.
-    fn extend(&mut self, now: Tick) -> Duration {
-        self.total += now.since(self.checked_at).min(STALL_THRESHOLD);
-        self.checked_at = now;
-        self.total
-    }
-}
-
 /// Forwards one stream to a caller, over all servers that serve parts of it.
 pub(crate) struct StreamPump<C> {
     service: Arc<RelayService<C>>,
@@ -274,7 +253,7 @@
         self.service.shared.metrics.note_loss(self.ctx.kind, why);
         self.reader.discard_partial();
         let after = self.reader.last_id().unwrap_or(0);
-        let idle_ms = self.idle.total.as_millis() as u64;
+        let idle_ms = self.idle.total_ms();
         info!(id = %self.ctx.id, decision = "moved", from = %from.id, to = %to.id, %why, after,
             idle_ms, "request");
     }
@@ -289,7 +268,7 @@
         shared.metrics.note_loss(self.ctx.kind, why);
         self.reader.discard_partial();
         let after = self.reader.last_id();
-        let idle_ms = self.idle.total.as_millis() as u64;
+        let idle_ms = self.idle.total_ms();
         info!(id = %self.ctx.id, decision = "stream-broken", server = %server.id, %why,
             sound = self.answered.is_sound(), after = after.unwrap_or(0), idle_ms, busy, forwarded,
             "request");
@@ -366,7 +345,10 @@
             let step = match read {
                 Ok(ReadStep::Events(events)) => ForwardStep::Events(events),
                 Ok(ReadStep::End(Err(why))) => ForwardStep::Ends(ForwardEnd::Broken(why)),
-                Ok(ReadStep::End(Ok(()))) => ForwardStep::Whole,
+                Ok(ReadStep::End(Ok(()))) => {
+                    let end = end_of_stream(&service, &self.ctx, &self.pieces, answer).await;
+                    ForwardStep::Ends(end)
+                }
                 // Bytes that complete no event with content are no progress.
                 Ok(ReadStep::NoEvent) => self.search(answer, LossCause::NoProgress).await,
                 Err(_) => self.search(answer, LossCause::Silent).await,
@@ -374,7 +356,6 @@
             let events = match step {
                 ForwardStep::Stays => continue,
                 ForwardStep::Events(events) => events,
-                ForwardStep::Whole => return self.note_whole(answer),
                 ForwardStep::Ends(end) => return end,
             };
             self.note_events(answer);
@@ -384,15 +365,6 @@
         }
     }
 
-    /// Records that the server has ended its stream after a complete event.
-    fn note_whole(&self, answer: &LiveAnswer) -> ForwardEnd {
-        // The end of the connection alone may also be that of the server.
-        if answer.is_framed() {
-            self.service.shared.poison.note_sound(&self.ctx.suspects);
-        }
-        ForwardEnd::Whole
-    }
-
     /// Records that the server has sent events.
     fn note_events(&mut self, answer: &LiveAnswer) {
         let now = self.service.shared.clock.now();
@@ -481,8 +453,12 @@
                 frame = answer.frame(), if broken.is_none() => match self.reader.read(frame) {
                     ReadStep::Events(events) => return ForwardStep::Events(events),
                     ReadStep::NoEvent => {}
-                    ReadStep::End(Ok(())) => return ForwardStep::Whole,
-                    ReadStep::End(Err(why)) => {
+                    ReadStep::End(end) => {
+                        let end = match end {
+                            Ok(()) => end_of_stream(&service, ctx, &self.pieces, answer).await,
+                            Err(why) => ForwardEnd::Broken(why),
+                        };
+                        let ForwardEnd::Broken(why) = end else { return ForwardStep::Ends(end) };
                         // Known before the request goes to a third server.
                         self.is_break_noted = true;
                         let is_sound = self.answered.is_sound();
@@ -522,8 +498,29 @@
     Stays,
     /// The server has sent these events.
     Events(Bytes),
-    /// The server has ended the stream after a complete event.
-    Whole,
     /// Forwarding from the server has ended.
     Ends(ForwardEnd),
 }
+
+/// How a stream has ended whose server ended its answer after a complete event: that may also be the end
+/// of the server.
+async fn end_of_stream<C: RequestCodec>(
+    service: &RelayService<C>,
+    ctx: &CallContext,
+    pieces: &mpsc::Sender<Piece>,
+    answer: &LiveAnswer,
+) -> ForwardEnd {
+    let checked = tokio::select! {
+        biased;
+        checked = service.check_end(ctx, answer) => checked,
+        () = pieces.closed() => return ForwardEnd::CallerLeft,
+        () = service.ending() => return ForwardEnd::Stopping,
+    };
+    match checked {
+        Ok(()) => {
+            service.shared.poison.note_sound(&ctx.suspects);
+            ForwardEnd::Whole
+        }
+        Err(why) => ForwardEnd::Broken(why),
+    }
+}
