--- a/crates/relay/tests/unframed_ends.rs
+++ b/crates/relay/tests/unframed_ends.rs
@@ -114,7 +114,7 @@
     without_ids = { RESUMABLE, EVENT_WITHOUT_ID },
 )]
 #[test_macro(tokio::test)]
-async fn a_stream_that_nobody_can_resume_is_cut(kind: RequestKind, begun: &'static str) {
+async fn a_stream_that_nobody_resumes_is_cut(kind: RequestKind, begun: &'static str) {
     let other = ScriptedServer::start(STREAM_REST).await;
     let (answer, _relay) = answer_of_killed(kind, begun, Duration::ZERO, &other).await;
     assert!(answer.contains("data: a") && !answer.contains("data: B"), "{answer}");
