Bound the memory of all that callers and servers send together

Bodies were bounded one by one and held up to three times (read pieces, one collected copy, the copy of the HTTP library for a connection without vectored writes). Twenty callers of max_body_bytes exceeded the memory of the process, which was killed with requests that servers were running (LOST).

One budget now counts bodies, answers, pieces that wait and connections, sized by limits.memory_mb. A body without room is refused as not run before it is read; small bodies, requests without one and answers keep room of their own. A body is held once, and its share ends with the last use of its bytes.

--- a/crates/caller/src/socket.rs
+++ b/crates/caller/src/socket.rs
@@ -170,14 +170,13 @@
 
 /// Reads until the caller closes its side, sends nothing for a while or has sent `limit` bytes.
 async fn discard(stream: &TcpStream, limit: usize) {
-    let mut bytes = [0; DISCARD_BYTES];
     let mut total = 0;
     while total < limit {
         match timeout(LINGER_PAUSE, stream.readable()).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return,
         }
-        match stream.try_read(&mut bytes) {
+        match discard_ready(stream) {
             Ok(0) => return,
             Ok(count) => total += count,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -186,6 +185,12 @@
     }
 }
 
+/// Discards bytes that have arrived. The buffer is not held across a wait: it would be a part of the
+/// task of each connection.
+fn discard_ready(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; DISCARD_BYTES])
+}
+
 impl SocketState {
     /// Whether bytes wait to be read by the connection. The runtime may not know of them yet.
     fn has_unread(&self) -> bool {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -15,6 +15,8 @@
 
 /// Time limit for reading a request's header, and thus also for an idle connection.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Read buffer of a connection, which a whole head must fit; the library's own bound is 400 KiB.
+const HEADER_BYTES: usize = 16 * 1024;
 
 /// Responds to each request on the basis of its header alone, until cancelled.
 pub(crate) async fn serve_requests(
@@ -31,6 +33,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(HEADER_BYTES)
             .serve_connection(TokioIo::new(stream), handler);
         async move {
             if let Err(error) = connection.await {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -60,6 +60,7 @@
     connections: Family<PathLabels, Counter>,
     detoured: Gauge,
     open_forwards: Gauge,
+    held_bytes: Gauge,
     view: Arc<NodeView>,
     shared: Arc<RelayShared>,
 }
@@ -104,6 +105,9 @@
         let open_forwards = Gauge::default();
         let help = "Connections to servers that this process passes on for others";
         registry.register("open_forwards", help, open_forwards.clone());
+        let held_bytes = Gauge::default();
+        let help = "Memory that is held for what callers and servers send, in bytes";
+        registry.register("held_bytes", help, held_bytes.clone());
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
@@ -120,6 +124,7 @@
             connections,
             detoured,
             open_forwards,
+            held_bytes,
             config_version,
             config_age,
             servers,
@@ -158,6 +163,7 @@
             self.server_limits.get_or_create(&labels).set(rate.0);
             self.own_limits.get_or_create(&labels).set(own.0);
         }
+        self.held_bytes.set(i64::try_from(self.shared.buffers.held().0).unwrap_or(i64::MAX));
         self.render_paths();
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -24,7 +24,10 @@
     http_body_util::Full,
     infra::TableStore,
     reach::ServerPaths,
-    relay::{RelayService, RelayShared, RequestCodec, RetryBudget, ServerSign, serve_callers},
+    relay::{
+        MemoryBudget, RelayService, RelayShared, RequestCodec, RetryBudget, ServerSign,
+        serve_callers,
+    },
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -123,6 +126,7 @@
     let budget = RetryBudget::new(settings.retry_limits(), clock.now());
     let mut shared = RelayShared::new(clock, budget, signs);
     shared.paths = ports.paths.clone();
+    shared.buffers = Arc::new(MemoryBudget::new(settings.memory()));
     let shared = Arc::new(shared);
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     shared.poison.set_admitted(settings.admitted());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,10 +1,10 @@
 //! The settings file of a process, in YAML.
 
 use {
-    base::{FailureDomainId, HostId, RegionId},
+    base::{ByteCount, FailureDomainId, HostId, RegionId},
     poison::{SuspectId, SuspectKind},
-    relay::RetryLimits,
-    serde::{Deserialize, Serialize},
+    relay::{MemorySettings, RetryLimits},
+    serde::{Deserialize, Deserializer, Serialize},
     smol_str::SmolStr,
     snafu::{ResultExt, Snafu, ensure},
     std::{
@@ -16,6 +16,8 @@
     },
 };
 
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Why the settings can't be used.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -87,6 +89,42 @@
     }
 }
 
+/// What the platform allows the process. Other fields than these are left out.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LimitSettings {
+    /// Resident memory beyond which the platform kills the process, in millions of bytes.
+    pub memory_mb: f64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self { memory_mb: MemorySettings::default().limit.0 as f64 / BYTES_PER_MB }
+    }
+}
+
+impl LimitSettings {
+    /// Reads the limits; a template leaves an empty text where its platform names none.
+    fn read<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Written {
+            Limits(LimitSettings),
+            Nothing(EmptyText),
+        }
+        match Option::deserialize(deserializer)? {
+            Some(Written::Limits(limits)) => Ok(limits),
+            Some(Written::Nothing(EmptyText::Empty)) | None => Ok(Self::default()),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+enum EmptyText {
+    #[serde(rename = "")]
+    Empty,
+}
+
 /// The settings of one process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeSettings {
@@ -108,6 +146,9 @@
     /// The limit on retries. The key in the file is `repeats`, because files in use have that key.
     #[serde(default, rename = "repeats")]
     pub retries: RetrySettings,
+    /// What the platform allows the process.
+    #[serde(default, deserialize_with = "LimitSettings::read")]
+    pub limits: LimitSettings,
     /// Whether the whole system starts for the first time, so that there can be no callers yet.
     #[serde(default)]
     pub first_start: bool,
@@ -149,6 +190,7 @@
             ("listen", self.listen != other.listen),
             ("store", self.store != other.store),
             ("repeats", self.retries != other.retries),
+            ("limits", self.limits != other.limits),
             ("grace_s", self.grace_s != other.grace_s),
             ("metrics_port", self.metrics_port != other.metrics_port),
             ("admitted_parts", self.admitted_parts != other.admitted_parts),
@@ -166,6 +208,11 @@
         }
     }
 
+    /// The memory that the process may use, in the type that the relay uses.
+    pub fn memory(&self) -> MemorySettings {
+        MemorySettings { limit: ByteCount((self.limits.memory_mb * BYTES_PER_MB) as u64) }
+    }
+
     /// The prompt parts and requests that are never refused as ones that crash servers.
     pub fn admitted(&self) -> BTreeSet<SuspectId> {
         let parts = self.admitted_parts.iter().map(|id| SuspectId::from_wire(id));
@@ -196,6 +243,8 @@
     range(finite(settings.retries.ratio), "repeats.ratio", "must be 0 or more")?;
     range(finite(settings.retries.slack), "repeats.slack", "must be 0 or more")?;
     range(settings.retries.window_s > 0.0, "repeats.window_s", "must be above 0")?;
+    let memory_mb = settings.limits.memory_mb;
+    range(finite(memory_mb) && memory_mb > 0.0, "limits.memory_mb", "must be above 0")?;
     range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
     let are_requests = settings.admitted_requests.iter().all(|id| read_request_id(id).is_some());
     range(are_requests, "admitted_requests", "must be ids of requests: 32 hexadecimal digits")?;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -53,9 +53,24 @@
     fs::remove_file(path).unwrap();
 }
 
+/// The memory of the process is what its platform says, also among other limits, or the default.
+#[parameterized(
+    named = { "limits: {\"cpus\": 1, \"memory_mb\": 182}\n", 182_000_000 },
+    absent = { "", 160_000_000 },
+    empty = { "limits: \"\"\n", 160_000_000 },
+    nothing = { "limits:\n", 160_000_000 },
+)]
+fn the_memory_limit_is_read(line: &str, bytes: u64) {
+    let path = file(&format!("{GOOD}{line}"));
+    let settings = load_settings(&path).unwrap();
+    assert_eq!(settings.memory().limit.0, bytes);
+    fs::remove_file(path).unwrap();
+}
+
 #[parameterized(
     missing_field = { "peer_port: 7340\n", "", "peer_port" },
     port_zero = { "peer_port: 7340", "peer_port: 0", "peer_port" },
+    no_memory = { "first_start: true", "limits: {memory_mb: 0}", "limits.memory_mb" },
     negative = { "ratio: 0.2", "ratio: -1", "repeats.ratio" },
     no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
     no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
--- a/crates/reach/src/stream.rs
+++ b/crates/reach/src/stream.rs
@@ -5,7 +5,7 @@
     bytes::{Bytes, BytesMut},
     futures::{Stream, StreamExt},
     std::{
-        io,
+        io::{self, IoSlice},
         pin::Pin,
         task::{Context, Poll, ready},
     },
@@ -89,6 +89,24 @@
         }
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match &mut self.get_mut().kind {
+            StreamKind::Direct(stream) => Pin::new(stream).poll_write_vectored(context, slices),
+            StreamKind::Forwarded(stream) => {
+                Pin::new(&mut stream.writer).poll_write_vectored(context, slices)
+            }
+        }
+    }
+
+    /// The HTTP library copies bodies for a connection without vectored writes.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut self.get_mut().kind {
             StreamKind::Direct(stream) => Pin::new(stream).poll_flush(context),
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        caller_body::read_body,
+        caller_body::{BodyLimits, BodyReader},
         codec::RequestCodec,
         config::{RelayConfig, RouteRule},
         identity::IdentityHasher,
@@ -37,7 +37,10 @@
         let service = pick_service(route)
             .ok_or(Refusal::until(RefusalKind::NoServer, DEFAULT_RETRY_AFTER))?;
         let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
-        let body = read_body(body, config.limits.body_bytes, limit, &mut identity).await?;
+        let limits = BodyLimits { bytes: config.limits.body_bytes, wait: limit };
+        let (budget, clock) = (&self.shared.buffers, &self.shared.clock);
+        let reader = BodyReader { budget, clock, id: &caller.id };
+        let body = reader.read(body, limits, &mut identity).await?;
         let expires_at = began + limit;
         // After the body: closing a connection with unread bytes can lose the answer.
         if !self.shared.stop.covers(expires_at) {
--- a/crates/relay/src/caller_body.rs
+++ b/crates/relay/src/caller_body.rs
@@ -1,36 +1,140 @@
-//! Reads the bodies of callers' requests.
+//! Reads the bodies of callers' requests, each into one piece of memory that the budget has room for.
 
 use {
     crate::{
         identity::IdentityHasher,
-        request::{Refusal, RefusalKind},
+        memory::{BodyShare, MemoryBudget, MemoryShortage, SMALL_BODY_BYTES},
+        request::{Refusal, RefusalKind, RequestId},
+        service::DEFAULT_RETRY_AFTER,
     },
+    base::SharedClock,
     bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
-    std::time::Duration,
+    http_body_util::BodyExt,
+    hyper::body::{Body, Incoming},
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
+    tracing::info,
 };
 
-/// Reads a body of at most `limit` bytes within `wait`, and adds it to the request's identity.
-pub(crate) async fn read_body(
-    body: Incoming,
-    limit: usize,
-    wait: Duration,
-    identity: &mut IdentityHasher,
-) -> Result<Bytes, Refusal> {
-    let hashed = Limited::new(body, limit).map_frame(|frame| {
-        if let Some(bytes) = frame.data_ref() {
-            identity.update(bytes);
+/// What a body may take.
+pub(crate) struct BodyLimits {
+    /// Maximum size, in bytes.
+    pub(crate) bytes: usize,
+    /// Time within which it arrives.
+    pub(crate) wait: Duration,
+}
+
+/// Reads bodies within the memory of the process.
+pub(crate) struct BodyReader<'a> {
+    pub(crate) budget: &'a Arc<MemoryBudget>,
+    pub(crate) clock: &'a SharedClock,
+    pub(crate) id: &'a RequestId,
+}
+
+impl BodyReader<'_> {
+    /// Reads a body and adds it to the request's identity. One whose length is announced is refused
+    /// before it is read if there is no room for it; the connection then discards it.
+    pub(crate) async fn read(
+        &self,
+        body: Incoming,
+        limits: BodyLimits,
+        identity: &mut IdentityHasher,
+    ) -> Result<Bytes, Refusal> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
         }
-        frame
-    });
-    match timeout(wait, hashed.collect()).await {
-        Err(_) => Err(Refusal::new(RefusalKind::TimedOutUnsent)),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::new(RefusalKind::BodyTooLarge))
+        let read = async {
+            match body.size_hint().exact() {
+                Some(length) if length > limits.bytes as u64 => {
+                    discard(body, limits.bytes).await;
+                    Err(Refusal::new(RefusalKind::BodyTooLarge))
+                }
+                length => {
+                    let held = self.hold(length.map_or(0, |length| length as usize))?;
+                    self.fill(held, body, limits.bytes, identity).await
+                }
+            }
+        };
+        match timeout(limits.wait, read).await {
+            Err(_) => Err(Refusal::new(RefusalKind::TimedOutUnsent)),
+            Ok(result) => result,
+        }
+    }
+
+    /// Reserves room for a body of an announced length, or 0.
+    fn hold(&self, length: usize) -> Result<HeldBody, Refusal> {
+        let share = self.budget.admit_body(length, self.clock.now());
+        let share = share.map_err(|shortage| self.refuse(length, shortage))?;
+        Ok(HeldBody { bytes: Vec::with_capacity(length), share, clock: self.clock.clone() })
+    }
+
+    async fn fill(
+        &self,
+        mut held: HeldBody,
+        mut body: Incoming,
+        limit: usize,
+        identity: &mut IdentityHasher,
+    ) -> Result<Bytes, Refusal> {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Refusal::new(RefusalKind::BadHead))?;
+            let Ok(bytes) = frame.into_data() else { continue };
+            let length = held.bytes.len() + bytes.len();
+            if length > limit {
+                return Err(Refusal::new(RefusalKind::BodyTooLarge));
+            }
+            held.make_room(length, limit).map_err(|shortage| self.refuse(length, shortage))?;
+            identity.update(&bytes);
+            held.bytes.extend_from_slice(&bytes);
+        }
+        Ok(Bytes::from_owner(held))
+    }
+
+    fn refuse(&self, bytes: usize, shortage: MemoryShortage) -> Refusal {
+        let retry_after = shortage.frees_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        info!(id = %self.id, decision = "no-memory", bytes, held = shortage.held.0,
+            retry_ms = retry_after.as_millis() as u64, "request");
+        Refusal::until(RefusalKind::MemoryFull, retry_after)
+    }
+}
+
+/// Reads up to `limit` bytes of a body that is not used, so that its caller gets the refusal.
+async fn discard(mut body: Incoming, limit: usize) {
+    let mut total = 0;
+    while total < limit {
+        let Some(Ok(frame)) = body.frame().await else { return };
+        total += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
+/// A body and the room that it takes, until the last use of its bytes.
+struct HeldBody {
+    bytes: Vec<u8>,
+    share: BodyShare,
+    clock: SharedClock,
+}
+
+impl HeldBody {
+    /// Makes room for `length` bytes. A body without an announced length takes the room of a small one,
+    /// then that of the largest: growing in small steps would leave gaps of all sizes in the memory.
+    fn make_room(&mut self, length: usize, limit: usize) -> Result<(), MemoryShortage> {
+        if length <= self.share.bytes() {
+            return Ok(());
         }
-        Ok(Err(_)) => Err(Refusal::new(RefusalKind::BadHead)),
+        let room = if length <= SMALL_BODY_BYTES { SMALL_BODY_BYTES } else { limit.max(length) };
+        self.share.grow(room)?;
+        self.bytes.reserve_exact(room - self.bytes.len());
+        Ok(())
+    }
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.share.note_end(self.clock.now());
     }
 }
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -41,7 +41,12 @@
             });
         }
         let id = trace.map(|trace| &trace.id);
-        self.close_if_leaving(self.codec.refuse(id, &refusal).map(full_body))
+        let response = self.codec.refuse(id, &refusal).map(full_body);
+        if refusal.kind == RefusalKind::MemoryFull {
+            // The body is not read, so that the connection can't be used again.
+            return with_close(response);
+        }
+        self.close_if_leaving(response)
     }
 
     /// Logs what a refusal rests on, so that one on an outdated configuration can be told from others.
@@ -74,11 +79,13 @@
 
     /// Adds `connection: close` to a response if this process is about to stop, so that the caller
     /// opens its next connection to another process.
-    pub(crate) fn close_if_leaving<B>(&self, mut response: Response<B>) -> Response<B> {
-        if self.shared.stop.is_stopping() {
-            let close = http::HeaderValue::from_static("close");
-            response.headers_mut().insert(http::header::CONNECTION, close);
-        }
-        response
+    pub(crate) fn close_if_leaving<B>(&self, response: Response<B>) -> Response<B> {
+        if self.shared.stop.is_stopping() { with_close(response) } else { response }
     }
 }
+
+fn with_close<B>(mut response: Response<B>) -> Response<B> {
+    let close = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(http::header::CONNECTION, close);
+    response
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod identity;
 mod limit_watch;
 mod loss;
+pub mod memory;
 pub mod metrics;
 mod next_server;
 mod obstacle;
@@ -51,6 +52,7 @@
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
+    memory::{MemoryBudget, MemorySettings},
     metrics::RelayMetrics,
     obstacle::SendObstacle,
     poison_watch::{PoisonWatch, TurnQuestion},
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -3,10 +3,10 @@
 
 use {
     crate::{
-        buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, check_crash},
         loss::LossCause,
+        memory::BufferShare,
         obstacle::SendObstacle,
         place::{PlaceSearch, ServerPlace},
         reader::{EventReader, ReadStep},
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        buffered::BufferShare,
         events::{EventSplitter, have_content},
         loss::LossCause,
+        memory::BufferShare,
     },
     bytes::Bytes,
     hyper::body::Frame,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -97,6 +97,8 @@
     ConfigInDoubt,
     /// No server can accept the request now; it was not run.
     NoServer,
+    /// The process has no memory for the request's body; it was not run.
+    MemoryFull,
     /// Every server that could take the request is at the limit that it named; it was not run.
     AtLimit,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
@@ -135,6 +137,7 @@
             Self::NoConfig
                 | Self::ConfigInDoubt
                 | Self::NoServer
+                | Self::MemoryFull
                 | Self::AtLimit
                 | Self::PoisonPart
                 | Self::PoisonRequest
@@ -164,6 +167,7 @@
             Self::NoConfig => "no-config",
             Self::ConfigInDoubt => "config-in-doubt",
             Self::NoServer => "no-server",
+            Self::MemoryFull => "memory-full",
             Self::AtLimit => "at-limit",
             Self::PoisonPart => "poison-part",
             Self::PoisonRequest => "poison-request",
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -81,6 +81,7 @@
     }
     let limits = service.shared.config.load().as_ref().map(|config| config.limits);
     let limits = limits.unwrap_or_default();
+    let _share = service.shared.buffers.open_connection();
     let presence = Arc::<CallerPresence>::default();
     let (socket, watch) = CallerSocket::new(stream, presence.clone());
     if let Err(error) = serve_requests(socket, &watch, presence, limits, service).await {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        buffered::BufferBudget,
         codec::AnswerFacts,
         config::RelayConfig,
         limit_watch::LimitWatch,
+        memory::MemoryBudget,
         metrics::RelayMetrics,
         poison_watch::PoisonWatch,
         retry::RetryBudget,
@@ -63,8 +63,8 @@
     pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
     pub clock: SharedClock,
-    /// Memory for what is buffered of answers.
-    pub(crate) buffers: Arc<BufferBudget>,
+    /// Memory for what callers and servers send.
+    pub buffers: Arc<MemoryBudget>,
     /// Passes what requests show about servers to a task of the node.
     pub signs: mpsc::Sender<ServerSign>,
 }
