--- a/crates/relay/src/caller_body.rs
+++ b/crates/relay/src/caller_body.rs
@@ -1,9 +1,10 @@
-//! Reads the bodies of callers' requests, each into one piece of memory that the budget has room for.
+//! Reads the bodies of callers' requests, each into memory that the budget has room for.
 
 use {
     crate::{
+        held_body::{GrowingBody, HeldBody},
         identity::IdentityHasher,
-        memory::{BodyShare, MemoryBudget, MemoryShortage, SMALL_BODY_BYTES},
+        memory::{MemoryBudget, MemoryShortage},
         request::{Refusal, RefusalKind, RequestId},
         service::DEFAULT_RETRY_AFTER,
     },
@@ -39,9 +40,9 @@
         body: Incoming,
         limits: BodyLimits,
         identity: &mut IdentityHasher,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<HeldBody, Refusal> {
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok(HeldBody::default());
         }
         let read = async {
             match body.size_hint().exact() {
@@ -62,31 +63,30 @@
     }
 
     /// Reserves room for a body of an announced length, or 0.
-    fn hold(&self, length: usize) -> Result<HeldBody, Refusal> {
+    fn hold(&self, length: usize) -> Result<GrowingBody, Refusal> {
         let share = self.budget.admit_body(length, self.clock.now());
         let share = share.map_err(|shortage| self.refuse(length, shortage))?;
-        Ok(HeldBody { bytes: Vec::with_capacity(length), share, clock: self.clock.clone() })
+        Ok(GrowingBody::new(share, self.clock.clone()))
     }
 
     async fn fill(
         &self,
-        mut held: HeldBody,
+        mut held: GrowingBody,
         mut body: Incoming,
         limit: usize,
         identity: &mut IdentityHasher,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<HeldBody, Refusal> {
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Refusal::new(RefusalKind::BadHead))?;
             let Ok(bytes) = frame.into_data() else { continue };
-            let length = held.bytes.len() + bytes.len();
+            let length = held.length_with(bytes.len());
             if length > limit {
                 return Err(Refusal::new(RefusalKind::BodyTooLarge));
             }
-            held.make_room(length, limit).map_err(|shortage| self.refuse(length, shortage))?;
+            held.extend(&bytes).map_err(|shortage| self.refuse(length, shortage))?;
             identity.update(&bytes);
-            held.bytes.extend_from_slice(&bytes);
         }
-        Ok(Bytes::from_owner(held))
+        Ok(held.finish())
     }
 
     fn refuse(&self, bytes: usize, shortage: MemoryShortage) -> Refusal {
@@ -105,36 +105,3 @@
         total += frame.data_ref().map_or(0, Bytes::len);
     }
 }
-
-/// A body and the room that it takes, until the last use of its bytes.
-struct HeldBody {
-    bytes: Vec<u8>,
-    share: BodyShare,
-    clock: SharedClock,
-}
-
-impl HeldBody {
-    /// Makes room for `length` bytes. A body without an announced length takes the room of a small one,
-    /// then that of the largest: growing in small steps would leave gaps of all sizes in the memory.
-    fn make_room(&mut self, length: usize, limit: usize) -> Result<(), MemoryShortage> {
-        if length <= self.share.bytes() {
-            return Ok(());
-        }
-        let room = if length <= SMALL_BODY_BYTES { SMALL_BODY_BYTES } else { limit.max(length) };
-        self.share.grow(room)?;
-        self.bytes.reserve_exact(room - self.bytes.len());
-        Ok(())
-    }
-}
-
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.share.note_end(self.clock.now());
-    }
-}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,6 +8,7 @@
     crate::{
         codec::{BackendCall, RequestCodec, Verdict},
         crash::check_crash,
+        held_body::HeldBody,
         loss::LossCause,
         obstacle::SendObstacle,
         place::{PlaceError, PlaceSearch, ServerPlace},
@@ -21,10 +22,8 @@
             RelayService,
         },
     },
-    bytes::Bytes,
     futures::FutureExt,
     http::Request,
-    http_body_util::Full,
     std::{future::pending, sync::atomic::Ordering, time::Duration},
     tokio::time::{Instant, sleep_until},
     tracing::info,
@@ -291,8 +290,8 @@
         progress: &CallProgress,
         server: &BackendServer,
         remaining: Duration,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(ctx.body.clone()));
+    ) -> Request<HeldBody> {
+        let mut request = Request::new(ctx.body.clone());
         *request.method_mut() = ctx.method.clone();
         *request.uri_mut() = ctx.uri.clone();
         *request.headers_mut() = ctx.headers.clone();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod ending;
 pub mod events;
 mod exchange;
+mod held_body;
 mod identity;
 mod limit_watch;
 mod loss;
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,6 +5,7 @@
         buffered::collect_answer,
         codec::RequestCodec,
         crash::check_crash,
+        held_body::HeldBody,
         obstacle::SendObstacle,
         pump::{RelayBody, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
@@ -66,7 +67,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// When the head of the request was received.
     pub(crate) began: Tick,
     /// When the caller's deadline or the route's timeout runs out, whichever is earlier.
