--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
         codec::{BackendCall, RequestCodec, Verdict},
         crash::check_crash,
         first_event::wait_for_event,
+        held_body::HeldBody,
         loss::LossCause,
         obstacle::SendObstacle,
         place::{PlaceError, PlaceSearch, ServerPlace},
@@ -22,10 +23,8 @@
             ANSWERED_BACKOFF, CallContext, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService,
         },
     },
-    bytes::Bytes,
     futures::FutureExt,
     http::Request,
-    http_body_util::Full,
     std::{future::pending, time::Duration},
     tokio::time::{Instant, sleep_until},
     tracing::info,
@@ -365,8 +364,8 @@
         progress: &CallProgress,
         server: &BackendServer,
         remaining: Duration,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(ctx.body.clone()));
+    ) -> Request<HeldBody> {
+        let mut request = Request::new(ctx.body.clone());
         *request.method_mut() = ctx.method.clone();
         *request.uri_mut() = ctx.uri.clone();
         *request.headers_mut() = ctx.headers.clone();
--- a/crates/relay/src/first_event.rs
+++ b/crates/relay/src/first_event.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        buffered::BufferShare,
         loss::LossCause,
+        memory::BufferShare,
         reader::{EventReader, ReadStep},
         send::{LiveAnswer, SendOutcome},
     },
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,10 +23,12 @@
 pub mod events;
 mod exchange;
 mod first_event;
+mod held_body;
 mod identity;
 mod idle;
 mod limit_watch;
 mod loss;
+pub mod memory;
 pub mod metrics;
 mod next_server;
 mod obstacle;
@@ -55,6 +57,7 @@
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
+    memory::{MemoryBudget, MemorySettings},
     metrics::RelayMetrics,
     obstacle::SendObstacle,
     poison_watch::{PoisonWatch, TurnQuestion},
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -3,11 +3,11 @@
 
 use {
     crate::{
-        buffered::BufferShare,
         codec::RequestCodec,
         crash::{AnswerProgress, note_break},
         idle::IdleTime,
         loss::LossCause,
+        memory::BufferShare,
         obstacle::SendObstacle,
         place::PlaceSearch,
         progress::CallProgress,
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         codec::{AnswerFacts, RequestCodec, Verdict},
+        held_body::HeldBody,
         loss::LossCause,
         place::ServerPlace,
         progress::SendRecord,
@@ -16,7 +17,7 @@
     bytes::Bytes,
     caller::DepartureTimer,
     http::{HeaderMap, Request, header, response},
-    http_body_util::{BodyExt, Full},
+    http_body_util::BodyExt,
     hyper::{
         body::{Body, Frame, Incoming},
         client::conn::http1,
@@ -90,7 +91,7 @@
     paths: &ServerPaths,
     id: &RequestId,
     place: ServerPlace,
-    request: Request<Full<Bytes>>,
+    request: Request<HeldBody>,
     ends_at: Instant,
     departure: DepartureTimer,
     record: &SendRecord,
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -4,6 +4,7 @@
     crate::{
         codec::RequestCodec,
         crash::check_crash,
+        held_body::HeldBody,
         obstacle::SendObstacle,
         progress::CallProgress,
         pump::{RelayBody, StreamPump, full_body},
@@ -62,7 +63,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// When the head of the request was received.
     pub(crate) began: Tick,
     /// When the caller's deadline or the route's timeout runs out, whichever is earlier.
