Name the gateway's tests of silent hosts after their feature

Both tests of hosts that are alive and silent stand in one file, silent_hosts.rs, unchanged but for the common head.

--- a/crates/gateway/tests/silence_services_review.rs
+++ b/crates/gateway/tests/silent_hosts.rs
@@ -1,19 +1,38 @@
-//! A slow server of an idempotent service beside one that refuses.
+//! Hosts that are alive and silent for a moment, beside others that refuse.
 
 mod support;
 
 use {
+    engine::NotRunReason,
     http::{Method, StatusCode},
     std::time::Duration,
     support::{
         client::CallerRequest,
         controller::FakeController,
-        http_ports, settings, start,
+        http_ports,
+        models::{
+            Script,
+            Step::{Last, Pause, Token},
+        },
+        settings, start,
+        test_gateway::TestGateway,
         wire_server::{self, WireRequest, plain_response, write},
     },
     tokio::{net::TcpStream, time::sleep},
 };
 
+/// A stream of a live engine that was silent for a moment was cut, because it was given up before
+/// another engine had taken it.
+#[tokio::test(start_paused = true)]
+async fn a_silent_stream_is_kept_until_another_engine_has_it() {
+    let gateway = TestGateway::new().await;
+    let slow = vec![Token(0), Pause(Duration::from_millis(1_200)), Token(1), Last(2)];
+    let refused = || Script::Refuse(NotRunReason::Full);
+    gateway.models.plan([Script::Stream(slow), refused(), refused(), refused()]);
+    let answer = gateway.call(CallerRequest::chat(true)).await;
+    assert_eq!(answer.tokens(), (vec![0, 1, 2], true));
+}
+
 async fn answer_late(request: WireRequest, mut stream: TcpStream) -> Option<TcpStream> {
     if request.head.contains("/slow") {
         sleep(Duration::from_secs(3)).await;
