Make second attempts of the gateway beside a silent live host

What callers saw: a stream whose engine paused for 1.2 s was cut after its first token, and a call whose server took half of its time was refused as unknown, although both hosts were alive and went on.

Cause: after a successful probe the attempt was dropped if the retry budget held a retry; whether another target had room or would take the request was asked afterwards, and it refused.

After each idle limit a live and silent host now gets a second attempt beside it, if another target has room (a group is asked again over a new connection if no other one has), the budget gives a retry and the time allows one. The first progress goes on: a frame that the caller needs, or a whole answer that is no error of the server. The others are cancelled. A dead host is left at once, as before; second attempts under way are then waited for.

--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -11,7 +11,7 @@
 };
 
 /// Targets that a request must not be sent to again, by group and epoch.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AvoidedTargets(Vec<(GroupId, Epoch)>);
 
 impl AvoidedTargets {
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -116,6 +116,36 @@
         }
     }
 
+    /// Picks a target for a second attempt, beside the one at `present`, without waiting in the queue.
+    ///
+    /// A serving group is asked again, over a new connection, if no other one has room; a server of
+    /// a plain service is not.
+    pub fn pick_second(
+        &self,
+        core: &GatewayCore,
+        context: &RequestContext,
+        present: &RouteTarget,
+    ) -> Option<PickedTarget> {
+        core.check_stop(context.deadline).ok()?;
+        let snapshot = core.current_state().ok()?;
+        let workspace = core.identify(&snapshot, &self.digest).ok()?.workspace.id.clone();
+        let queue = snapshot.queue(&self.class).cloned();
+        let targets = self.targets(&snapshot, &workspace);
+        let mut others_only = self.avoided.clone();
+        others_only.add(present);
+        let other = choose(core, &snapshot, targets, &self.prefixes, &others_only);
+        let chosen = match (&other, self.kind) {
+            (ChosenTarget::Full | ChosenTarget::Nothing, TargetKind::Group) => {
+                choose(core, &snapshot, targets, &self.prefixes, &self.avoided)
+            }
+            _ => other,
+        };
+        match chosen {
+            ChosenTarget::Target(target, snapshot) => Some(picked(target, snapshot, queue)),
+            ChosenTarget::Full | ChosenTarget::Nothing => None,
+        }
+    }
+
     /// The refusal for a request without an open target; `wait` is sent as retry delay.
     pub fn no_target(&self, wait: Duration) -> Refusal {
         let what = match self.kind {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -16,9 +16,9 @@
     pub idle_limit: Duration,
     /// Time after which an unanswered probe counts as failed.
     pub probe_timeout: Duration,
-    /// Whether to abandon the connection although the probe succeeded. If false, only a failed
-    /// probe ends the wait.
-    pub give_up_connection: bool,
+    /// Whether a successful probe ends the wait too, so that a second attempt can be made. `next` can
+    /// be waited for again. If false, only a failed probe ends the wait.
+    pub report_silence: bool,
 }
 
 /// No data arrived within the idle limit, and the policy ends the wait.
@@ -32,7 +32,7 @@
 /// and applies the policy to the result.
 ///
 /// `next` is polled while the probe runs, so data that arrives meanwhile is returned.
-pub async fn wait_with_probes<F: Future>(
+pub async fn wait_with_probes<F: Future + ?Sized>(
     prober: &dyn HostProbe,
     meters: &GatewayMeters,
     address: SocketAddr,
@@ -50,7 +50,7 @@
         };
         let counter = if host_alive { &meters.probes_alive } else { &meters.probes_dead };
         counter.inc();
-        if !host_alive || policy.give_up_connection {
+        if !host_alive || policy.report_silence {
             return Err(Unresponsive { host_alive });
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
         pick::{PickedTarget, TargetKind, TargetPicker},
         refusal::{Outcome, Refusal, RefusalKind},
         request_context::RequestContext,
+        second_attempt::FailedAttempt,
         sequence::FrameSequence,
         sink::AnswerSink,
         snapshot::KeyDigest,
@@ -16,7 +17,10 @@
     },
     base::{AttemptId, Tick},
     engine::{NotRunReason, WholeAnswer},
-    route::{AttemptEnd, FinalOutcome, NextStep, RequestFacts, next_step},
+    route::{
+        AttemptEnd, FinalOutcome, NextStep, RequestFacts, RouteTarget, next_step,
+        retry::{MAX_ATTEMPTS, MIN_REMAINING_TIME},
+    },
     smol_str::SmolStr,
     std::{sync::Arc, time::Duration},
     stop::{WorkEnd, WorkGuard},
@@ -135,14 +139,77 @@
             progress.resume_wait_until = None;
             progress.attempts += 1;
             self.note_attempt(core, &progress);
-            let end = Attempt::new(core, self, &picked).run(&mut progress, sink).await;
-            if let Some(end) = self.handle_end(core, end, &picked, &mut progress) {
+            let attempt = Attempt::new(core, self, picked);
+            if let Some(end) = self.run_attempt(core, attempt, &mut progress, sink).await {
                 core.meters.dropped_frames.inc_by(progress.sequence.dropped());
                 return end;
             }
         }
     }
 
+    /// Runs an attempt, and second ones that take over from it. Returns `None` if another target is
+    /// to be picked.
+    async fn run_attempt<'a>(
+        &'a self,
+        core: &'a Arc<GatewayCore>,
+        mut attempt: Attempt<'a>,
+        progress: &mut RunProgress,
+        sink: &mut AnswerSink,
+    ) -> Option<RunEnd> {
+        let mut begun = None;
+        loop {
+            let end = attempt.run(begun, progress, sink).await;
+            let DispatchEnd::Moved(second) = end else {
+                return self.handle_end(core, end, &attempt.picked, progress);
+            };
+            attempt.picked.target.counters.suspect(core.now() + SUSPECT_PERIOD);
+            progress.may_have_run = true;
+            (attempt, begun) = (second.attempt, Some(second.answer));
+        }
+    }
+
+    /// Takes a retry and a slot of a target for an attempt beside the one at `present`, which is
+    /// silent.
+    pub fn pick_second(
+        &self,
+        core: &GatewayCore,
+        progress: &mut RunProgress,
+        present: &RouteTarget,
+    ) -> Option<PickedTarget> {
+        let in_time = core.now() + MIN_REMAINING_TIME <= self.context.deadline;
+        if !in_time || progress.attempts >= MAX_ATTEMPTS || self.workspace.retries.left() == 0 {
+            return None;
+        }
+        let picked = progress.picker.pick_second(core, &self.context, present)?;
+        if !self.workspace.retries.try_retry() {
+            return None;
+        }
+        progress.attempts += 1;
+        self.note_attempt(core, progress);
+        Some(picked)
+    }
+
+    /// Records a second attempt that ended without progress.
+    pub fn note_failed_second(
+        &self,
+        core: &GatewayCore,
+        progress: &mut RunProgress,
+        failure: &FailedAttempt<'_>,
+    ) {
+        match &failure.end {
+            DispatchEnd::NotRun { reason: NotRunReason::PermitEnded, .. } => {}
+            DispatchEnd::NotRun { .. } => progress.picker.avoided.add(&failure.target),
+            DispatchEnd::Lost { host_alive, .. } => {
+                if !host_alive {
+                    progress.picker.avoided.add(&failure.target);
+                }
+                failure.target.counters.suspect(core.now() + SUSPECT_PERIOD);
+                progress.may_have_run = true;
+            }
+            _ => {}
+        }
+    }
+
     /// Whether to keep waiting for a serving group that can resume a partly delivered stream.
     fn waits_to_resume(
         &self,
@@ -195,7 +262,7 @@
     fn handle_end(
         &self,
         core: &GatewayCore,
-        end: DispatchEnd,
+        end: DispatchEnd<'_>,
         picked: &PickedTarget,
         progress: &mut RunProgress,
     ) -> Option<RunEnd> {
@@ -205,6 +272,7 @@
                 Some(RunEnd::Whole)
             }
             DispatchEnd::Answer(answer) => Some(RunEnd::Answer(answer)),
+            DispatchEnd::Moved(_) => None,
             DispatchEnd::CallerLeft => Some(RunEnd::CallerLeft),
             DispatchEnd::DeadlinePassed { dispatched } => {
                 progress.may_have_run |= dispatched;
--- a/crates/gateway/src/service_run.rs
+++ b/crates/gateway/src/service_run.rs
@@ -6,9 +6,11 @@
         metrics::{ClassMeters, CountedEnd},
         permit::RequestPermit,
         pick::{PickedTarget, TargetKind, TargetPicker},
-        probe::{ProbePolicy, Unresponsive, wait_with_probes},
+        probe::ProbePolicy,
         refusal::{Outcome, Refusal, RefusalKind},
         request_context::RequestContext,
+        second_call::{AnsweredCall, CallSeconds, FailedCall},
+        silence::{HostWatch, RaceEnd, race_when_silent},
         snapshot::{KeyDigest, service_class},
         workspace::WorkspaceState,
     },
@@ -16,7 +18,10 @@
     bytes::Bytes,
     engine::{DispatchError, NotRunReason, ProbedKind, ServiceDispatch, WholeAnswer},
     http::{HeaderValue, Method},
-    route::{AttemptEnd, FinalOutcome, NextStep, RequestFacts, next_step},
+    route::{
+        AttemptEnd, FinalOutcome, NextStep, RequestFacts, RouteTarget, next_step,
+        retry::{MAX_ATTEMPTS, MIN_REMAINING_TIME},
+    },
     std::{pin::pin, sync::Arc, time::Duration},
     stop::{WorkEnd, WorkGuard},
     tokio::time::timeout,
@@ -58,7 +63,8 @@
     pub work: Arc<WorkGuard>,
 }
 
-struct CallProgress {
+/// State of a call that is kept across attempts.
+pub struct CallProgress {
     picker: TargetPicker,
     attempts: u32,
     may_have_run: bool,
@@ -66,6 +72,8 @@
 
 enum CallEnd {
     Answer(WholeAnswer),
+    /// A second attempt was answered while this one was silent.
+    Moved(AnsweredCall),
     Failed(AttemptEnd, Refusal),
     /// The permit ended before the dispatch; the next pick returns the matching refusal.
     NotPermitted,
@@ -102,11 +110,16 @@
             let picked = picked.map_err(|refusal| with_possible_effect(&progress, refusal))?;
             progress.attempts += 1;
             self.note_attempt(core, &progress);
-            match self.attempt(core, &picked).await {
+            match self.attempt(core, &picked, &mut progress).await {
                 CallEnd::Answer(answer) => {
                     picked.target.counters.clear_suspicion();
                     return Ok(answer);
                 }
+                CallEnd::Moved(second) => {
+                    picked.target.counters.suspect(core.now() + SUSPECT_PERIOD);
+                    second.picked.target.counters.clear_suspicion();
+                    return Ok(second.answer);
+                }
                 CallEnd::NotPermitted => {}
                 CallEnd::Failed(end, refusal) => {
                     progress.picker.avoided.add(&picked.target);
@@ -151,32 +164,74 @@
         }
     }
 
-    async fn attempt(&self, core: &GatewayCore, picked: &PickedTarget) -> CallEnd {
+    /// Takes a retry and a slot of a server for an attempt beside the one at `present`, which is
+    /// silent.
+    pub fn pick_second(
+        &self,
+        core: &GatewayCore,
+        progress: &mut CallProgress,
+        present: &RouteTarget,
+    ) -> Option<PickedTarget> {
+        let in_time = core.now() + MIN_REMAINING_TIME <= self.context.deadline;
+        if !in_time || progress.attempts >= MAX_ATTEMPTS || self.workspace.retries.left() == 0 {
+            return None;
+        }
+        let picked = progress.picker.pick_second(core, &self.context, present)?;
+        if !self.workspace.retries.try_retry() {
+            return None;
+        }
+        progress.attempts += 1;
+        self.note_attempt(core, progress);
+        Some(picked)
+    }
+
+    /// Records a second attempt that ended without an answer.
+    pub fn note_failed_second(
+        &self,
+        core: &GatewayCore,
+        progress: &mut CallProgress,
+        failure: &FailedCall,
+    ) {
+        if failure.avoid {
+            progress.picker.avoided.add(&failure.target);
+        }
+        if failure.may_have_run {
+            progress.may_have_run = true;
+            failure.target.counters.suspect(core.now() + SUSPECT_PERIOD);
+        }
+    }
+
+    /// A permit for an attempt at `picked` that ends with the call's deadline.
+    pub fn permit(&self, core: &GatewayCore, picked: &PickedTarget) -> Arc<RequestPermit> {
         let clock = core.ports.clock.clone();
         let evidence = picked.snapshot.evidence.clone();
-        let permit = Arc::new(RequestPermit::new(clock, evidence, self.context.deadline));
+        Arc::new(RequestPermit::new(clock, evidence, self.context.deadline))
+    }
+
+    async fn attempt(
+        &self,
+        core: &GatewayCore,
+        picked: &PickedTarget,
+        progress: &mut CallProgress,
+    ) -> CallEnd {
+        let permit = self.permit(core, picked);
         let remaining = self.context.deadline.since(core.now());
         let services = core.ports.services.clone();
         let mut calling =
             pin!(services.call(self.dispatch(core, picked, permit.clone(), remaining)));
-        let probe_policy = self.probe_policy(core, remaining);
-        let address = picked.target.spec.address;
-        let watching = wait_with_probes(
-            services.as_ref(),
-            &core.meters,
-            address,
-            probe_policy,
-            calling.as_mut(),
-        );
+        let watch = self.watch(core, picked, remaining);
+        let mut seconds = CallSeconds { core, run: self, present: &picked.target, progress };
+        let watching = race_when_silent(&watch, &mut seconds, Result::is_ok, calling.as_mut());
         let end = tokio::select! {
             biased;
             end = timeout(remaining, watching) => end,
             () = core.ending() => return stopped_end(core, &permit),
         };
         match end {
-            Ok(Ok(Ok(answer))) => CallEnd::Answer(answer),
-            Ok(Ok(Err(error))) => dispatch_end(error),
-            Ok(Err(state)) => unresponsive_end(&permit, state),
+            Ok(RaceEnd::Present(Ok(answer))) => CallEnd::Answer(answer),
+            Ok(RaceEnd::Present(Err(error))) => dispatch_end(error),
+            Ok(RaceEnd::Second(second)) => CallEnd::Moved(second),
+            Ok(RaceEnd::HostDead) => host_dead_end(&permit),
             Err(_) if permit.was_used() => {
                 let detail = "the server did not answer before the deadline";
                 let refusal = Refusal::unknown(RefusalKind::DeadlinePassed, detail);
@@ -186,17 +241,26 @@
         }
     }
 
-    fn probe_policy(&self, core: &GatewayCore, remaining: Duration) -> ProbePolicy {
+    fn watch<'a>(
+        &self,
+        core: &'a GatewayCore,
+        picked: &PickedTarget,
+        remaining: Duration,
+    ) -> HostWatch<'a> {
         let stream_idle_limit = Duration::from_millis(core.settings.silence_ms);
-        ProbePolicy {
+        let policy = ProbePolicy {
             kind: ProbedKind::Service,
             idle_limit: (remaining / IDLE_LIMIT_DIVISOR).max(stream_idle_limit * MIN_IDLE_FACTOR),
             probe_timeout: stream_idle_limit,
-            give_up_connection: self.idempotent && self.workspace.retries.left() > 0,
-        }
+            report_silence: self.idempotent,
+        };
+        let prober = core.ports.services.as_ref();
+        let address = picked.target.spec.address;
+        HostWatch { prober, meters: &core.meters, address, policy }
     }
 
-    fn dispatch(
+    /// What is sent to the server at `picked`.
+    pub fn dispatch(
         &self,
         core: &GatewayCore,
         picked: &PickedTarget,
@@ -247,11 +311,8 @@
     }
 }
 
-fn unresponsive_end(permit: &RequestPermit, state: Unresponsive) -> CallEnd {
-    let detail = match state.host_alive {
-        true => "the connection went silent",
-        false => "the host is gone",
-    };
+fn host_dead_end(permit: &RequestPermit) -> CallEnd {
+    let detail = "the host is gone";
     if permit.was_used() {
         CallEnd::Failed(AttemptEnd::NoAnswer, Refusal::unknown(RefusalKind::NoAnswer, detail))
     } else {
