Count second attempts in the outcome, and give them time before a third

Follow-up of the second attempts beside a silent host.

- Callers could be told not-run although a second attempt had been sent: only the permit of the present attempt was asked at the deadline.
The permits of second attempts are kept until they are known as not run.
- A third attempt was sent one idle limit after the second one, which had not had the time of a first frame.
- Nothing is allocated for second attempts until a host is silent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,7 +76,8 @@
     /// The target, with the slot that the attempt holds there.
     pub picked: PickedTarget,
     id: AttemptId,
-    permit: Arc<RequestPermit>,
+    /// Tells whether the attempt may have run.
+    pub permit: Arc<RequestPermit>,
 }
 
 impl<'a> Attempt<'a> {
@@ -172,7 +173,7 @@
         &self,
         opening: impl Future<Output = Result<T, DispatchEnd<'a>>>,
     ) -> Result<T, DispatchEnd<'a>> {
-        let HostWatch { prober, meters, address, policy } = self.watch(FIRST_FRAME_IDLE_FACTOR);
+        let HostWatch { prober, meters, address, policy, .. } = self.watch(FIRST_FRAME_IDLE_FACTOR);
         let policy = ProbePolicy { report_silence: false, ..policy };
         let waited = wait_with_probes(prober, meters, address, policy, pin!(opening)).await;
         waited.unwrap_or_else(|_| Err(self.host_dead()))
@@ -264,7 +265,8 @@
         };
         let prober = self.core.ports.models.as_ref();
         let address = self.picked.target.spec.address;
-        HostWatch { prober, meters: &self.core.meters, address, policy }
+        let second_limit = self.idle_limit() * FIRST_FRAME_IDLE_FACTOR;
+        HostWatch { prober, meters: &self.core.meters, address, policy, second_limit }
     }
 
     fn seconds<'p>(&'p self, progress: &'p mut RunProgress) -> CompletionSeconds<'a, 'p> {
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -33,6 +33,27 @@
     }
 }
 
+/// The permits of a request's second attempts that are not known as not run.
+#[derive(Default)]
+pub struct SecondPermits(Vec<Arc<RequestPermit>>);
+
+impl SecondPermits {
+    /// Adds the permit of an attempt that is started.
+    pub fn add(&mut self, permit: Arc<RequestPermit>) {
+        self.0.push(permit);
+    }
+
+    /// Removes the permit of an attempt that was not run.
+    pub fn remove(&mut self, permit: &Arc<RequestPermit>) {
+        self.0.retain(|other| !Arc::ptr_eq(other, permit));
+    }
+
+    /// Whether an attempt may have run.
+    pub fn any_used(&self) -> bool {
+        self.0.iter().any(|permit| permit.was_used())
+    }
+}
+
 impl DispatchPermit for RequestPermit {
     fn is_valid(&self) -> bool {
         let now = self.clock.now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
         completion::CompletionRequest,
         core::{DEFAULT_RETRY_AFTER, GatewayCore},
         metrics::{ClassMeters, CountedEnd},
+        permit::SecondPermits,
         pick::{PickedTarget, TargetKind, TargetPicker},
         refusal::{Outcome, Refusal, RefusalKind},
         request_context::RequestContext,
@@ -57,6 +58,8 @@
 pub struct RunProgress {
     /// Orders the answer's frames, which may come from several attempts.
     pub sequence: FrameSequence,
+    /// Tells whether a second attempt may have run.
+    pub second_permits: SecondPermits,
     picker: TargetPicker,
     attempts: u32,
     may_have_run: bool,
@@ -84,6 +87,7 @@
         let prefixes = run.request.prefixes.clone();
         Self {
             sequence: FrameSequence::new(attempt),
+            second_permits: SecondPermits::default(),
             picker: TargetPicker::new(TargetKind::Group, class, run.digest, prefixes),
             attempts: 0,
             may_have_run: false,
@@ -197,14 +201,17 @@
         failure: &FailedAttempt<'_>,
     ) {
         match &failure.end {
-            DispatchEnd::NotRun { reason: NotRunReason::PermitEnded, .. } => {}
-            DispatchEnd::NotRun { .. } => progress.picker.avoided.add(&failure.target),
+            DispatchEnd::NotRun { reason, .. } => {
+                progress.second_permits.remove(&failure.permit);
+                if *reason != NotRunReason::PermitEnded {
+                    progress.picker.avoided.add(&failure.target);
+                }
+            }
             DispatchEnd::Lost { host_alive, .. } => {
                 if !host_alive {
                     progress.picker.avoided.add(&failure.target);
                 }
                 failure.target.counters.suspect(core.now() + SUSPECT_PERIOD);
-                progress.may_have_run = true;
             }
             _ => {}
         }
@@ -266,6 +273,7 @@
         picked: &PickedTarget,
         progress: &mut RunProgress,
     ) -> Option<RunEnd> {
+        progress.may_have_run |= progress.second_permits.any_used();
         match end {
             DispatchEnd::Whole => {
                 self.note_answer(core, picked);
--- a/crates/gateway/src/second_attempt.rs
+++ b/crates/gateway/src/second_attempt.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        attempt::{Attempt, DispatchEnd},
+        attempt::{Attempt, DispatchEnd, lost},
         core::GatewayCore,
+        permit::RequestPermit,
         run::{CompletionRun, RunProgress},
         silence::{SecondAttempts, SecondFuture},
     },
@@ -33,6 +34,8 @@
 pub struct FailedAttempt<'a> {
     /// Where the request was sent.
     pub target: Arc<RouteTarget>,
+    /// The attempt's permit.
+    pub permit: Arc<RequestPermit>,
     /// Why it ended.
     pub end: DispatchEnd<'a>,
 }
@@ -66,6 +69,7 @@
     fn start(&mut self) -> Option<SecondFuture<'a, Box<OpenedAttempt<'a>>, FailedAttempt<'a>>> {
         let picked = self.run.pick_second(self.core, self.progress, self.present)?;
         let attempt = Attempt::new(self.core, self.run, picked);
+        self.progress.second_permits.add(attempt.permit.clone());
         let dispatch = ModelDispatch { new_connection: true, ..attempt.dispatch(self.progress) };
         Some(run_second(attempt, dispatch).boxed())
     }
@@ -79,7 +83,7 @@
     attempt: Attempt<'a>,
     dispatch: ModelDispatch,
 ) -> Result<Box<OpenedAttempt<'a>>, FailedAttempt<'a>> {
-    let target = attempt.picked.target.clone();
+    let (target, permit) = (attempt.picked.target.clone(), attempt.permit.clone());
     let mut guard = CancelGuard(Some(attempt));
     let attempt = guard.0.as_ref().expect("taken below only");
     match first_progress(attempt, dispatch).await {
@@ -87,7 +91,7 @@
             let attempt = guard.0.take().expect("taken here only");
             Ok(Box::new(OpenedAttempt { attempt, answer }))
         }
-        Err(end) => Err(FailedAttempt { target, end }),
+        Err(end) => Err(FailedAttempt { target, permit, end }),
     }
 }
 
@@ -100,7 +104,7 @@
     let answer = attempt.while_alive(opening).await?;
     match answer {
         SecondAnswer::Whole(answer) if offset > 0 || answer.status.is_server_error() => {
-            Err(crate::attempt::lost("the engine answered with an error"))
+            Err(lost("the engine answered with an error"))
         }
         answer => Ok(answer),
     }
@@ -122,9 +126,9 @@
             }
             Some(Ok(StreamFrame::Token(_))) => {}
             Some(Ok(StreamFrame::End)) | None => {
-                return Err(crate::attempt::lost("the stream ended too early"));
+                return Err(lost("the stream ended too early"));
             }
-            Some(Err(error)) => return Err(crate::attempt::lost(&error.to_string())),
+            Some(Err(error)) => return Err(lost(&error.to_string())),
         }
     }
 }
--- a/crates/gateway/src/second_call.rs
+++ b/crates/gateway/src/second_call.rs
@@ -26,10 +26,10 @@
 pub struct FailedCall {
     /// Where the call was sent.
     pub target: Arc<RouteTarget>,
-    /// Whether the server may have run it.
-    pub may_have_run: bool,
-    /// Whether the server is not asked again for this call.
-    pub avoid: bool,
+    /// The attempt's permit.
+    pub permit: Arc<RequestPermit>,
+    /// Why it was not run, if that is known.
+    pub not_run: Option<NotRunReason>,
 }
 
 /// Starts second attempts of a call.
@@ -48,6 +48,7 @@
     fn start(&mut self) -> Option<SecondFuture<'a, AnsweredCall, FailedCall>> {
         let picked = self.run.pick_second(self.core, self.progress, self.present)?;
         let permit = self.run.permit(self.core, &picked);
+        self.progress.second_permits.add(permit.clone());
         let remaining = self.run.context.deadline.since(self.core.now());
         let dispatch = self.run.dispatch(self.core, &picked, permit.clone(), remaining);
         Some(call_second(self.core, picked, permit, dispatch).boxed())
@@ -67,13 +68,11 @@
     let target = picked.target.clone();
     match core.ports.services.call(dispatch).await {
         Ok(answer) if !answer.status.is_server_error() => Ok(AnsweredCall { picked, answer }),
-        Ok(_) => Err(FailedCall { target, may_have_run: true, avoid: true }),
         Err(DispatchError::NotRun { reason, .. }) => {
-            let avoid = reason != NotRunReason::PermitEnded;
-            Err(FailedCall { target, may_have_run: false, avoid })
+            Err(FailedCall { target, permit, not_run: Some(reason) })
         }
-        Err(DispatchError::Unknown { .. }) => {
-            Err(FailedCall { target, may_have_run: permit.was_used(), avoid: true })
+        Ok(_) | Err(DispatchError::Unknown { .. }) => {
+            Err(FailedCall { target, permit, not_run: None })
         }
     }
 }
--- a/crates/gateway/src/service_run.rs
+++ b/crates/gateway/src/service_run.rs
@@ -4,7 +4,7 @@
     crate::{
         core::{DEFAULT_RETRY_AFTER, GatewayCore},
         metrics::{ClassMeters, CountedEnd},
-        permit::RequestPermit,
+        permit::{RequestPermit, SecondPermits},
         pick::{PickedTarget, TargetKind, TargetPicker},
         probe::ProbePolicy,
         refusal::{Outcome, Refusal, RefusalKind},
@@ -66,6 +66,8 @@
 /// State of a call that is kept across attempts.
 pub struct CallProgress {
     picker: TargetPicker,
+    /// Tells whether a second attempt may have run.
+    pub second_permits: SecondPermits,
     attempts: u32,
     may_have_run: bool,
 }
@@ -101,6 +103,7 @@
         let class = service_class(&self.service);
         let mut progress = CallProgress {
             picker: TargetPicker::new(TargetKind::Server, class, self.digest, Vec::new()),
+            second_permits: SecondPermits::default(),
             attempts: 0,
             may_have_run: false,
         };
@@ -110,7 +113,9 @@
             let picked = picked.map_err(|refusal| with_possible_effect(&progress, refusal))?;
             progress.attempts += 1;
             self.note_attempt(core, &progress);
-            match self.attempt(core, &picked, &mut progress).await {
+            let end = self.attempt(core, &picked, &mut progress).await;
+            progress.may_have_run |= progress.second_permits.any_used();
+            match end {
                 CallEnd::Answer(answer) => {
                     picked.target.counters.clear_suspicion();
                     return Ok(answer);
@@ -192,12 +197,12 @@
         progress: &mut CallProgress,
         failure: &FailedCall,
     ) {
-        if failure.avoid {
-            progress.picker.avoided.add(&failure.target);
+        match failure.not_run {
+            None => failure.target.counters.suspect(core.now() + SUSPECT_PERIOD),
+            Some(_) => progress.second_permits.remove(&failure.permit),
         }
-        if failure.may_have_run {
-            progress.may_have_run = true;
-            failure.target.counters.suspect(core.now() + SUSPECT_PERIOD);
+        if failure.not_run != Some(NotRunReason::PermitEnded) {
+            progress.picker.avoided.add(&failure.target);
         }
     }
 
@@ -256,7 +261,8 @@
         };
         let prober = core.ports.services.as_ref();
         let address = picked.target.spec.address;
-        HostWatch { prober, meters: &core.meters, address, policy }
+        let second_limit = policy.idle_limit;
+        HostWatch { prober, meters: &core.meters, address, policy, second_limit }
     }
 
     /// What is sent to the server at `picked`.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -10,13 +10,8 @@
     },
     engine::HostProbe,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
-    std::{
-        future::Future,
-        net::SocketAddr,
-        pin::{Pin, pin},
-        time::Duration,
-    },
-    tokio::time::timeout,
+    std::{future::Future, net::SocketAddr, pin::Pin, time::Duration},
+    tokio::time::{Instant, timeout},
 };
 
 /// A second attempt under way. Dropping it cancels the attempt.
@@ -50,6 +45,8 @@
     pub address: SocketAddr,
     /// When to probe.
     pub policy: ProbePolicy,
+    /// Time that a second attempt has for its first progress before another one is made.
+    pub second_limit: Duration,
 }
 
 /// What ended the wait for an attempt's next data.
@@ -72,43 +69,54 @@
     is_progress: fn(&T) -> bool,
     mut present: NextData<'_, T>,
 ) -> RaceEnd<T, W> {
+    let HostWatch { prober, meters, address, policy, second_limit } = *watch;
+    let mut waited = wait_with_probes(prober, meters, address, policy, present.as_mut()).await;
+    if !is_silent(&waited) {
+        return present_end(waited);
+    }
     let mut running = FuturesUnordered::new();
-    loop {
-        let waited = {
-            let HostWatch { prober, meters, address, policy } = watch;
-            let mut waiting =
-                pin!(wait_with_probes(*prober, meters, *address, *policy, present.as_mut()));
-            tokio::select! {
-                biased;
-                waited = waiting.as_mut() => waited,
-                winner = first_winner(&mut running, seconds) => return RaceEnd::Second(winner),
-            }
-        };
-        let end = match waited {
-            Err(Unresponsive { host_alive: true }) => {
-                running.extend(seconds.start());
-                continue;
-            }
-            Err(Unresponsive { host_alive: false }) => RaceEnd::HostDead,
-            Ok(output) if is_progress(&output) => return RaceEnd::Present(output),
-            Ok(output) => RaceEnd::Present(output),
-        };
-        return match last_winner(&mut running, seconds, watch.policy.idle_limit).await {
-            Some(winner) => RaceEnd::Second(winner),
-            None => end,
+    let mut started = Instant::now();
+    while is_silent(&waited) {
+        if running.is_empty() || started.elapsed() >= second_limit {
+            running.extend(seconds.start());
+            started = Instant::now();
+        }
+        let waiting = wait_with_probes(prober, meters, address, policy, present.as_mut());
+        waited = tokio::select! {
+            biased;
+            waited = waiting => waited,
+            winner = first_winner(&mut running, seconds) => return RaceEnd::Second(winner),
         };
     }
+    if waited.as_ref().is_ok_and(is_progress) {
+        return present_end(waited);
+    }
+    match last_winner(&mut running, seconds, second_limit).await {
+        Some(winner) => RaceEnd::Second(winner),
+        None => present_end(waited),
+    }
+}
+
+fn is_silent<T>(waited: &Result<T, Unresponsive>) -> bool {
+    matches!(waited, Err(Unresponsive { host_alive: true }))
+}
+
+fn present_end<T, W>(waited: Result<T, Unresponsive>) -> RaceEnd<T, W> {
+    match waited {
+        Ok(output) => RaceEnd::Present(output),
+        Err(_) => RaceEnd::HostDead,
+    }
 }
 
-/// Waits for the second attempts when the present one has failed. Starts another one after each idle
-/// limit; returns `None` if all have failed.
+/// Waits for the second attempts when the present one has failed. Starts another one after each
+/// `second_limit`; returns `None` if all have failed.
 async fn last_winner<'a, W, F>(
     running: &mut FuturesUnordered<SecondFuture<'a, W, F>>,
     seconds: SecondsRef<'_, 'a, W, F>,
-    idle_limit: Duration,
+    second_limit: Duration,
 ) -> Option<W> {
     loop {
-        match timeout(idle_limit, next_winner(running, seconds)).await {
+        match timeout(second_limit, next_winner(running, seconds)).await {
             Ok(winner) => return winner,
             Err(_) => running.extend(seconds.start()),
         }
--- a/crates/gateway/tests/support/models.rs
+++ b/crates/gateway/tests/support/models.rs
@@ -48,6 +48,8 @@
     AnswerLost,
     /// Never answers.
     Silence,
+    /// Never connects, so that the permit is not asked.
+    NoConnection,
 }
 
 /// Uses one script for each dispatch, in order. Without a script, it streams a complete answer.
@@ -162,6 +164,10 @@
         if let Some(action) = self.before_permit.lock().take() {
             action();
         }
+        if matches!(self.scripts.lock().front(), Some(Script::NoConnection)) {
+            self.scripts.lock().pop_front();
+            std::future::pending().await
+        }
         if !dispatch.permit.is_valid() {
             let reason = NotRunReason::PermitEnded;
             return Err(DispatchError::NotRun { address, reason, retry_after: None });
@@ -178,7 +184,7 @@
             Script::AnswerLost => {
                 Err(DispatchError::Unknown { address, detail: "injected fault".to_owned() })
             }
-            Script::Silence => std::future::pending().await,
+            Script::Silence | Script::NoConnection => std::future::pending().await,
         }
     }
 
