--- a/crates/gateway/src/service_run.rs
+++ b/crates/gateway/src/service_run.rs
@@ -30,7 +30,7 @@
 /// Shortest idle limit of a service call, as a multiple of the idle limit of a token stream.
 const MIN_IDLE_FACTOR: u32 = 4;
 /// Divisor of the time until the deadline that gives the idle limit of a long call. A third leaves
-/// time for a retry on another connection.
+/// time for a second attempt at another server.
 const IDLE_LIMIT_DIVISOR: u32 = 3;
 /// How long other servers are preferred after a call to one was lost.
 const SUSPECT_PERIOD: Duration = Duration::from_secs(2);
