Take back the waiting of members whose head is silent

A head that nobody reaches has no callers to lose; one that lost its power is far more frequent, and its members have to be free sooner than the fix allows.

--- a/crates/plan/src/staged/prewarm.rs
+++ b/crates/plan/src/staged/prewarm.rs
@@ -48,7 +48,6 @@
             members: vec![Some(host)],
             boot_ids: vec![boot_id],
             phase: CompositionPhase::Prewarming(progress),
-            loss: None,
         };
         self.compositions.insert((group, epoch), composition);
     }
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -212,21 +212,16 @@
     /// A host is considered down after at least two unanswered probes, the first of them this long
     /// ago. Two consecutive probes, each with the node's probe timeout, fit into this time.
     pub down_after: Duration,
-    /// A delisted host that refuses connections has ended once its engine has answered no probe for
-    /// this long; the members of the group that it heads are free then. The time counts from the
-    /// first unanswered probe, which may be sent before the host is delisted.
+    /// A delisted host is considered removed once its engine has answered no probe for this long;
+    /// the members of the group that it heads are free then. The time counts from the first
+    /// unanswered probe, which may be sent before the host is delisted.
     pub removed_after: Duration,
     /// Replaces `removed_after` for a host that leaves gracefully: it stops listening first and
-    /// then finishes its requests for up to ten seconds. A head that may be leaving is not broken
-    /// before this either.
+    /// then finishes its requests for up to ten seconds.
     pub removed_after_leave: Duration,
-    /// A head that nobody can order to leave is broken this long after another member has left its
-    /// group; the members of the group are free then. Longer than the time after which engines
-    /// break a group that has lost a member.
-    pub stall_time: Duration,
-    /// A composition whose head is not known is broken only after this process has read the host
-    /// list for this long, because the head may come back to the list and go on serving. Longer
-    /// than live hosts take to come back after an outage of the list.
+    /// A composition whose head is not known is dissolved only after this process has read the host
+    /// list for this long, because the head may have been delisted before that and still be alive.
+    /// Longer than a live host may be cut off from the list.
     pub headless_wait: Duration,
     /// An order without visible effect is repeated after this long. Longer than an engine takes to
     /// show the effect in the host list.
@@ -261,8 +256,7 @@
             down_after: Duration::from_millis(290),
             removed_after: Duration::from_millis(1_500),
             removed_after_leave: Duration::from_secs(11),
-            stall_time: Duration::from_secs(7),
-            headless_wait: Duration::from_secs(6),
+            headless_wait: Duration::from_secs(12),
             order_retry: Duration::from_millis(500),
             answer_lag: Duration::from_millis(1_000),
             close_limit: Duration::from_secs(10),
