--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -52,11 +52,7 @@
 ///
 /// Returns when that is known, so that it counts for the next send, or after [`CHECK_WAIT`]; the check
 /// goes on then.
-pub(crate) async fn check_crash(
-    shared: &Arc<RelayShared>,
-    ctx: &CallContext,
-    server: &BackendServer,
-) {
+async fn check_crash(shared: &Arc<RelayShared>, ctx: &CallContext, server: &BackendServer) {
     let (id, suspects, server) = (ctx.id.clone(), ctx.suspects.clone(), server.clone());
     let shared = shared.clone();
     let broke_at = shared.clock.now();
@@ -80,8 +76,8 @@
     let _ = timeout(CHECK_WAIT, check).await;
 }
 
-/// Records that the stream of a server is incomplete because of `why`: where its connection ended, the
-/// request may have crashed it, unless the answer `is_sound`.
+/// Records that the answer of a server is lost or incomplete because of `why`: where its connection
+/// ended, the request may have crashed it, unless the answer `is_sound`.
 pub(crate) async fn note_break(
     shared: &Arc<RelayShared>,
     ctx: &CallContext,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         codec::{BackendCall, RequestCodec, Verdict},
-        crash::check_crash,
+        crash::note_break,
         first_event::wait_for_event,
         held_body::HeldBody,
         loss::LossCause,
@@ -240,8 +240,7 @@
             SendOutcome::Begun(answer) => Ok(ExchangeStep::Answered(answer)),
             SendOutcome::OutOfTime => Ok(ExchangeStep::Unanswered),
             SendOutcome::NotSent(error) => {
-                server.counters.note_failure(now, FAILURE_BACKOFF);
-                self.shared.report_stall(&server);
+                self.note_stalled(&server);
                 info!(id = %ctx.id, decision = "not-sent", server = %server.id, why = %error,
                     "request");
                 Ok(ExchangeStep::Unanswered)
@@ -261,15 +260,11 @@
                 progress.may_have_run = true;
                 let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
                 let waited_ms = now.since(sent_at).as_millis() as u64;
-                server.counters.note_failure(now, FAILURE_BACKOFF);
-                self.shared.report_stall(&server);
+                self.note_stalled(&server);
                 self.shared.metrics.note_loss(ctx.kind, why);
                 info!(id = %ctx.id, decision = "lost", server = %server.id, %why, waited_ms, busy,
                     "request");
-                if why.is_broken_connection() {
-                    progress.record.note_break();
-                    check_crash(&self.shared, ctx, &server).await;
-                }
+                note_break(&self.shared, ctx, &progress.record, &server, why, false).await;
                 if ctx.kind.is_retryable() {
                     Ok(ExchangeStep::Unanswered)
                 } else {
@@ -305,7 +300,7 @@
         }
     }
 
-    /// Puts a server in back-off that makes no progress on any request, and reports it.
+    /// Puts a server in back-off that failed or makes no progress, and reports it.
     pub(crate) fn note_stalled(&self, server: &BackendServer) {
         server.counters.note_failure(self.shared.clock.now(), FAILURE_BACKOFF);
         self.shared.report_stall(server);
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -15,7 +15,7 @@
         request::RequestKind,
         send::LiveAnswer,
         server::BackendServer,
-        service::{CallContext, FAILURE_BACKOFF, FIRST_EVENT_TIMEOUT, RelayService},
+        service::{CallContext, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
     bytes::Bytes,
@@ -263,8 +263,7 @@
         let shared = &self.service.shared;
         let now = shared.clock.now();
         let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
-        server.counters.note_failure(now, FAILURE_BACKOFF);
-        shared.report_stall(server);
+        self.service.note_stalled(server);
         shared.metrics.note_loss(self.ctx.kind, why);
         self.reader.discard_partial();
         let after = self.reader.last_id();
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         codec::RequestCodec,
-        crash::check_crash,
+        crash::note_break,
         held_body::HeldBody,
         obstacle::SendObstacle,
         progress::CallProgress,
@@ -160,10 +160,7 @@
                     self.shared.metrics.note_loss(ctx.kind, why);
                     info!(id = %ctx.id, decision = "broken", server = %server.id, %why,
                         "request");
-                    if why.is_broken_connection() {
-                        progress.record.note_break();
-                        check_crash(&self.shared, ctx, &server).await;
-                    }
+                    note_break(&self.shared, ctx, &progress.record, &server, why, false).await;
                     if !ctx.kind.is_retryable() {
                         return Err(self.unresolved_refusal(ctx));
                     }
