Take no head for ended that is only silent, and wait as long as engines do

Cause: a head that the list had dropped and that had not answered for 1.5 s was taken for ended. Both signs come from a machine behind a partition as well as from one without power.

A head has ended only if its address refuses connections, if it announced its leave, or if its engine started again. One that is silent, or that a new owner does not know, is broken through its group: one reachable member is ordered to leave, and the others wait until engines must have broken the head. This works for any partition, because the head breaks without being reached, and the owner counts from the member's answer, which is later than its leave.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -116,6 +116,8 @@
     clock: SharedClock,
     /// This process, as owner rows name it.
     own: RowOwner,
+    /// Time limits of the planners. The configuration sets those of loads.
+    settings: StagedSettings,
     /// The domains that this process owns.
     domains: BTreeMap<FabricDomainId, OwnedDomain>,
     /// When this process last tried to claim a domain.
@@ -140,7 +142,8 @@
     T: TableStore + 'static,
     E: EngineAccess,
 {
-    /// Runs until cancelled, then releases the owned domains. `stalls` receives servers at which
+    /// Runs until cancelled, then releases the owned domains. `settings` holds the engines' times; the
+    /// configuration sets the limits on loads. `stalls` receives servers at which
     /// requests have stalled; their domains are probed at once.
     pub async fn run(
         table: Arc<T>,
@@ -148,6 +151,7 @@
         view: Arc<NodeView>,
         shared: Arc<RelayShared>,
         own: RowOwner,
+        settings: StagedSettings,
         mut stalls: mpsc::Receiver<ServerId>,
         head_updates: mpsc::Sender<HeadUpdates>,
         stop: CancellationToken,
@@ -161,6 +165,7 @@
             shared,
             clock,
             own,
+            settings,
             domains: BTreeMap::new(),
             claim_attempts: BTreeMap::new(),
             first_view_at: None,
@@ -437,7 +442,7 @@
                 let settings = StagedSettings {
                     loads_at_once: (engine.loads_at_once / sizes.len().max(1)).max(1),
                     loads_per_s: LOAD_RATE_SHARE * engine.loads_per_s / sizes.len().max(1) as f64,
-                    ..StagedSettings::default()
+                    ..self.settings
                 };
                 let planner = StagedPlanner::new(domain, term, settings, now);
                 let owned = OwnedDomain {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -204,6 +204,7 @@
             self.view.clone(),
             self.shared.clone(),
             self.own.clone(),
+            self.settings.staged(),
             local_stalls,
             head_updates,
             control_stop.clone(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     base::{ByteCount, FailureDomainId, HostId, RegionId},
+    plan::staged::StagedSettings,
     poison::{SuspectId, SuspectKind},
     relay::{MemorySettings, RetryLimits},
     serde::{Deserialize, Deserializer, Serialize},
@@ -17,6 +18,7 @@
 };
 
 const BYTES_PER_MB: f64 = 1e6;
+const MS_PER_S: f64 = 1e3;
 
 /// Why the settings can't be used.
 #[derive(Debug, Snafu)]
@@ -125,6 +127,30 @@
     Empty,
 }
 
+/// Times that the platform's engines keep.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineSettings {
+    /// Time after which a group that has lost a member is broken, in milliseconds. Members of a head
+    /// that is out of reach wait for it; a value below the engines' own lets two groups use a host.
+    #[serde(deserialize_with = "EngineSettings::read_stall_ms")]
+    pub stall_ms: f64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self { stall_ms: StagedSettings::default().stall_time.as_secs_f64() * MS_PER_S }
+    }
+}
+
+impl EngineSettings {
+    /// Reads the time; a template leaves out the value where its platform names none.
+    fn read_stall_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+        let written = Option::deserialize(deserializer)?;
+        Ok(written.unwrap_or_else(|| Self::default().stall_ms))
+    }
+}
+
 /// The settings of one process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeSettings {
@@ -149,6 +175,9 @@
     /// What the platform allows the process.
     #[serde(default, deserialize_with = "LimitSettings::read")]
     pub limits: LimitSettings,
+    /// Times that the platform's engines keep.
+    #[serde(default)]
+    pub engines: EngineSettings,
     /// Whether the whole system starts for the first time, so that there can be no callers yet.
     #[serde(default)]
     pub first_start: bool,
@@ -191,6 +220,7 @@
             ("store", self.store != other.store),
             ("repeats", self.retries != other.retries),
             ("limits", self.limits != other.limits),
+            ("engines", self.engines != other.engines),
             ("grace_s", self.grace_s != other.grace_s),
             ("metrics_port", self.metrics_port != other.metrics_port),
             ("admitted_parts", self.admitted_parts != other.admitted_parts),
@@ -208,6 +238,12 @@
         }
     }
 
+    /// The time limits of groups, in the type that the planner uses.
+    pub fn staged(&self) -> StagedSettings {
+        let stall_time = Duration::from_secs_f64(self.engines.stall_ms / MS_PER_S);
+        StagedSettings { stall_time, ..StagedSettings::default() }
+    }
+
     /// The memory that the process may use, in the type that the relay uses.
     pub fn memory(&self) -> MemorySettings {
         MemorySettings { limit: ByteCount((self.limits.memory_mb * BYTES_PER_MB) as u64) }
@@ -245,6 +281,8 @@
     range(settings.retries.window_s > 0.0, "repeats.window_s", "must be above 0")?;
     let memory_mb = settings.limits.memory_mb;
     range(finite(memory_mb) && memory_mb > 0.0, "limits.memory_mb", "must be above 0")?;
+    let stall_ms = settings.engines.stall_ms;
+    range(finite(stall_ms) && stall_ms > 0.0, "engines.stall_ms", "must be above 0")?;
     range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
     let are_requests = settings.admitted_requests.iter().all(|id| read_request_id(id).is_some());
     range(are_requests, "admitted_requests", "must be ids of requests: 32 hexadecimal digits")?;
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -19,7 +19,9 @@
         rows::{MemberRow, RowName, RowOwner},
         view::NodeView,
     },
-    plan::staged::{EngineState, MemberPhase, Membership, OrderEnd, StagedCommand, StagedOrder},
+    plan::staged::{
+        EngineState, MemberPhase, Membership, OrderEnd, StagedCommand, StagedOrder, StagedSettings,
+    },
     relay::{RelayConfig, ServerLoad},
     std::{
         collections::BTreeMap,
@@ -196,6 +198,7 @@
             view.clone(),
             shared,
             own,
+            StagedSettings::default(),
             local_stalls,
             head_updates,
             CancellationToken::new(),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -10,6 +10,7 @@
         fs,
         path::PathBuf,
         sync::atomic::{AtomicU32, Ordering},
+        time::Duration,
     },
     yare::parameterized,
 };
@@ -67,12 +68,28 @@
     fs::remove_file(path).unwrap();
 }
 
+/// Members of a head that is out of reach wait as long as the platform's engines do before they break
+/// a group; a constant was too short for some platforms and too long for others.
+#[parameterized(
+    shorter = { "engines:\n  stall_ms: 5000.0\n", 5_000 },
+    longer = { "engines: {stall_ms: 8000}\n", 8_000 },
+    absent = { "", 6_000 },
+    nothing = { "engines:\n  stall_ms: \n", 6_000 },
+)]
+fn the_stall_time_of_engines_is_read(lines: &str, ms: u64) {
+    let path = file(&format!("{GOOD}{lines}"));
+    let settings = load_settings(&path).unwrap();
+    assert_eq!(settings.staged().stall_time, Duration::from_millis(ms));
+    fs::remove_file(path).unwrap();
+}
+
 #[parameterized(
     missing_field = { "peer_port: 7340\n", "", "peer_port" },
     port_zero = { "peer_port: 7340", "peer_port: 0", "peer_port" },
     no_memory = { "first_start: true", "limits: {memory_mb: 0}", "limits.memory_mb" },
     negative = { "ratio: 0.2", "ratio: -1", "repeats.ratio" },
     no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
+    no_stall_time = { "first_start: true", "engines: {stall_ms: 0}", "engines.stall_ms" },
     no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
     no_address = { "callers: 127.0.0.1:8227", "callers: nowhere", "callers" },
     no_name = { "node: n1", "node: ''", "node" },
--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -33,6 +33,15 @@
     pub(super) since: Tick,
 }
 
+/// A member that its head has lost, which breaks the head some time later even if nobody can reach
+/// it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MemberLoss {
+    pub(super) rank: usize,
+    /// When the member was known to be out of the composition.
+    pub(super) since: Tick,
+}
+
 /// The members of a group under one epoch.
 #[derive(Clone, Debug)]
 pub(super) struct Composition {
@@ -45,6 +54,8 @@
     /// By rank, the boot id of the member's engine when it was chosen or found.
     pub(super) boot_ids: Vec<Option<u64>>,
     pub(super) phase: CompositionPhase,
+    /// Loss that breaks a head which can't be ordered to leave.
+    pub(super) loss: Option<MemberLoss>,
 }
 
 impl Composition {
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        composition::{ClosingProgress, Composition},
+        composition::{ClosingProgress, Composition, MemberLoss},
+        host::HostRecord,
         planner::{StagedInput, StagedPlanner},
         types::{Membership, OrderEnd, StagedCommand},
     },
@@ -41,38 +42,50 @@
     /// can run in the composition, so that its members are free.
     pub(super) fn try_release(
         &mut self,
-        composition: &Composition,
+        composition: &mut Composition,
         input: &StagedInput<'_>,
     ) -> bool {
         let now = input.now;
+        if self.has_no_members(composition, now) {
+            // Members that come back are adopted again: the head may be open even now.
+            return true;
+        }
         let Some(head) = composition.head().cloned() else {
-            return self.is_headless(composition, input);
+            let may_break = composition.loss.is_some() || self.has_looked_for_heads(input);
+            return may_break && self.break_head(composition, now);
+        };
+        let Some(record) = self.hosts.get(&head) else {
+            return self.break_head(composition, now);
         };
-        let Some(record) = self.hosts.get(&head) else { return true };
         let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
-        if record.is_removed(now, &self.settings) || boot_id != composition.boot_ids[0] {
+        if record.has_ended(now, &self.settings) || boot_id != composition.boot_ids[0] {
             self.record_dissolved(composition, now);
             return true;
         }
-        // A head that reports no membership gets the order too: a join or open may still be on its
-        // way to it.
-        let leave =
-            StagedCommand::Leave { group: composition.group.clone(), epoch: composition.epoch };
-        let reported = self.membership(&head, composition).is_some();
-        let has_left = record.last_order.as_ref().is_some_and(|last| {
-            // A refusal means that the head is not in the group, unless it reports that it is.
-            let refused = last.end == Some(OrderEnd::Refused) && !reported;
-            last.command == leave && (refused || last.end == Some(OrderEnd::Accepted))
-        });
-        if has_left {
+        let is_out_of_reach = record.is_out_of_reach(now, &self.settings);
+        if self.has_left(composition, &head) {
             self.record_dissolved(composition, now);
             if let Some(record) = self.hosts.get_mut(&head) {
                 record.clear_membership();
             }
             return true;
         }
-        self.order(&head, leave, now);
-        false
+        // A head that reports no membership gets the order too: a join or open may still be on its
+        // way to it.
+        self.order(&head, leave_order(composition), now);
+        (composition.loss.is_some() || is_out_of_reach) && self.break_head(composition, now)
+    }
+
+    /// Whether the host's last order was to leave the composition, and it is out of it.
+    fn has_left(&self, composition: &Composition, host: &HostId) -> bool {
+        let reported = self.membership(host, composition).is_some();
+        let last = self.hosts.get(host).and_then(|record| record.last_order.as_ref());
+        last.is_some_and(|last| {
+            // A refusal means that the host is not in the group, unless it reports that it is.
+            let refused = last.end == Some(OrderEnd::Refused) && !reported;
+            last.command == leave_order(composition)
+                && (refused || last.end == Some(OrderEnd::Accepted))
+        })
     }
 
     fn record_dissolved(&mut self, composition: &Composition, now: Tick) {
@@ -94,18 +107,84 @@
         }
     }
 
-    /// Whether no unknown head can serve a composition without a known head: every listed host
-    /// has reported its state, and every delisted host is considered removed.
-    fn is_headless(&self, composition: &Composition, input: &StagedInput<'_>) -> bool {
-        let now = input.now;
-        if now.since(input.list_read_since) < self.settings.headless_wait {
-            return false;
-        }
+    /// Whether this process has read the host list for long enough, and has asked each listed
+    /// engine, to find the head of a composition that is in neither.
+    fn has_looked_for_heads(&self, input: &StagedInput<'_>) -> bool {
         let mut listed = self.hosts.values().filter(|record| record.entry.listed);
-        let all_known =
-            listed.all(|record| record.state.is_some() && !record.is_down(now, &self.settings));
-        let unlisted = self.hosts.values().filter(|record| !record.entry.listed);
-        let mut maybe_running = unlisted.filter(|record| !record.is_removed(now, &self.settings));
-        all_known && maybe_running.next().is_none() && composition.head().is_none()
+        input.now.since(input.list_read_since) >= self.settings.headless_wait
+            && listed.all(HostRecord::was_asked)
     }
+
+    /// Whether every known member is delisted and out of reach, so that none waits to be free.
+    fn has_no_members(&self, composition: &Composition, now: Tick) -> bool {
+        composition.members.iter().flatten().all(|host| {
+            self.hosts.get(host).is_none_or(|record| record.is_dropped(now, &self.settings))
+        })
+    }
+
+    /// Breaks a head that can't be ordered to leave: orders another member out of the composition.
+    /// Returns true once that has been so for the break time.
+    fn break_head(&mut self, composition: &mut Composition, now: Tick) -> bool {
+        self.check_loss(composition);
+        if composition.loss.is_none() {
+            composition.loss = self.find_loss(composition, now);
+        }
+        if let Some(loss) = composition.loss {
+            let is_broken = now.since(loss.since) >= self.settings.break_time();
+            if is_broken {
+                self.record_dissolved(composition, now);
+            }
+            return is_broken;
+        }
+        let members = composition.members.iter().skip(1).flatten();
+        let mut reachable = members.filter(|host| self.is_reachable_member(composition, host));
+        if let Some(member) = reachable.next().cloned() {
+            self.order(&member, leave_order(composition), now);
+        }
+        false
+    }
+
+    /// Takes a loss back whose member is in the composition again, by a join that arrived late.
+    fn check_loss(&mut self, composition: &mut Composition) {
+        let Some(loss) = composition.loss else { return };
+        let Some(member) = composition.members.get(loss.rank).cloned().flatten() else { return };
+        if self.membership(&member, composition).is_none() {
+            return;
+        }
+        composition.loss = None;
+        if let Some(record) = self.hosts.get_mut(&member) {
+            record.forget_leave_order(&composition.group, composition.epoch);
+        }
+    }
+
+    /// A member other than the head that is known to be out of the composition.
+    fn find_loss(&mut self, composition: &Composition, now: Tick) -> Option<MemberLoss> {
+        let is_out = |rank: &usize| self.is_out(composition, *rank);
+        let rank = (1..composition.members.len()).find(is_out)?;
+        let member = composition.members[rank].as_ref()?;
+        if self.has_left(composition, member)
+            && let Some(record) = self.hosts.get_mut(member)
+        {
+            record.clear_membership();
+        }
+        Some(MemberLoss { rank, since: now })
+    }
+
+    /// Whether the engine of the member at `rank` has left, has restarted, or says itself that it is
+    /// not in the composition.
+    fn is_out(&self, composition: &Composition, rank: usize) -> bool {
+        let Some(member) = &composition.members[rank] else { return false };
+        let Some(record) = self.hosts.get(member) else { return false };
+        let is_absent = record.is_confirmed() && self.membership(member, composition).is_none();
+        is_absent || self.has_left(composition, member)
+    }
+
+    fn is_reachable_member(&self, composition: &Composition, host: &HostId) -> bool {
+        self.membership(host, composition).is_some()
+            && self.hosts.get(host).is_some_and(HostRecord::answers)
+    }
+}
+
+fn leave_order(composition: &Composition) -> StagedCommand {
+    StagedCommand::Leave { group: composition.group.clone(), epoch: composition.epoch }
 }
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -125,6 +125,7 @@
             }),
             members: members.into_iter().map(Some).collect(),
             boot_ids,
+            loss: None,
         };
         self.compositions.insert((group, epoch), composition);
     }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -205,11 +205,42 @@
         unanswered || (self.refused && self.failed_probes >= DOWN_PROBES)
     }
 
+    /// Whether the engine answered its last probe.
+    pub(super) fn answers(&self) -> bool {
+        self.last_answered.is_some() && self.failed_probes == 0
+    }
+
+    /// Whether the engine has given or confirmed its state, or does not answer.
+    pub(super) fn was_asked(&self) -> bool {
+        self.confirmed || self.failed_probes > 0 || self.unsure
+    }
+
     /// Whether the host leaves as planned and stays, without listening, until the head of its group
     /// has finished its requests. A new owner can't tell a host that was delisted without notice
     /// from one that crashed, until it answers.
     pub(super) fn stays_for_requests(&self) -> bool {
-        self.leaves_gracefully && (self.entry.leaving || self.last_answered.is_some())
+        self.leaves_gracefully
+            && !self.may_be_cut_off()
+            && (self.entry.leaving || self.last_answered.is_some())
+    }
+
+    /// Whether its probes fail as those of a machine behind a partition do: without a refusal, and
+    /// the engine has not announced that it leaves.
+    fn may_be_cut_off(&self) -> bool {
+        self.failed_probes >= DOWN_PROBES && !self.refused && !self.entry.leaving
+    }
+
+    /// Whether the host, as a head, has been out of reach for so long that its group may be broken
+    /// through another member. One that may be leaving is left alone while it finishes its requests.
+    pub(super) fn is_out_of_reach(&self, now: Tick, settings: &StagedSettings) -> bool {
+        let after =
+            if self.may_be_cut_off() { settings.down_after } else { settings.removed_after_leave };
+        self.is_unanswered_for(after, now)
+    }
+
+    fn is_unanswered_for(&self, span: Duration, now: Tick) -> bool {
+        self.failed_probes >= DOWN_PROBES
+            && self.unanswered_since.is_some_and(|since| now.since(since) >= span)
     }
 
     /// Whether the host, as a head, may run requests although its report does not say so yet: it was
@@ -236,16 +267,22 @@
         }
     }
 
-    /// Whether the host is considered removed: delisted and unreachable for so long that its engine
-    /// has ended.
-    pub(super) fn is_removed(&self, now: Tick, settings: &StagedSettings) -> bool {
+    /// Whether the engine of a delisted host has ended: its address refuses connections, or it has
+    /// announced that it leaves, and the time in which it may finish requests is over. One that is
+    /// only silent may be cut off and still run requests.
+    pub(super) fn has_ended(&self, now: Tick, settings: &StagedSettings) -> bool {
+        (self.refused || self.entry.leaving) && self.is_dropped(now, settings)
+    }
+
+    /// Whether the record is not needed any more unless a composition has the host: delisted and
+    /// unanswered for a while. The engine may still run.
+    pub(super) fn is_dropped(&self, now: Tick, settings: &StagedSettings) -> bool {
         let after = if self.leaves_gracefully {
             settings.removed_after_leave
         } else {
             settings.removed_after
         };
-        let unanswered = self.unanswered_since.is_some_and(|since| now.since(since) >= after);
-        !self.entry.listed && unanswered && self.failed_probes >= DOWN_PROBES
+        !self.entry.listed && self.is_unanswered_for(after, now)
     }
 
     /// Whether the host may join a new group: it is listed, stays, answered its last probe, and its
--- a/crates/plan/src/staged/mod.rs
+++ b/crates/plan/src/staged/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - it opens a head only after every member has reported ready under the same group and epoch;
 //! - it lets a member of a possibly open group join another group only after the head has left the
-//!   group or is considered removed.
+//!   group, has ended, or must be broken because another member has left.
 //!
 //! A *composition* is a group's model and ordered list of members under one group id and epoch. To
 //! replace a member, a planner dissolves the composition and forms another.
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -162,8 +162,8 @@
         self.hosts.get(host).is_some_and(|record| record.is_down(now, &self.settings))
     }
 
-    /// The hosts whose engines should be probed: those listed, and delisted ones that are not
-    /// considered removed or are still in a composition.
+    /// The hosts whose engines should be probed: those listed, and delisted ones that answered until
+    /// recently or are still in a composition.
     pub fn known_hosts(&self) -> impl Iterator<Item = &StagedHost> {
         self.hosts.values().map(|record| &record.entry)
     }
@@ -245,7 +245,7 @@
         let compositions = &self.compositions;
         self.hosts.retain(|host, record| {
             record.entry.listed
-                || !record.is_removed(now, &settings)
+                || !record.is_dropped(now, &settings)
                 || compositions.values().any(|composition| composition.has(host))
         });
     }
@@ -376,7 +376,7 @@
             (true, false, _) => CompositionPhase::Closing(ClosingProgress { since: input.now }),
             (false, _, _) => CompositionPhase::Dissolving,
         };
-        Some(Composition { group, epoch, model, members, boot_ids, phase })
+        Some(Composition { group, epoch, model, members, boot_ids, phase, loss: None })
     }
 
     /// Advances one composition; returns false once it is dissolved and its members are free.
--- a/crates/plan/src/staged/prewarm.rs
+++ b/crates/plan/src/staged/prewarm.rs
@@ -48,6 +48,7 @@
             members: vec![Some(host)],
             boot_ids: vec![boot_id],
             phase: CompositionPhase::Prewarming(progress),
+            loss: None,
         };
         self.compositions.insert((group, epoch), composition);
     }
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -206,22 +206,32 @@
     Unknown,
 }
 
+/// Added to the engines' stall time before a head counts as broken. The owner counts from the answer of
+/// the member that left, which is later than its leave, so that this covers only how finely engines
+/// look at their members.
+const BREAK_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time limits and load limits of the planner.
 #[derive(Clone, Copy, Debug)]
 pub struct StagedSettings {
     /// A host is considered down after at least two unanswered probes, the first of them this long
     /// ago. Two consecutive probes, each with the node's probe timeout, fit into this time.
     pub down_after: Duration,
-    /// A delisted host is considered removed once its engine has answered no probe for this long;
-    /// the members of the group that it heads are free then. The time counts from the first
-    /// unanswered probe, which may be sent before the host is delisted.
+    /// A delisted host that refuses connections has ended once its engine has answered no probe for
+    /// this long; the members of the group that it heads are free then. The time counts from the
+    /// first unanswered probe, which may be sent before the host is delisted.
     pub removed_after: Duration,
     /// Replaces `removed_after` for a host that leaves gracefully: it stops listening first and
-    /// then finishes its requests for up to ten seconds.
+    /// then finishes its requests for up to ten seconds. A head that may be leaving is not broken
+    /// before this either.
     pub removed_after_leave: Duration,
-    /// A composition whose head is not known is dissolved only after this process has read the host
-    /// list for this long, because the head may have been delisted before that and still be alive.
-    /// Longer than a live host may be cut off from the list.
+    /// Time after which a group that has lost a member is broken, as engines keep it. The members of
+    /// a head that nobody can order to leave are free this long, and a margin, after another
+    /// member has left.
+    pub stall_time: Duration,
+    /// A composition whose head is not known is broken only after this process has read the host
+    /// list for this long, because the head may come back to the list and go on serving. Longer
+    /// than live hosts take to come back after an outage of the list.
     pub headless_wait: Duration,
     /// An order without visible effect is repeated after this long. Longer than an engine takes to
     /// show the effect in the host list.
@@ -250,13 +260,21 @@
     pub load_burst: f64,
 }
 
+impl StagedSettings {
+    /// How long after the loss of a member a head counts as broken.
+    pub(super) fn break_time(&self) -> Duration {
+        self.stall_time + BREAK_MARGIN
+    }
+}
+
 impl Default for StagedSettings {
     fn default() -> Self {
         Self {
             down_after: Duration::from_millis(290),
             removed_after: Duration::from_millis(1_500),
             removed_after_leave: Duration::from_secs(11),
-            headless_wait: Duration::from_secs(12),
+            stall_time: Duration::from_secs(6),
+            headless_wait: Duration::from_secs(6),
             order_retry: Duration::from_millis(500),
             answer_lag: Duration::from_millis(1_000),
             close_limit: Duration::from_secs(10),
--- /dev/null
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -0,0 +1,159 @@
+//! Heads that the owner can't reach and the host list has dropped: cut off and open, or ended.
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+#[path = "staged/domain.rs"]
+mod domain;
+
+use {
+    base::ModelName,
+    domain::{DomainRig, HostCondition},
+    plan::staged::{DemandWeight, StagedCommand, StagedModel},
+    std::time::Duration,
+    yare::parameterized,
+};
+
+/// Longest time without a group after its head was cut off, or after its members or its owner were
+/// back: the head is found out of reach and a member leaves (0.9 s), the stall time passes (7 s), and
+/// a spare joins the next group (1.6 s).
+const CUT_OFF_BOUND: Duration = Duration::from_millis(9_500);
+/// The same after its head has crashed: its entry expires after 3 s.
+const CRASH_BOUND: Duration = Duration::from_millis(4_500);
+/// The same if a new owner does not know the head: it looks for one for 6 s.
+const UNKNOWN_HEAD_BOUND: Duration = Duration::from_millis(15_500);
+/// Longer than any cut of these tests takes effect.
+const LONG: Duration = Duration::from_secs(20);
+
+fn model(name: &str, size: usize, share: f64) -> StagedModel {
+    StagedModel {
+        name: ModelName::new(name).unwrap(),
+        size,
+        demand: DemandWeight(share),
+        load_time: Duration::from_secs(16),
+        elsewhere: 0,
+    }
+}
+
+/// A fabric domain under traffic with four hosts, three of which form a serving group.
+fn serving_small() -> DomainRig {
+    let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
+    rig.first_groups = vec!["small"];
+    rig.add_hosts(4);
+    rig.run(Duration::from_secs(8));
+    rig.in_traffic = true;
+    rig
+}
+
+/// The head was taken for ended 1.5 s after its first silent probe, and its members were joined to
+/// another group while it was open.
+#[test]
+fn members_wait_until_a_head_that_is_cut_off_is_broken() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// The head answered when the list dropped it, and so was taken for one that leaves, and for ended
+/// 11 s later.
+#[test]
+fn members_wait_until_a_head_is_broken_that_is_cut_off_in_steps() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.run_requests(&head, LONG);
+    rig.set_condition(&head, HostCondition::CutFromList);
+    rig.run(Duration::from_secs(4));
+    rig.cut_off_delisted(&head);
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// A new owner waited 12 s for a head that it did not know, and then took it for ended.
+#[test]
+fn members_wait_until_an_unknown_head_that_is_cut_off_is_broken() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.stop_owner();
+    rig.forget_unlisted();
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= UNKNOWN_HEAD_BOUND), "took {took:?}");
+}
+
+/// An owner that takes over while members wait must not take the head for ended, whatever the one
+/// before it did.
+#[parameterized(
+    before_it_is_delisted = { 1_000 },
+    after_it_is_delisted = { 4_000 },
+    shortly_before_it_is_broken = { 6_000 },
+)]
+fn members_wait_when_the_owner_changes(after_ms: u64) {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_millis(after_ms));
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// All machines of the domain are cut off; the members come back before their head does. They were
+/// joined to another group at once.
+#[test]
+fn members_that_come_back_wait_for_their_head() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    (0..4).for_each(|index| rig.set_condition(&rig.host(index), HostCondition::CutOff));
+    rig.run(Duration::from_secs(6));
+    for index in 0..4 {
+        let host = rig.host(index);
+        if host != head {
+            rig.set_condition(&host, HostCondition::Healthy);
+        }
+    }
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// The members of a head that is out of reach are of use at once when it is back.
+#[test]
+fn a_head_that_comes_back_frees_its_members() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_secs(4));
+    rig.set_condition(&head, HostCondition::Healthy);
+    let is_open = |command: &StagedCommand| matches!(command, StagedCommand::Open { .. });
+    let opened = rig.count_orders(is_open);
+    let took = rig.run_until(LONG, |rig| rig.serving() == 1 && rig.count_orders(is_open) > opened);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= Duration::from_secs(3)), "took {took:?}");
+}
+
+/// Caution with silent heads must not delay the repair after a crash, which refused connections show.
+#[test]
+fn a_crashed_head_is_replaced_as_soon_as_its_entry_expires() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::Crashed);
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CRASH_BOUND), "took {took:?}");
+}
+
+/// Random schedules of crashes, changes of the owner and hosts that are cut off, at once or in steps.
+#[test]
+fn random_cuts_keep_groups_complete_and_apart() {
+    for seed in 0..1_000 {
+        let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
+        rig.first_groups = vec!["big", "small"];
+        rig.run_schedule(seed, 4);
+        rig.assert_no_violations_in(&format!("seed {seed}"));
+    }
+}
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -27,18 +27,24 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which the host list drops a host whose engine does not write to it.
 const LIST_EXPIRY: Duration = Duration::from_secs(3);
+/// Time after which a head that has lost a member is broken.
+const STALL_TIME: Duration = Duration::from_secs(6);
 
 /// Condition of a host and of its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HostCondition {
     /// The engine runs and is reachable.
     Healthy,
-    /// The engine process has ended.
+    /// The engine process has ended, and its machine does not answer.
     Dead,
+    /// The engine process has ended, and its machine refuses connections.
+    Crashed,
     /// The engine runs and answers the owner, but can't write to the host list, which drops it.
     CutFromList,
     /// The engine runs and is listed, but the owner can't reach it.
     CutFromOwner,
+    /// The engine runs, but neither the owner nor the host list can be reached from its machine.
+    CutOff,
     /// The host list shows the engine as leaving; it still takes connections.
     Draining,
     /// The engine finishes its requests before it ends; it is neither listed nor reachable.
@@ -52,6 +58,8 @@
     engine: SimulatedEngine,
     condition: HostCondition,
     condition_since: Tick,
+    /// Whether the host has announced that it leaves; its entry says so until it is dropped.
+    has_announced: bool,
     condition_ends: Option<Tick>,
     last_probe: Tick,
     listed_state: Option<EngineState>,
@@ -96,6 +104,7 @@
     /// Probability that an order is delivered 2 to 12 s late, with the outcome unknown to the
     /// owner.
     late_order_probability: f64,
+    is_owner_stopped: bool,
     max_concurrent_loads: usize,
 }
 
@@ -123,6 +132,7 @@
             cuts: Vec::new(),
             random: Pcg64Mcg::seed_from_u64(0),
             late_order_probability: 0.0,
+            is_owner_stopped: false,
             max_concurrent_loads: 0,
         }
     }
@@ -138,6 +148,7 @@
                 engine: SimulatedEngine::new(1).ignoring_terms(self.engines_ignore_terms),
                 condition: HostCondition::Healthy,
                 condition_since: self.now,
+                has_announced: false,
                 condition_ends: None,
                 last_probe: Tick(0),
                 listed_state: None,
@@ -191,13 +202,26 @@
     pub(crate) fn set_condition(&mut self, host: &HostId, condition: HostCondition) {
         let now = self.now;
         let host = self.hosts.get_mut(host).unwrap();
+        // A host that has left the list is not listed again when its engine ends.
+        let was_dropped = host.condition == HostCondition::Leaving;
         host.condition = condition;
-        host.condition_since = now;
-        if condition == HostCondition::Dead {
+        host.condition_since = if was_dropped { now.back(LIST_EXPIRY) } else { now };
+        host.has_announced |= matches!(condition, HostCondition::Draining | HostCondition::Leaving);
+        if matches!(condition, HostCondition::Dead | HostCondition::Crashed) {
             host.engine.terminate();
         }
     }
 
+    /// Cuts the owner off from a host that the list has dropped already.
+    pub(crate) fn cut_off_delisted(&mut self, host: &HostId) {
+        self.hosts.get_mut(host).unwrap().condition = HostCondition::CutOff;
+    }
+
+    /// Lets no owner plan until [`Self::replace_owner`].
+    pub(crate) fn stop_owner(&mut self) {
+        self.is_owner_stopped = true;
+    }
+
     /// Runs until dead and cut hosts are delisted, then hides all delisted hosts from owners.
     pub(crate) fn forget_unlisted(&mut self) {
         self.run(LIST_EXPIRY + STEP);
@@ -207,6 +231,7 @@
 
     pub(crate) fn replace_owner(&mut self) {
         self.term = self.term.next();
+        self.is_owner_stopped = false;
         let settings = StagedSettings::default();
         self.planner = StagedPlanner::new(&domain(), self.term, settings, self.now);
         self.list_read_since = self.now;
@@ -362,6 +387,7 @@
     fn step(&mut self) {
         self.now = self.now + STEP;
         self.advance();
+        self.break_heads();
         self.deliver_late();
         self.count_loads();
         self.update_list();
@@ -378,7 +404,7 @@
             list_read_since: self.list_read_since,
             now: self.now,
         };
-        let orders = self.planner.step(&input);
+        let orders = if self.is_owner_stopped { Vec::new() } else { self.planner.step(&input) };
         for order in orders {
             self.send(order);
         }
@@ -389,6 +415,7 @@
             let due = host.condition_ends.is_some_and(|condition_ends| condition_ends <= self.now);
             if due && host.condition == HostCondition::Leaving {
                 host.condition = HostCondition::Dead;
+                host.condition_since = self.now.back(LIST_EXPIRY);
                 host.engine.terminate();
                 host.condition_ends = None;
             } else if due && host.condition != HostCondition::Dead {
@@ -402,6 +429,18 @@
         }
     }
 
+    /// Breaks open groups that have lost a member for [`STALL_TIME`].
+    fn break_heads(&mut self) {
+        let groups: BTreeMap<HostId, Option<(GroupId, Epoch)>> =
+            self.hosts.iter().map(|(id, host)| (id.clone(), host.engine.group())).collect();
+        let now = self.now;
+        for host in self.hosts.values_mut().filter(|host| host.engine.serves()) {
+            let group = host.engine.group();
+            let is_whole = host.engine.members().iter().all(|member| groups[member] == group);
+            host.engine.note_members(is_whole, now, STALL_TIME);
+        }
+    }
+
     fn count_loads(&mut self) {
         let loads = self.hosts.values().filter(|host| host.engine.is_loading()).count();
         self.max_concurrent_loads = self.max_concurrent_loads.max(loads);
@@ -413,7 +452,7 @@
             .map(|(id, host)| StagedHost {
                 host: id.clone(),
                 address: address(),
-                leaving: matches!(host.condition, HostCondition::Draining | HostCondition::Leaving),
+                leaving: host.has_announced,
                 listed: is_listed(host, self.now),
                 may_leave_unseen: host.condition == HostCondition::LeavingUnseen,
             })
@@ -458,11 +497,14 @@
                     let state = states[host.answered_by.as_ref().unwrap_or(id)].clone();
                     self.planner.observe(id, ObservationSource::Engine, self.now, state);
                 }
-                HostCondition::LeavingUnseen => {
+                HostCondition::LeavingUnseen | HostCondition::Crashed => {
                     host.last_probe = self.now.back(PROBE_INTERVAL - STEP);
                     self.planner.record_probe_failure(id, self.now, ProbeFailure::Refused);
                 }
-                HostCondition::Dead | HostCondition::CutFromOwner | HostCondition::Leaving => {
+                HostCondition::Dead
+                | HostCondition::CutFromOwner
+                | HostCondition::CutOff
+                | HostCondition::Leaving => {
                     // The next probe follows as soon as this one has timed out, after three steps.
                     host.last_probe = self.now.back(PROBE_INTERVAL - 3 * STEP);
                     self.planner.record_probe_failure(id, self.now, ProbeFailure::Silent);
@@ -504,7 +546,8 @@
         let (due, waiting) = self.late_orders.drain(..).partition(|late| late.due <= now);
         self.late_orders = waiting;
         for LateOrder { term, order, .. } in due {
-            if self.hosts[&order.host].condition != HostCondition::Dead {
+            let condition = self.hosts[&order.host].condition;
+            if !matches!(condition, HostCondition::Dead | HostCondition::Crashed) {
                 self.deliver(&order, term);
             }
         }
@@ -565,9 +608,11 @@
     match host.condition {
         HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner => true,
         HostCondition::Leaving => false,
-        HostCondition::Dead | HostCondition::CutFromList | HostCondition::LeavingUnseen => {
-            now.since(host.condition_since) < LIST_EXPIRY
-        }
+        HostCondition::Dead
+        | HostCondition::Crashed
+        | HostCondition::CutFromList
+        | HostCondition::CutOff
+        | HostCondition::LeavingUnseen => now.since(host.condition_since) < LIST_EXPIRY,
     }
 }
 
--- a/crates/plan/tests/staged/engine.rs
+++ b/crates/plan/tests/staged/engine.rs
@@ -50,6 +50,8 @@
     ignores_terms: bool,
     /// When the requests that run in the group that it heads end.
     busy_until: Tick,
+    /// Since when the open group that it heads lacks a member.
+    lacks_member_since: Option<Tick>,
 }
 
 impl SimulatedEngine {
@@ -65,6 +67,7 @@
             highest_term: Term(0),
             ignores_terms: false,
             busy_until: Tick(0),
+            lacks_member_since: None,
         }
     }
 
@@ -106,6 +109,22 @@
         self.group_state.as_ref().is_some_and(is_open_head)
     }
 
+    /// Tells a serving head whether all members are in its group; it is broken once it has lacked one
+    /// for `stall_time`.
+    pub(crate) fn note_members(&mut self, is_whole: bool, now: Tick, stall_time: Duration) {
+        if is_whole {
+            self.lacks_member_since = None;
+            return;
+        }
+        let since = *self.lacks_member_since.get_or_insert(now);
+        if now.since(since) >= stall_time
+            && let Some(state) = &mut self.group_state
+        {
+            state.phase = MemberPhase::Broken;
+            self.lacks_member_since = None;
+        }
+    }
+
     pub(crate) fn is_loading(&self) -> bool {
         self.loading.is_some()
     }
@@ -230,6 +249,7 @@
             return if same { Reply::Accepted } else { Reply::Outdated };
         }
         self.highest_epoch = epoch;
+        self.lacks_member_since = None;
         let warm = self.staged.as_ref() == Some(model);
         let prewarmed = self.last_group_model.as_ref() == Some(model);
         let usual = match (prewarmed, warm) {
--- a/crates/plan/tests/staged/schedule.rs
+++ b/crates/plan/tests/staged/schedule.rs
@@ -16,7 +16,8 @@
     /// - 1: also, 30 % of the orders are delivered 2 to 12 s late, and the owner learns no outcome
     ///   of them;
     /// - 2: as 0, and the owner changes;
-    /// - 3: as 1, the owner changes, and hosts are cut off from the host list or from the owner.
+    /// - 3: as 1, the owner changes, and hosts are cut off from the host list or from the owner;
+    /// - 4: as 2, and hosts are cut off from the host list, from the owner, or from both.
     ///
     /// A late order is dropped only if its host is dead when it is due.
     pub(crate) fn run_schedule(&mut self, seed: u64, level: u32) {
@@ -43,12 +44,30 @@
             5 if self.random.random_bool(0.5) => self.add_hosts(1),
             5 => self.set_temporary_condition(&host, HostCondition::Leaving),
             6 | 7 if level >= 2 => self.replace_owner(),
+            8 if level == 4 => self.cut_off(&host),
+            9 if level == 4 => self.cut_off_in_steps(&host),
             8 if level == 3 => self.set_temporary_condition(&host, HostCondition::CutFromList),
             9 if level == 3 => self.set_temporary_condition(&host, HostCondition::CutFromOwner),
             _ => {}
         }
     }
 
+    /// Cuts a host off from the list and the owner.
+    fn cut_off(&mut self, host: &HostId) {
+        self.set_temporary_condition(host, HostCondition::CutOff);
+    }
+
+    /// Cuts a host off from the list, and some time later from the owner too.
+    fn cut_off_in_steps(&mut self, host: &HostId) {
+        self.set_temporary_condition(host, HostCondition::CutFromList);
+        let pause = self.random.random_range(100..4_000);
+        self.run(Duration::from_millis(pause));
+        if self.hosts[host].condition == HostCondition::CutFromList {
+            // The host stays delisted from when its first cut began.
+            self.hosts.get_mut(host).unwrap().condition = HostCondition::CutOff;
+        }
+    }
+
     fn restart_host(&mut self, host: &HostId) {
         let now = self.now;
         let host = self.hosts.get_mut(host).unwrap();
@@ -56,6 +75,7 @@
             host.engine = host.engine.restarted();
             host.condition = HostCondition::Healthy;
             host.condition_since = now;
+            host.has_announced = false;
         }
     }
 
