Send nothing to the servers of evacuated failure domains

The operator's rows `evacuate/NAME` were not read, so requests went on to such servers. They come now with the feed that brings the configuration and pass from process to process with its answers, each set with the position as of which it is complete. The table of servers leaves those of evacuated domains out.

The byte before a query of the configuration is 10: both formats of queries and answers changed.

--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -1,4 +1,4 @@
-//! Passes the newest configuration from process to process.
+//! Passes the newest configuration and the evacuated failure domains from process to process.
 //!
 //! Every process needs every version, and a version with thousands of routes takes a slow link
 //! seconds. So only the watchers read it from the store; each other process queries one process,
@@ -9,9 +9,10 @@
 use {
     crate::{
         config_tracker::{ConfigClaim, millis},
+        evacuation::{EvacuationClaim, EvacuationSet},
         loop_lag::time_step,
         peer_link::{LinkError, PeerLink, TimedOutSnafu, UnreadableSnafu},
-        ports::{ConfigStamp, ConfigUpdate},
+        ports::{ConfigStamp, ConfigUpdate, WatchPosition},
     },
     base::{SharedClock, StoreEra, Tick},
     bytes::{Buf, Bytes},
@@ -42,29 +43,45 @@
 /// Stands for an age that is not known, in messages.
 const UNKNOWN_AGE: u32 = u32::MAX;
 
-/// First byte of a query. A [`ConfigQuery`] follows. 3 was that of queries without an age.
-pub(crate) const CONFIG_QUERY: u8 = 6;
+/// First byte of a query; other ones are `SharedTable` and [`reach::FORWARD_QUERY`]. A [`ConfigQuery`]
+/// follows. 3 was that of queries without an age, 6 that of
+/// queries without evacuated domains.
+pub(crate) const CONFIG_QUERY: u8 = 10;
+
+/// What a process has when it asks another one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownConfig {
+    /// Its configuration, and the age of that.
+    pub(crate) config: ConfigClaim,
+    /// Its evacuated failure domains.
+    pub(crate) evacuations: EvacuationClaim,
+}
 
 /// The fields of a query after its first byte.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigQuery {
-    /// The configuration that the reader has, and its age.
-    pub(crate) known: ConfigClaim,
+    /// What the reader has.
+    pub(crate) known: KnownConfig,
     /// How long to wait for a newer one.
     pub(crate) wait: Duration,
 }
 
 impl ConfigQuery {
     /// Length of the encoded fields, in bytes.
-    pub(crate) const BYTES: usize = 24;
+    pub(crate) const BYTES: usize = 48;
 
-    /// Version, era, age and wait, as big-endian numbers of eight, eight, four and four bytes.
+    /// Version, era, age and wait, as big-endian numbers of eight, eight, four and four bytes; era,
+    /// version and checksum of the evacuated domains, of eight bytes each.
     fn encode(self) -> [u8; Self::BYTES] {
+        let KnownConfig { config, evacuations } = self.known;
         let mut bytes = [0; Self::BYTES];
-        bytes[..8].copy_from_slice(&self.known.stamp.version.to_be_bytes());
-        bytes[8..16].copy_from_slice(&self.known.stamp.era.0.to_be_bytes());
-        bytes[16..20].copy_from_slice(&self.known.age_ms.unwrap_or(UNKNOWN_AGE).to_be_bytes());
-        bytes[20..].copy_from_slice(&millis(self.wait).to_be_bytes());
+        bytes[..8].copy_from_slice(&config.stamp.version.to_be_bytes());
+        bytes[8..16].copy_from_slice(&config.stamp.era.0.to_be_bytes());
+        bytes[16..20].copy_from_slice(&config.age_ms.unwrap_or(UNKNOWN_AGE).to_be_bytes());
+        bytes[20..24].copy_from_slice(&millis(self.wait).to_be_bytes());
+        bytes[24..32].copy_from_slice(&evacuations.as_of.era.0.to_be_bytes());
+        bytes[32..40].copy_from_slice(&evacuations.as_of.version.to_be_bytes());
+        bytes[40..].copy_from_slice(&evacuations.digest.to_be_bytes());
         bytes
     }
 
@@ -73,14 +90,16 @@
         let (version, era) = (rest.get_u64(), rest.get_u64());
         let age_ms = Some(rest.get_u32()).filter(|age_ms| *age_ms != UNKNOWN_AGE);
         let wait = Duration::from_millis(rest.get_u32().into());
-        let stamp = ConfigStamp { version, era: StoreEra(era) };
-        Self { known: ConfigClaim { stamp, age_ms }, wait }
+        let config = ConfigClaim { stamp: ConfigStamp { version, era: StoreEra(era) }, age_ms };
+        let (era, version) = (StoreEra(rest.get_u64()), rest.get_u64());
+        let as_of = WatchPosition { era, version };
+        let evacuations = EvacuationClaim { as_of, digest: rest.get_u64() };
+        Self { known: KnownConfig { config, evacuations }, wait }
     }
 }
 
 base::value_type!(
     /// What the answer to a query says beside the configuration.
-    #[derive(Copy)]
     struct AnswerHead {
         /// What the answering process says about its configuration.
         claim: ConfigClaim,
@@ -89,6 +108,8 @@
         held_ms: u32,
         /// Number of processes between the store and the answering one.
         depth: u8,
+        /// The evacuated failure domains.
+        evacuations: EvacuationSet,
     }
 );
 
@@ -102,6 +123,8 @@
     pub(crate) age: Option<Duration>,
     /// Number of processes between the store and the answering one.
     pub(crate) depth: u8,
+    /// The evacuated failure domains that the answering process knows.
+    pub(crate) evacuations: EvacuationSet,
 }
 
 /// The newest configuration of this process, encoded at most once for all queries.
@@ -116,6 +139,7 @@
     newest: Option<Arc<OfferedConfig>>,
     confirmed_at: Option<Tick>,
     depth: u8,
+    evacuations: EvacuationSet,
 }
 
 /// The newest configuration, for the queries of other processes.
@@ -133,12 +157,13 @@
         self.changed.notify_waiters();
     }
 
-    /// Records when the configuration was last known to be the newest one, and the number of
-    /// processes between the store and this one.
-    pub fn confirm(&self, confirmed_at: Option<Tick>, depth: u8) {
+    /// Records the evacuated domains, when they and the configuration were last known to be the newest,
+    /// and the number of processes between the store and this one.
+    pub fn confirm(&self, confirmed_at: Option<Tick>, depth: u8, evacuations: EvacuationSet) {
         {
             let mut state = self.state.lock();
             (state.confirmed_at, state.depth) = (confirmed_at, depth);
+            state.evacuations = evacuations;
         }
         self.changed.notify_waiters();
     }
@@ -150,16 +175,18 @@
         clock: &SharedClock,
     ) -> io::Result<Vec<u8>> {
         let received_at = clock.now();
-        let known_at = query.known.age().map(|age| received_at.back(age));
+        let KnownConfig { config: known, evacuations } = query.known;
+        let known_at = known.age().map(|age| received_at.back(age));
         let until = Instant::now() + query.wait;
         loop {
             let changed = self.changed.notified();
             let state = self.state.lock().clone();
-            let is_news = state.is_newer(query.known.stamp)
+            let is_news = state.is_newer(known.stamp)
+                || state.evacuations.is_news_to(&evacuations)
                 || state.confirmed_at > known_at.map(|at| at + MIN_GAIN);
             if is_news || timeout_at(until, changed).await.is_err() {
                 let now = clock.now();
-                return state.encode(query.known.stamp, now.since(received_at), now);
+                return state.encode(known.stamp, now.since(received_at), now);
             }
         }
     }
@@ -176,7 +203,8 @@
 
     fn encode(&self, known: ConfigStamp, held: Duration, now: Tick) -> io::Result<Vec<u8>> {
         let claim = ConfigClaim::new(self.stamp(), self.confirmed_at.map(|at| now.since(at)));
-        let head = AnswerHead { claim, held_ms: millis(held), depth: self.depth };
+        let evacuations = self.evacuations.clone();
+        let head = AnswerHead { claim, held_ms: millis(held), depth: self.depth, evacuations };
         let mut answer = postcard::to_stdvec(&head).map_err(io::Error::other)?;
         if let Some(offered) = self.newest.as_ref().filter(|_| self.is_newer(known)) {
             answer.extend_from_slice(&offered.encode()?);
@@ -196,11 +224,10 @@
     }
 }
 
-/// Waits at another process for a configuration newer than the known one, or for a later
-/// confirmation of it.
+/// Waits at another process for something newer than what is known, or for a later confirmation.
 pub(crate) async fn poll_config(
     link: &mut PeerLink,
-    known: ConfigClaim,
+    known: KnownConfig,
 ) -> Result<ConfigAnswer, LinkError> {
     let query = ConfigQuery { known, wait: MAX_QUERY_WAIT };
     send_query(link, query, MAX_QUERY_WAIT + RESPONSE_MARGIN).await
@@ -209,7 +236,7 @@
 /// Asks a process that claims to have a better configuration than the known one.
 pub(crate) async fn fetch_config(
     address: SocketAddr,
-    known: ConfigClaim,
+    known: KnownConfig,
 ) -> Result<ConfigAnswer, LinkError> {
     let connecting = timeout(FETCH_LIMIT, PeerLink::connect(address, None)).await;
     let mut link = connecting.unwrap_or_else(|_| TimedOutSnafu.fail())?;
@@ -234,9 +261,10 @@
         }
     };
     // A process with an older configuration can't confirm this one.
-    let claimed_age = head.claim.age().filter(|_| head.claim.stamp >= query.known.stamp);
+    let known = query.known.config.stamp;
+    let claimed_age = head.claim.age().filter(|_| head.claim.stamp >= known);
     let held = Duration::from_millis(head.held_ms.into());
     let age = claimed_age.map(|age| sent_at.elapsed().saturating_sub(held) + age);
-    let update = update.filter(|update| update.stamp() > query.known.stamp);
-    Ok(ConfigAnswer { update, age, depth: head.depth })
+    let update = update.filter(|update| update.stamp() > known);
+    Ok(ConfigAnswer { update, age, depth: head.depth, evacuations: head.evacuations })
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -5,7 +5,7 @@
         config_share::{ConfigAnswer, fetch_config},
         config_tracker::ConfigOrigin,
         loop_lag::time_step,
-        ports::{PlatformWatch, WatchError, WatchPage, WatchPosition},
+        ports::{OperatorChange, PlatformWatch, WatchError, WatchPage, WatchPosition},
         view::NodeView,
     },
     relay::CONFIG_TRUST,
@@ -100,7 +100,7 @@
 
 /// Fetches the configuration from one peer; returns whether that made it newer or confirmed it.
 async fn fetch_from(view: &NodeView, peer: SocketAddr) -> bool {
-    let known = view.config_claim();
+    let known = view.known_config();
     let answer = match fetch_config(peer, known).await {
         Ok(answer) => answer,
         Err(error) => {
@@ -108,14 +108,15 @@
             return false;
         }
     };
-    let ConfigAnswer { update, age, depth } = answer;
+    let ConfigAnswer { update, age, depth, evacuations } = answer;
     if update.is_none() && age.is_none_or(|age| age >= CONFIG_TRUST) {
         info!(decision = "not-caught-up", %peer, why = "nothing newer", "state");
         return false;
     }
     view.set_config_origin(ConfigOrigin::peer(peer, depth));
     let position = WatchPosition::default();
-    let changes = Vec::from_iter(update);
+    view.adopt_evacuations(evacuations);
+    let changes = update.map(OperatorChange::from).into_iter().collect();
     let page = WatchPage { changes, position, is_snapshot: false, age };
     time_step("config", || view.apply_config_page(page));
     true
@@ -127,8 +128,8 @@
     what: &'static str,
     /// Pause after a page that has changes.
     pause: &'a (dyn Fn() -> Duration + Sync),
-    /// Whether to read everything again after a failure, for a table of one row: its history may
-    /// hold many versions, of which only the newest counts.
+    /// Whether to read everything again after a failure, for a table of few rows: its history may
+    /// hold many versions, of which only the newest count.
     rereads_after_failure: bool,
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config_share;
 pub mod config_tracker;
 pub mod control;
+pub mod evacuation;
 pub mod follow;
 mod gossip;
 mod http;
@@ -42,10 +43,11 @@
 
 pub use crate::{
     addresses::{AddressAnswer, AddressQuery},
+    evacuation::{EvacuationChange, EvacuationClaim, EvacuationSet},
     ports::{
         AddressCodec, ConfigStamp, ConfigUpdate, EngineAccess, EngineReport, EngineService,
-        ModelRule, PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry, ServerStanding,
-        WatchError, WatchPage, WatchPosition,
+        ModelRule, OperatorChange, PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry,
+        ServerStanding, WatchError, WatchPage, WatchPosition,
     },
     run::{NodeError, NodePorts, run_node},
     server_list::ServerList,
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,6 +1,7 @@
 //! The interfaces that the platform implements for a node.
 
 use {
+    crate::evacuation::EvacuationChange,
     base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
     limit::NamedLimit,
@@ -109,6 +110,21 @@
     }
 );
 
+/// A change of what the operator sets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorChange {
+    /// A version of the configuration was written.
+    Config(Box<ConfigUpdate>),
+    /// A failure domain was evacuated or taken back. A snapshot has the evacuated ones.
+    Evacuation(EvacuationChange),
+}
+
+impl From<ConfigUpdate> for OperatorChange {
+    fn from(update: ConfigUpdate) -> Self {
+        Self::Config(Box::new(update))
+    }
+}
+
 impl<T> WatchPage<T> {
     /// The page with its changes in another form.
     pub fn with_changes<U>(&self, changes: Vec<U>) -> WatchPage<U> {
@@ -188,14 +204,14 @@
 /// Each call returns when there is a change, or after a wait that the implementation chooses. With
 /// `after` set to `None` it returns a full snapshot.
 pub trait PlatformWatch: Send + Sync + 'static {
-    /// Watches the configuration; one that can't be parsed is left out. With `short_poll` the watch
-    /// is answered at short intervals even without changes, so that an unresponsive store is
+    /// Watches the configuration, leaving out one that can't be parsed, and the evacuated failure
+    /// domains. With `short_poll` the watch is answered at short intervals even without changes, so that an unresponsive store is
     /// detected.
     fn watch_config(
         &self,
         after: Option<WatchPosition>,
         short_poll: bool,
-    ) -> impl Future<Output = Result<WatchPage<ConfigUpdate>, WatchError>> + Send;
+    ) -> impl Future<Output = Result<WatchPage<OperatorChange>, WatchError>> + Send;
 
     /// Watches the entries that servers register in the store, with `short_poll` as in
     /// [`Self::watch_config`].
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -13,7 +13,7 @@
         page_cache::{CacheLookup, PageCache},
         peer_link::{LinkError, PeerLink, UnreadableSnafu},
         ports::{
-            ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
+            OperatorChange, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
             WatchPosition,
         },
         store_reads::ReadReason,
@@ -199,26 +199,26 @@
 
     /// A configuration from another process, in a page without a position of its own; `None` if the
     /// store has to be read.
-    async fn query_config(&self, after: Option<WatchPosition>) -> Option<WatchPage<ConfigUpdate>> {
+    async fn query_config(
+        &self,
+        after: Option<WatchPosition>,
+    ) -> Option<WatchPage<OperatorChange>> {
         let after = after?;
         if self.store_turn.swap(false, Ordering::Relaxed) {
             return None;
         }
         let (node, address) = self.view.config_source(&|node| self.is_avoided(node))?;
-        let known = self.view.config_claim();
-        let ConfigAnswer { update, age, depth } = self
+        let known = self.view.known_config();
+        let ConfigAnswer { update, age, depth, evacuations } = self
             .query_over(&self.config_link, &node, address, async |link| {
                 poll_config(link, known).await
             })
             .await?;
         self.view.set_config_origin(ConfigOrigin::peer(&node, depth));
         self.config_position_outdated.store(true, Ordering::Relaxed);
-        Some(WatchPage {
-            changes: Vec::from_iter(update),
-            position: after,
-            is_snapshot: false,
-            age,
-        })
+        self.view.adopt_evacuations(evacuations);
+        let changes = update.map(OperatorChange::from).into_iter().collect();
+        Some(WatchPage { changes, position: after, is_snapshot: false, age })
     }
 
     /// Runs a query over the kept connection to a process, or over a new one. The result is `None` if
@@ -298,7 +298,7 @@
         &self,
         after: Option<WatchPosition>,
         short_poll: bool,
-    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+    ) -> Result<WatchPage<OperatorChange>, WatchError> {
         if let Some(page) = self.query_config(after).await {
             return Ok(page);
         }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -13,6 +13,7 @@
         config_share::ConfigOffer,
         config_tracker::ConfigTracker,
         control::StepCounter,
+        evacuation::EvacuationSet,
         loop_lag::LoopLag,
         members::MemberTable,
         owners::OwnedRow,
@@ -101,7 +102,9 @@
     counters: BTreeMap<ServerId, Arc<ServerCounters>>,
     /// Heads of groups that were reported as broken, with the time at which the report expires.
     broken: BTreeMap<ServerId, Tick>,
-    /// How recent the configuration is known to be.
+    /// The failure domains to whose servers nothing is sent.
+    evacuations: EvacuationSet,
+    /// How recent the configuration and the evacuated domains are known to be.
     tracker: ConfigTracker,
     /// Heads that their owners reported as serving, each with its model and the time at which the
     /// report expires.
@@ -121,6 +124,7 @@
             servers_loaded: false,
             counters: BTreeMap::new(),
             broken: BTreeMap::new(),
+            evacuations: EvacuationSet::default(),
             tracker: ConfigTracker::default(),
             reported: BTreeMap::new(),
         };
@@ -374,8 +378,8 @@
         rules.find(|rule| rule.name == *model).map(|rule| rule.size)
     }
 
-    /// The servers that accept requests. Of the model engines, these are the heads of serving
-    /// groups.
+    /// The servers that accept requests, without those of evacuated failure domains. Of the model
+    /// engines, these are the heads of serving groups.
     fn build_server_table(&mut self) -> ServerTable {
         let Some(config) = self.config.clone() else { return ServerTable::default() };
         let sizes = self.group_sizes();
@@ -383,7 +387,10 @@
         let mut known = BTreeSet::new();
         for entry in self.servers.entries() {
             known.insert(entry.id.clone());
-            if entry.standing == ServerStanding::Leaving || self.broken.contains_key(&entry.id) {
+            if entry.standing == ServerStanding::Leaving
+                || self.broken.contains_key(&entry.id)
+                || self.evacuations.contains(&entry.failure_domain)
+            {
                 continue;
             }
             let engine = config.engines.iter().find(|engine| engine.name == entry.service);
--- a/crates/node/src/view/config.rs
+++ b/crates/node/src/view/config.rs
@@ -1,10 +1,13 @@
-//! The configuration in the local view, and how recent it is known to be.
+//! The configuration and the evacuated failure domains in the local view, and how recent they are known to
+//! be.
 
 use {
     super::{NodeView, ViewState},
     crate::{
+        config_share::KnownConfig,
         config_tracker::{ConfigClaim, ConfigOrigin},
-        ports::{ConfigStamp, ConfigUpdate, WatchPage},
+        evacuation::{EvacuationChange, EvacuationSet},
+        ports::{ConfigStamp, ConfigUpdate, OperatorChange, WatchPage},
     },
     base::{HostId, Tick},
     relay::ConfigStanding,
@@ -18,12 +21,19 @@
         self.state.lock().tracker.set_origin(origin);
     }
 
-    /// Applies an answer about the configuration, which may have none.
-    pub fn apply_config_page(&self, page: WatchPage<ConfigUpdate>) {
+    /// Applies an answer about the configuration and the evacuated domains, which may have neither.
+    pub fn apply_config_page(&self, page: WatchPage<OperatorChange>) {
         let mut state = self.state.lock();
-        for update in page.changes {
-            self.take_config(&mut state, update);
+        let mut evacuations = Vec::new();
+        for change in page.changes {
+            match change {
+                OperatorChange::Config(update) => self.take_config(&mut state, *update),
+                OperatorChange::Evacuation(change) => evacuations.push(change),
+            }
         }
+        let (position, is_snapshot) = (page.position, page.is_snapshot);
+        let changes = state.evacuations.apply_page(evacuations, position, is_snapshot);
+        self.note_evacuations(&mut state, &changes);
         if let Some(age) = page.age {
             let now = self.now();
             if let Some(highest) = state.tracker.age(now).filter(|highest| age < *highest) {
@@ -31,10 +41,38 @@
             }
             state.tracker.confirm(now.back(age));
         }
-        self.offer.confirm(state.tracker.confirmed_at(), state.tracker.origin().depth);
+        let (confirmed_at, depth) = (state.tracker.confirmed_at(), state.tracker.origin().depth);
+        self.offer.confirm(confirmed_at, depth, state.evacuations.clone());
         self.publish_standing(&state);
     }
 
+    /// Takes over the evacuated domains that another process knows, if it read them later. Called before
+    /// the confirmation of that process is applied, which is about them as well.
+    pub fn adopt_evacuations(&self, set: EvacuationSet) {
+        let mut state = self.state.lock();
+        let changes = state.evacuations.adopt(set);
+        self.note_evacuations(&mut state, &changes);
+    }
+
+    /// Keeps requests away from the servers of evacuated domains, and lets them go to those of domains
+    /// that were taken back.
+    fn note_evacuations(&self, state: &mut ViewState, changes: &[EvacuationChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        let origin = state.tracker.origin();
+        let source = origin.peer.as_deref().unwrap_or("store");
+        for change in changes {
+            let (decision, domain) = match change {
+                EvacuationChange::Evacuated(domain) => ("domain-evacuated", domain),
+                EvacuationChange::Restored(domain) => ("domain-restored", domain),
+            };
+            info!(decision, %domain, source, depth = origin.depth, "state");
+        }
+        self.rebuild(state);
+        self.changed.notify_one();
+    }
+
     /// Applies a configuration and rebuilds the server table, unless it is at or below the known
     /// one in the order of [`ConfigStamp`].
     pub fn apply_config(&self, update: ConfigUpdate) {
@@ -111,6 +149,15 @@
         self.with(|state| state.tracker.claim(now))
     }
 
+    /// What this process has when it asks another one for something newer.
+    pub(crate) fn known_config(&self) -> KnownConfig {
+        let now = self.now();
+        self.with(|state| KnownConfig {
+            config: state.tracker.claim(now),
+            evacuations: state.evacuations.claim(),
+        })
+    }
+
     /// The newest configuration's place in the order; zero before one is known.
     pub fn config_stamp(&self) -> ConfigStamp {
         self.config_claim().stamp
--- a/crates/node/tests/config_sources.rs
+++ b/crates/node/tests/config_sources.rs
@@ -6,7 +6,8 @@
 use {
     base::{BootClock, FailureDomainId, HostId, Incarnation, SharedClock, StoreEra},
     node::{
-        ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
+        ConfigUpdate, OperatorChange, PlatformWatch, RowChange, ServerChange, WatchError,
+        WatchPage, WatchPosition,
         follow::follow_all,
         members::MemberTable,
         rows::MemberRow,
@@ -42,9 +43,9 @@
         &self,
         _after: Option<WatchPosition>,
         _short_poll: bool,
-    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+    ) -> Result<WatchPage<OperatorChange>, WatchError> {
         match self.config.lock().clone() {
-            Some(update) => Ok(page(vec![update])),
+            Some(update) => Ok(page(vec![update.into()])),
             None => unavailable(),
         }
     }
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -6,8 +6,9 @@
 use {
     base::{FailureDomainId, HostId, Incarnation, ManualClock, StoreEra, Tick},
     node::{
-        ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
-        follow::follow_all, members::MemberTable, rows::MemberRow, view::NodeView,
+        ConfigUpdate, OperatorChange, PlatformWatch, RowChange, ServerChange, WatchError,
+        WatchPage, WatchPosition, follow::follow_all, members::MemberTable, rows::MemberRow,
+        view::NodeView,
     },
     relay::{CallerLimits, RelayConfig},
     std::{
@@ -65,7 +66,7 @@
         &self,
         after: Option<WatchPosition>,
         short_poll: bool,
-    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+    ) -> Result<WatchPage<OperatorChange>, WatchError> {
         if self.config_hangs.load(Ordering::SeqCst) && after.is_some() {
             self.config_hangs.store(false, Ordering::SeqCst);
             return self.wait_forever().await;
@@ -79,7 +80,8 @@
         sleep(Duration::from_millis(transfer)).await;
         let version = self.version.load(Ordering::SeqCst);
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-        let changes = vec![ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }];
+        let update = ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() };
+        let changes = vec![update.into()];
         let age = Some(Duration::ZERO);
         Ok(WatchPage { changes, position: at(1), is_snapshot: after.is_none(), age })
     }
@@ -264,7 +266,8 @@
         tell_version(&view, version, UNREACHABLE_PEER);
         clock.advance(Duration::from_millis(300));
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-        let changes = vec![ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }];
+        let update = ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() };
+        let changes = vec![update.into()];
         let age = Some(Duration::ZERO);
         view.apply_config_page(WatchPage { changes, position: at(1), is_snapshot: false, age });
     }
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -6,7 +6,8 @@
 use {
     base::{FailureDomainId, HostId, Incarnation, ManualClock, ServiceName, StoreEra, Tick},
     node::{
-        ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
+        ConfigUpdate, OperatorChange, PlatformWatch, RowChange, ServerChange, WatchError,
+        WatchPage, WatchPosition,
         follow::follow_all,
         members::MemberTable,
         page_cache::{CacheLookup, PageCache},
@@ -132,10 +133,10 @@
         &self,
         _after: Option<WatchPosition>,
         _short_poll: bool,
-    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+    ) -> Result<WatchPage<OperatorChange>, WatchError> {
         self.calls.fetch_add(1, Ordering::SeqCst);
         if self.has_config.load(Ordering::SeqCst) {
-            let changes = vec![config(1, 0)];
+            let changes = vec![config(1, 0).into()];
             return Ok(WatchPage { changes, position: at(1), is_snapshot: true, age: None });
         }
         Err(WatchError::Unavailable { detail: "store is down".to_owned() })
@@ -384,14 +385,14 @@
     rig.view.apply_config(config(3, 1));
     rig.served.apply_config(config(4, 2_000));
     let page = rig.watch.watch_config(Some(at(10)), false).await.unwrap();
-    assert_eq!(page.changes, [config(4, 2_000)]);
+    assert_eq!(page.changes, [config(4, 2_000).into()]);
     rig.view.apply_config(config(4, 2_000));
     let later = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
         rig.served.apply_config(config(6, 1));
     };
     let (page, ()) = tokio::join!(rig.watch.watch_config(Some(at(10)), false), later);
-    assert_eq!(page.unwrap().changes, [config(6, 1)], "a query waits for the next version");
+    assert_eq!(page.unwrap().changes, [config(6, 1).into()], "a query waits for the next version");
     assert_eq!(rig.store_calls(), 0);
 }
 
