Keep cold spells of servers beside the limits that they name

A server that is cold has a rate until a time, by the same sharers and questions as a named limit; the lower rate counts. Named limits and cold spells are kept apart, since answers end only the former.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,4 +1,5 @@
-//! Keeps the request rates that single servers name, over all processes together.
+//! Keeps the request rates that single servers name, or tolerate while they are cold, over all processes
+//! together.
 //!
 //! A server in need names in its answers how many requests per second it accepts from all processes
 //! together. No process sees what the others send, so a few processes, the same ones for everybody,
@@ -7,6 +8,9 @@
 //! Where two processes disagree about one that has just started or ended, a part of the rate is used
 //! twice or not at all, not the whole.
 //!
+//! A cold server has started a short time ago, or says for another reason that it tolerates few requests
+//! for a while. The rate is that of its service, and the spell ends by the clock.
+//!
 //! [`LimitTracker`] holds what is known and decides; it does no I/O and has no clock.
 
 mod notice;
--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -20,7 +20,7 @@
 /// messages with invented servers can take.
 const MAX_SERVERS: usize = 4_096;
 
-/// The limit of one server, or that it has none any more.
+/// The limit that one server named, or that it has none any more.
 #[derive(Clone, Debug)]
 struct LimitRecord {
     /// `None` once the limit has ended.
@@ -29,13 +29,27 @@
     shown_at: Tick,
     /// When the rate last changed.
     changed_at: Tick,
+}
+
+/// The time in which one server is cold.
+#[derive(Clone, Copy, Debug)]
+struct ColdSpell {
+    /// The requests per second that it tolerates meanwhile.
+    rate: RatePerSecond,
+    until: Tick,
+}
+
+/// How the rate of one server is divided; the lower one of a named limit and that of a cold spell.
+#[derive(Clone, Debug)]
+struct RateShare {
+    rate: RatePerSecond,
     /// The processes that share the rate.
     sharers: Vec<LimitSharer>,
     /// The pace of this process's part; `None` if it is not one of them.
     pace: Option<RequestPace>,
 }
 
-impl LimitRecord {
+impl RateShare {
     fn note_ask_from(&mut self, node: &HostId, ask_from: Tick) {
         for sharer in self.sharers.iter_mut().filter(|sharer| sharer.node == *node) {
             sharer.ask_from = ask_from;
@@ -88,6 +102,11 @@
 pub struct LimitTracker {
     settings: LimitSettings,
     records: BTreeMap<HostId, LimitRecord>,
+    /// Cold servers. Unlike named limits, these are not told to others: each process learns of them
+    /// from the list of servers, or from the process that saw it first.
+    cold: BTreeMap<HostId, ColdSpell>,
+    /// The rates that are in force.
+    shares: BTreeMap<HostId, RateShare>,
     /// `None` while this process is the only one.
     processes: Option<ProcessList>,
     /// Servers whose limits are to be told to the other processes.
@@ -101,9 +120,35 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Whether no limit is known, nor the end of one.
+    /// Whether no limit is known, nor the end of one, and no server is cold.
     pub fn is_idle(&self) -> bool {
-        self.records.is_empty()
+        self.records.is_empty() && self.cold.is_empty()
+    }
+
+    /// Records that a server is cold for `left` and tolerates only `rate` meanwhile, from all processes
+    /// together. News never shorten that time: what says less is as likely to be older. Returns whether
+    /// the server was not known to be cold.
+    pub fn note_cold(
+        &mut self,
+        server: &HostId,
+        rate: RatePerSecond,
+        left: Duration,
+        now: Tick,
+    ) -> bool {
+        let is_full = !self.cold.contains_key(server) && self.cold.len() >= MAX_SERVERS;
+        if is_full || left.is_zero() || !is_usable(Some(rate)) {
+            return false;
+        }
+        let spell = self.cold.entry(server.clone()).or_insert(ColdSpell { rate, until: now });
+        let is_new = spell.until <= now;
+        *spell = ColdSpell { rate, until: spell.until.max(now + left) };
+        self.update_rate(server, now);
+        is_new
+    }
+
+    /// Number of servers that are cold.
+    pub fn cold_count(&self, now: Tick) -> usize {
+        self.cold.values().filter(|spell| spell.until > now).count()
     }
 
     /// Applies an answer that was received at `now` to a request that was sent at `sent_at`.
@@ -169,7 +214,7 @@
             return;
         }
         self.processes = processes;
-        let servers: Vec<HostId> = self.records.keys().cloned().collect();
+        let servers: Vec<HostId> = self.shares.keys().cloned().collect();
         for server in servers {
             self.update_share(&server, now, self.settings.handover);
         }
@@ -178,15 +223,13 @@
     /// Whether the server has room for a request of this process. `sample` is a random number, which
     /// selects one of the processes that may be asked.
     pub fn room(&self, server: &HostId, sample: u64, now: Tick) -> ServerRoom {
-        let Some(record) = self.records.get(server).filter(|record| record.rate.is_some()) else {
-            return ServerRoom::Unlimited;
-        };
-        if record.pace.is_some_and(|pace| pace.is_due(now)) {
+        let Some(share) = self.shares.get(server) else { return ServerRoom::Unlimited };
+        if share.pace.is_some_and(|pace| pace.is_due(now)) {
             return ServerRoom::Own;
         }
         let own = self.processes.as_ref().map(|list| &list.own);
         let others = || {
-            let sharers = record.sharers.iter();
+            let sharers = share.sharers.iter();
             sharers.filter(|sharer| Some(&sharer.node) != own && sharer.ask_from <= now)
         };
         let count = others().count() as u64;
@@ -197,22 +240,23 @@
     /// Answers another process that asks to send the server a request.
     pub fn answer_ask(&mut self, server: &HostId, now: Tick) -> AskOutcome {
         let LimitSettings { catch_up, ask_again, .. } = self.settings;
-        match self.records.get_mut(server) {
-            Some(LimitRecord { rate: None, .. }) => AskOutcome::Granted,
-            Some(LimitRecord { pace: Some(pace), .. }) => match pace.try_take(now, catch_up) {
+        match self.shares.get_mut(server) {
+            Some(RateShare { pace: Some(pace), .. }) => match pace.try_take(now, catch_up) {
                 true => AskOutcome::Granted,
                 false => AskOutcome::Denied(pace.wait(now)),
             },
+            // The limit has ended.
+            None if self.records.contains_key(server) => AskOutcome::Granted,
             // The processes disagree about who shares the rate, or this one has not heard of it.
-            Some(LimitRecord { pace: None, .. }) | None => AskOutcome::Denied(ask_again),
+            Some(RateShare { pace: None, .. }) | None => AskOutcome::Denied(ask_again),
         }
     }
 
     /// Records that a process did not grant a request to the server, and is not to be asked for
     /// `wait`, a minute at most.
     pub fn note_denied(&mut self, server: &HostId, sharer: &HostId, wait: Duration, now: Tick) {
-        if let Some(record) = self.records.get_mut(server) {
-            record.note_ask_from(sharer, now + wait.min(MAX_INTERVAL));
+        if let Some(share) = self.shares.get_mut(server) {
+            share.note_ask_from(sharer, now + wait.min(MAX_INTERVAL));
         }
     }
 
@@ -220,25 +264,25 @@
     /// for a while.
     pub fn note_silent(&mut self, sharer: &HostId, now: Tick) {
         let ask_from = now + self.settings.ask_silent_again;
-        for record in self.records.values_mut() {
-            record.note_ask_from(sharer, ask_from);
+        for share in self.shares.values_mut() {
+            share.note_ask_from(sharer, ask_from);
         }
     }
 
-    /// The limit of a server, if it has one.
+    /// The rate in force for a server, if it has a limit or is cold.
     pub fn rate(&self, server: &HostId) -> Option<RatePerSecond> {
-        self.records.get(server)?.rate
+        self.shares.get(server).map(|share| share.rate)
     }
 
     /// Counts a request to the server that is sent without asking, or returns false if none is
     /// allowed now.
     pub fn try_take(&mut self, server: &HostId, now: Tick) -> bool {
         let catch_up = self.settings.catch_up;
-        match self.records.get_mut(server) {
-            Some(LimitRecord { rate: Some(_), pace, .. }) => {
+        match self.shares.get_mut(server) {
+            Some(RateShare { pace, .. }) => {
                 pace.as_mut().is_some_and(|pace| pace.try_take(now, catch_up))
             }
-            _ => true,
+            None => true,
         }
     }
 
@@ -279,25 +323,31 @@
         settled.filter_map(|(server, _)| self.notice(server, now)).collect()
     }
 
-    /// The limits in force.
+    /// The rates in force.
     pub fn limits(&self) -> Vec<KnownLimit> {
         let mut limits = Vec::new();
-        for (server, record) in &self.records {
-            let Some(rate) = record.rate else { continue };
-            let own = record.pace.map_or(0.0, |_| rate.0 / record.sharers.len().max(1) as f64);
+        for (server, RateShare { rate, sharers, pace }) in &self.shares {
+            let rate = *rate;
+            let own = pace.map_or(0.0, |_| rate.0 / sharers.len().max(1) as f64);
             let own = RatePerSecond(own);
             limits.push(KnownLimit { server: server.clone(), rate, own });
         }
         limits
     }
 
-    /// Forgets ends of limits, and limits of servers that are not listed, after a while.
+    /// Ends cold spells that are over. Forgets ends of limits, and limits of servers that are not
+    /// listed, after a while.
     pub fn expire(&mut self, is_listed: impl Fn(&HostId) -> bool, now: Tick) {
         let memory = self.settings.end_memory;
         self.records.retain(|server, record| {
             now.since(record.shown_at) < memory || (record.rate.is_some() && is_listed(server))
         });
         self.digest = self.compute_digest();
+        self.cold.retain(|_, spell| spell.until > now);
+        let servers: Vec<HostId> = self.shares.keys().cloned().collect();
+        for server in servers {
+            self.update_rate(&server, now);
+        }
     }
 
     fn notice(&self, server: &HostId, now: Tick) -> Option<LimitNotice> {
@@ -315,8 +365,7 @@
         if !self.records.contains_key(server) && self.records.len() >= MAX_SERVERS {
             return None;
         }
-        let fresh =
-            LimitRecord { rate: None, shown_at, changed_at: now, sharers: Vec::new(), pace: None };
+        let fresh = LimitRecord { rate: None, shown_at, changed_at: now };
         let record = self.records.entry(server.clone()).or_insert(fresh);
         let before = record.rate;
         record.shown_at = record.shown_at.max(shown_at);
@@ -330,15 +379,32 @@
         Some(LimitChange { server: server.clone(), before, after: rate })
     }
 
+    /// The lower one of the limit that a server named and of what it tolerates while it is cold.
+    fn rate_in_force(&self, server: &HostId, now: Tick) -> Option<RatePerSecond> {
+        let named = self.records.get(server).and_then(|record| record.rate);
+        let cold = self.cold.get(server).filter(|spell| spell.until > now).map(|spell| spell.rate);
+        let rates = named.into_iter().chain(cold);
+        rates.reduce(|a, b| if b < a { b } else { a })
+    }
+
+    /// Divides the rate of a server anew if it is another one than before.
+    fn update_rate(&mut self, server: &HostId, now: Tick) {
+        if self.rate_in_force(server, now) != self.rate(server) {
+            self.update_share(server, now, Duration::ZERO);
+        }
+    }
+
     /// Selects anew who shares a server's rate. A part that this process did not have begins after
     /// `handover`, without a saved request.
     fn update_share(&mut self, server: &HostId, now: Tick, handover: Duration) {
-        let Self { settings, records, processes, .. } = self;
-        let Some(record) = records.get_mut(server) else { return };
-        let Some(rate) = record.rate else {
-            (record.sharers, record.pace) = (Vec::new(), None);
+        let Some(rate) = self.rate_in_force(server, now) else {
+            self.shares.remove(server);
             return;
         };
+        let Self { settings, shares, processes, .. } = self;
+        let fresh = RateShare { rate, sharers: Vec::new(), pace: None };
+        let share = shares.entry(server.clone()).or_insert(fresh);
+        share.rate = rate;
         // The only process shares the rate with nobody.
         let (rank, sharers) = match processes {
             None => (Some(0), 1),
@@ -346,21 +412,21 @@
                 let nodes = select_sharers(server, rate, live, settings);
                 let rank = nodes.iter().position(|node| node == own);
                 let sharers = nodes.len();
-                record.sharers = rebuild_sharers(&record.sharers, nodes, now);
+                share.sharers = rebuild_sharers(&share.sharers, nodes, now);
                 (rank, sharers)
             }
         };
         let Some(rank) = rank else {
-            record.pace = None;
+            share.pace = None;
             return;
         };
         let interval = sharer_interval(rate, sharers, settings);
-        match &mut record.pace {
+        match &mut share.pace {
             Some(pace) => pace.set_interval(interval, now),
             None => {
                 // The first requests of the sharers are spread over one interval.
                 let first_after = interval.mul_f64((rank + 1) as f64 / sharers as f64);
-                record.pace = Some(RequestPace::new(interval, now + handover + first_after));
+                share.pace = Some(RequestPace::new(interval, now + handover + first_after));
             }
         }
     }
