Send cold servers no more than they tolerate, from all processes together

The time left in a server's entry was decoded and dropped; `Cold-Ms` and the rates of services were not read. Entries reach all processes with the server list, answers to probes by a message of the owner. The servers of a domain that the operator takes back count as cold at once, for as long as their service says: they are idle, and all processes would turn to them.

--- a/crates/limit/src/settings.rs
+++ b/crates/limit/src/settings.rs
@@ -30,6 +30,9 @@
     /// How long the end of a limit is remembered, so that a process that did not hear of it can't
     /// bring the limit back.
     pub end_memory: Duration,
+    /// Two accounts of the end of a cold spell count as equal if they differ by this much at most: each
+    /// is as old as the message that brought it.
+    pub cold_tolerance: Duration,
 }
 
 impl Default for LimitSettings {
@@ -44,6 +47,7 @@
             catch_up: Duration::from_millis(100),
             settled_after: Duration::from_millis(500),
             end_memory: Duration::from_secs(60),
+            cold_tolerance: Duration::from_millis(500),
         }
     }
 }
--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -127,7 +127,7 @@
 
     /// Records that a server is cold for `left` and tolerates only `rate` meanwhile, from all processes
     /// together. News never shorten that time: what says less is as likely to be older. Returns whether
-    /// the server was not known to be cold.
+    /// the server stays cold for longer than was known.
     pub fn note_cold(
         &mut self,
         server: &HostId,
@@ -140,7 +140,7 @@
             return false;
         }
         let spell = self.cold.entry(server.clone()).or_insert(ColdSpell { rate, until: now });
-        let is_new = spell.until <= now;
+        let is_new = now + left > spell.until + self.settings.cold_tolerance;
         *spell = ColdSpell { rate, until: spell.until.max(now + left) };
         self.update_rate(server, now);
         is_new
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod accept;
 pub mod addresses;
+pub mod cold_servers;
 pub mod config_ages;
 pub mod config_share;
 pub mod config_tracker;
@@ -43,6 +44,7 @@
 
 pub use crate::{
     addresses::{AddressAnswer, AddressQuery},
+    cold_servers::{ColdNotice, ColdRule},
     evacuation::{EvacuationChange, EvacuationClaim, EvacuationSet},
     ports::{
         AddressCodec, ConfigStamp, ConfigUpdate, EngineAccess, EngineReport, EngineService,
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,7 +1,7 @@
 //! The interfaces that the platform implements for a node.
 
 use {
-    crate::evacuation::EvacuationChange,
+    crate::{cold_servers::ColdRule, evacuation::EvacuationChange},
     base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
     limit::NamedLimit,
@@ -96,6 +96,8 @@
     pub relay: RelayConfig,
     /// The services with model engines.
     pub engines: Vec<EngineService>,
+    /// The services whose servers may be cold.
+    pub cold: Vec<ColdRule>,
 }
 
 base::value_type!(
@@ -172,6 +174,8 @@
         /// When the server process started, in Unix milliseconds; distinguishes a restarted server
         /// from the process before it. `None` if the entry does not say.
         pub boot_id: Option<u64>,
+        /// Time for which the server stays cold, as of the entry; zero if it is not cold.
+        pub cold_left: Duration,
         /// The fabric domain; `None` unless the server is a model engine.
         pub fabric_domain: Option<FabricDomainId>,
         /// The state of a model engine: its group and the models staged on its host.
@@ -247,6 +251,8 @@
     pub slowdown: f64,
     /// What the response says about a limit on requests to the server.
     pub limit: NamedLimit,
+    /// Time for which the server stays cold; zero if it does not say that it is cold.
+    pub cold_left: Duration,
 }
 
 /// Why a probe of an engine failed.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,7 @@
 //! The local view of this process (configuration, servers, members, owners) and the table of
 //! servers for requests that is derived from it.
 
+mod cold;
 mod config;
 mod directory;
 mod rows;
@@ -155,8 +156,10 @@
     /// servers that it does not contain.
     pub fn apply_servers(&self, page: WatchPage<ServerChange>) {
         let mut state = self.state.lock();
+        let cold = state.cold_news(&page);
         let delta = state.servers.apply(page, self.now());
         state.servers_loaded = true;
+        self.take_cold(&state, cold, "server list");
         self.apply_list_changes(&mut state, &delta);
         self.rebuild(&mut state);
         self.changed.notify_one();
--- a/crates/node/src/view/config.rs
+++ b/crates/node/src/view/config.rs
@@ -68,6 +68,9 @@
                 EvacuationChange::Restored(domain) => ("domain-restored", domain),
             };
             info!(decision, %domain, source, depth = origin.depth, "state");
+            if let EvacuationChange::Restored(domain) = change {
+                self.presume_cold(state, domain);
+            }
         }
         self.rebuild(state);
         self.changed.notify_one();
@@ -101,6 +104,9 @@
         let update = Arc::new(update);
         self.offer.publish(update.clone());
         state.config = Some(update);
+        if known.is_none() {
+            self.take_cold(state, state.cold_entries(), "server list");
+        }
         state.tracker.set_own(stamp);
         self.publish_standing(state);
         self.rebuild(state);
--- a/crates/node/tests/config_sources.rs
+++ b/crates/node/tests/config_sources.rs
@@ -30,7 +30,7 @@
 
 fn config(version: u64) -> ConfigUpdate {
     let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-    ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }
+    ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new(), cold: Vec::new() }
 }
 
 /// A store that has a configuration, or refuses all reads.
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -115,6 +115,7 @@
             load: ServerLoad::default(),
             slowdown: 1.0,
             limit: NamedLimit::Absent,
+            cold_left: Duration::ZERO,
         })
     }
 
@@ -243,6 +244,7 @@
         era: StoreEra(0),
         relay: RelayConfig::new(1, Vec::new(), Vec::new(), limits),
         engines: vec![engine],
+        cold: Vec::new(),
     }
 }
 
@@ -268,6 +270,7 @@
 
 fn engine(name: &str) -> ServerEntry {
     ServerEntry {
+        cold_left: Duration::ZERO,
         boot_id: None,
         id: HostId::new(name).unwrap(),
         address: ([127, 0, 0, 1], 9).into(),
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -80,7 +80,8 @@
         sleep(Duration::from_millis(transfer)).await;
         let version = self.version.load(Ordering::SeqCst);
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-        let update = ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() };
+        let update =
+            ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new(), cold: Vec::new() };
         let changes = vec![update.into()];
         let age = Some(Duration::ZERO);
         Ok(WatchPage { changes, position: at(1), is_snapshot: after.is_none(), age })
@@ -266,7 +267,8 @@
         tell_version(&view, version, UNREACHABLE_PEER);
         clock.advance(Duration::from_millis(300));
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), CallerLimits::default());
-        let update = ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() };
+        let update =
+            ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new(), cold: Vec::new() };
         let changes = vec![update.into()];
         let age = Some(Duration::ZERO);
         view.apply_config_page(WatchPage { changes, position: at(1), is_snapshot: false, age });
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -18,6 +18,7 @@
 
 fn entry(boot_id: u64) -> ServerChange {
     ServerChange::Listed(Box::new(ServerEntry {
+        cold_left: Duration::ZERO,
         id: server(),
         address: ([127, 0, 0, 1], 80).into(),
         service: ServiceName::new("s").unwrap(),
@@ -95,6 +96,7 @@
         poison: None,
         limits: None,
         turn: None,
+        cold: Vec::new(),
     };
     let notice = LeavingNotice { server: server(), boot_id: Some(7) };
     let with_notice = GossipMessage { leaving_servers: vec![notice], ..plain.clone() };
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -32,6 +32,7 @@
 
 fn entry(id: &str) -> ServerEntry {
     ServerEntry {
+        cold_left: Duration::ZERO,
         boot_id: None,
         id: HostId::new(id).unwrap(),
         address: ([127, 0, 0, 1], 9).into(),
--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership.rs
@@ -135,7 +135,12 @@
         let shared = Arc::new(relay_shared(clock.clone()));
         let view = Arc::new(NodeView::new(MemberTable::new(own().node), shared));
         let relay = RelayConfig::new(1, Vec::new(), Vec::new(), CallerLimits::default());
-        view.apply_config(ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() });
+        view.apply_config(ConfigUpdate {
+            era: StoreEra(0),
+            relay,
+            engines: Vec::new(),
+            cold: Vec::new(),
+        });
         view.apply_servers(page(1, Vec::<ServerChange>::new()));
         let leaving = CancellationToken::new();
         let registration =
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -374,7 +374,7 @@
     };
     let routes = (0..routes).map(|index| ("h".into(), rule(index))).collect();
     let relay = RelayConfig::new(version, routes, Vec::new(), CallerLimits::default());
-    ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }
+    ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new(), cold: Vec::new() }
 }
 
 /// Guards against one read of each version by each process: on a deployment of 295 processes these
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -66,6 +66,7 @@
 
 fn entry(id: &str, boot_id: u64, standing: ServerStanding) -> ServerChange {
     ServerChange::Listed(Box::new(ServerEntry {
+        cold_left: Duration::ZERO,
         id: HostId::new(id).unwrap(),
         address: ([127, 0, 0, 1], 80).into(),
         service: ServiceName::new("s").unwrap(),
@@ -406,7 +407,7 @@
     let config = |version: u64, era: u64, bytes: usize| {
         let limits = CallerLimits { body_bytes: bytes, ..CallerLimits::default() };
         let relay = RelayConfig::new(version, Vec::new(), Vec::new(), limits);
-        ConfigUpdate { era: StoreEra(era), relay, engines: Vec::new() }
+        ConfigUpdate { era: StoreEra(era), relay, engines: Vec::new(), cold: Vec::new() }
     };
     let current = || view.with(|state| state.config.as_deref().cloned()).unwrap();
     view.apply_config(config(8, 0, 1));
--- a/crates/node/tests/support/plain_message.rs
+++ b/crates/node/tests/support/plain_message.rs
@@ -24,5 +24,6 @@
         poison: None,
         limits: None,
         turn: None,
+        cold: Vec::new(),
     }
 }
--- a/crates/relay/src/limit_watch.rs
+++ b/crates/relay/src/limit_watch.rs
@@ -8,6 +8,7 @@
         ServerRoom,
     },
     parking_lot::Mutex,
+    std::time::Duration,
     tokio::sync::Notify,
     tracing::info,
 };
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Records that a server is cold for `left` and tolerates only `rate` meanwhile; returns whether that
+    /// is news, see [`LimitTracker::note_cold`].
+    pub fn note_cold(&self, server: &ServerId, rate: RatePerSecond, left: Duration) -> bool {
+        self.tracker.lock().note_cold(server, rate, left, self.clock.now())
+    }
+
+    /// Number of servers that are cold.
+    pub fn cold_count(&self) -> usize {
+        self.tracker.lock().cold_count(self.clock.now())
+    }
+
     /// Applies what another process says.
     pub fn receive(&self, notices: &[LimitNotice]) {
         for change in self.tracker.lock().receive(notices, self.clock.now()) {
