Test cold servers at 12, 97 and 295 processes

The model of limits plays the return of a failure domain: all its servers are cold for three seconds, and each process learns of it within a second.

--- a/crates/limit/tests/model/world.rs
+++ b/crates/limit/tests/model/world.rs
@@ -26,6 +26,12 @@
 /// Time after which a process that was told of a limit is counted.
 const TOLD_MS: u64 = 500;
 const WINDOW_MS: u64 = 4_000;
+/// The same for cold servers.
+const COLD_WINDOW_MS: u64 = 1_000;
+/// Time for which servers that return are cold.
+const COLD_MS: u64 = 3_000;
+/// Longest time until a process learns that servers are back.
+const RETURN_KNOWN_MS: u64 = 1_000;
 /// When limits begin and end, and the end of the run.
 const LIMITS_FROM_MS: u64 = 3_000;
 const LIMITS_UNTIL_MS: u64 = 18_000;
@@ -56,6 +62,9 @@
     pub(crate) disturbance: Disturbance,
     /// Whether each process keeps the limit by itself, as far as it was told by answers.
     pub(crate) alone: bool,
+    /// Whether all servers return cold at once, instead of naming limits. No process sends to them
+    /// before it learns of the return.
+    pub(crate) returns: bool,
 }
 
 struct Process {
@@ -66,6 +75,8 @@
     restarted_at: u64,
     /// When an answer of each server first named its limit to this process.
     told_at: Vec<Option<u64>>,
+    /// When it learns that the servers are back.
+    learns_at: u64,
     inbox: VecDeque<(u64, usize, Message)>,
     disturbed: bool,
 }
@@ -147,6 +158,7 @@
             stands_until: 0,
             restarted_at: 0,
             told_at: vec![None; scenario.limited],
+            learns_at: LIMITS_FROM_MS,
             inbox: VecDeque::new(),
             disturbed: false,
         };
@@ -164,6 +176,9 @@
             known_after_ms: 0,
             ended_after_ms: 0,
         };
+        for process in &mut world.processes {
+            process.learns_at += world.random.random_range(0..RETURN_KNOWN_MS);
+        }
         world.refresh_lists();
         world
     }
@@ -175,6 +190,7 @@
             if self.now.is_multiple_of(100) {
                 self.refresh_lists();
             }
+            self.learn_returns();
             self.deliver_answers();
             self.deliver_messages();
             self.send_requests();
@@ -226,6 +242,26 @@
         }
     }
 
+    /// Each process takes the servers for cold as it learns that they are back, and ends that by its
+    /// own clock.
+    fn learn_returns(&mut self) {
+        let now = self.now;
+        let learns = |process: &&mut Process| process.learns_at / STEP_MS == now / STEP_MS;
+        let returns = self.scenario.returns;
+        for process in self.processes.iter_mut().filter(learns).filter(|_| returns) {
+            process.told_at.fill(Some(now));
+            for (name, rate) in self.names.iter().zip(&self.rates) {
+                let left = Duration::from_millis(COLD_MS);
+                process.tracker.note_cold(name, RatePerSecond(*rate), left, tick(now));
+            }
+        }
+        for process in
+            self.processes.iter_mut().filter(|_| returns && now.is_multiple_of(GOSSIP_MS))
+        {
+            process.tracker.expire(|_| true, tick(now));
+        }
+    }
+
     /// Gives each process the others that it takes for alive.
     fn refresh_lists(&mut self) {
         let alone = self.scenario.alone;
@@ -274,7 +310,9 @@
         let sample = self.random.random();
         let process = &mut self.processes[index];
         let room = |server: usize| process.tracker.room(&self.names[server], sample, now);
-        let rooms = (0..self.names.len()).map(|server| (server, room(server)));
+        let returns = self.scenario.returns;
+        let is_back = |server: &usize| !returns || process.told_at[*server].is_some();
+        let rooms = (0..self.names.len()).filter(is_back).map(|server| (server, room(server)));
         let open: Vec<(usize, ServerRoom)> =
             rooms.filter(|(_, room)| *room != ServerRoom::Full).collect();
         let Some((server, room)) = open.choose(&mut self.random).cloned() else { return };
@@ -302,7 +340,7 @@
             if !self.runs(answer.process) {
                 continue;
             }
-            let named = match self.has_limits() {
+            let named = match self.has_limits() && !self.scenario.returns {
                 true => NamedLimit::Rate(RatePerSecond(self.rates[answer.server])),
                 false => NamedLimit::Absent,
             };
@@ -393,6 +431,9 @@
     }
 
     fn note_knowledge(&mut self) {
+        if self.scenario.returns {
+            return;
+        }
         if self.has_limits() {
             if !self.all_know(|_| true, true) {
                 self.known_after_ms = self.now - LIMITS_FROM_MS;
@@ -418,7 +459,28 @@
         self.processes.iter().filter(|process| !process.disturbed).all(knows)
     }
 
+    /// What arrived at cold servers, from all processes.
+    fn cold_outcome(self) -> Outcome {
+        let cold = LIMITS_FROM_MS..LIMITS_FROM_MS + COLD_MS;
+        let (mut fullest, mut sent) = (0.0_f64, 0);
+        for (rate, arrivals) in self.rates.iter().zip(&self.arrivals) {
+            let times: Vec<u64> =
+                arrivals.iter().map(|(at, _)| *at).filter(|at| cold.contains(at)).collect();
+            for start in &times {
+                let end = start + COLD_WINDOW_MS;
+                let count = times.iter().filter(|at| (*start..end).contains(at)).count();
+                fullest = fullest.max(count as f64 / (1.5 * rate + 5.0));
+            }
+            sent += times.len();
+        }
+        let tolerated: f64 = self.rates.iter().map(|rate| rate * COLD_MS as f64 / 1_000.0).sum();
+        Outcome { fullest, used: sent as f64 / tolerated, ..Default::default() }
+    }
+
     fn outcome(self) -> Outcome {
+        if self.scenario.returns {
+            return self.cold_outcome();
+        }
         let (mut fullest, mut above_rate) = (0.0_f64, 0.0_f64);
         let (mut sent, mut named) = (0.0, 0.0);
         let counted_from = LIMITS_FROM_MS + GRACE_MS;
--- a/crates/limit/tests/spread.rs
+++ b/crates/limit/tests/spread.rs
@@ -16,7 +16,10 @@
     loss: 0.0,
     disturbance: Disturbance::Nothing,
     alone: false,
+    returns: false,
 };
+/// Groups of a failure domain that the operator takes back, at a usual rate of cold servers.
+const RETURN: Scenario = Scenario { limited: 12, rates: (14.0, 14.0), returns: true, ..CALM };
 /// Seeds of each case; `LIMIT_SEEDS` sets another number for a long run by hand.
 const SEEDS: u64 = 10;
 /// Time in which all processes must know of a limit, or of its end.
@@ -67,6 +70,31 @@
     }
 }
 
+/// All processes turned to the idle servers of a failure domain as soon as it was back, and more arrived
+/// there than cold servers tolerate. Half of the rate is used although each process learns of the return
+/// at another time.
+#[parameterized(
+    few = { RETURN },
+    many = { Scenario { processes: 97, ..RETURN } },
+    most = { Scenario { processes: 295, ..RETURN } },
+    hot_process = { Scenario { processes: 97, hot_share: 0.5, ..RETURN } },
+    lossy = { Scenario { processes: 97, loss: 0.1, ..RETURN } },
+    low_rate = { Scenario { processes: 97, rates: (2.0, 2.0), ..RETURN } },
+)]
+fn cold_servers_get_what_they_tolerate(scenario: Scenario) {
+    for (seed, outcome) in play(scenario).iter().enumerate() {
+        assert!(outcome.fullest <= 1.0, "seed {seed}: {outcome:?}");
+        assert!(outcome.used >= 0.5, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// The planted fault: each process lets as many requests pass as a cold server tolerates from all.
+#[test]
+fn a_cold_server_that_each_process_spares_by_itself_is_found_overloaded() {
+    let outcomes = play(Scenario { processes: 97, alone: true, ..RETURN });
+    assert!(outcomes.iter().all(|outcome| outcome.fullest > 1.0), "{outcomes:?}");
+}
+
 /// Processes that start, stand still or are cut off from the others took the place of those that
 /// shared a limit before the others knew.
 #[parameterized(
--- a/crates/limit/tests/tracker.rs
+++ b/crates/limit/tests/tracker.rs
@@ -252,3 +252,56 @@
         assert_eq!(tracker.room(&server, sample, at(200)), ServerRoom::Ask(live[1].clone()));
     }
 }
+
+/// What a cold server of the tests tolerates.
+const COLD_RATE: RatePerSecond = RatePerSecond(14.0);
+
+fn cold_for(millis: u64) -> LimitTracker {
+    let mut tracker = LimitTracker::new(LimitSettings::default());
+    assert!(tracker.note_cold(&server(), COLD_RATE, Duration::from_millis(millis), at(0)));
+    tracker
+}
+
+#[test]
+fn a_cold_server_has_a_rate_until_its_time_is_over() {
+    let mut tracker = cold_for(3_000);
+    let count = sent(&mut tracker, 0, 3_000);
+    assert!((38..=43).contains(&count), "{count}");
+    tracker.expire(|_| true, at(2_999));
+    assert_eq!(tracker.rate(&server()), Some(COLD_RATE));
+    tracker.expire(|_| true, at(3_000));
+    assert_eq!(tracker.room(&server(), 0, at(3_000)), ServerRoom::Unlimited);
+    assert!(tracker.is_idle());
+}
+
+/// Answers to requests do not say whether their server is cold, and an entry of the server list that says
+/// that it is not may be older than the account that it is.
+#[test]
+fn neither_an_answer_nor_a_shorter_time_ends_a_cold_spell() {
+    let mut tracker = cold_for(3_000);
+    tracker.note_answer(&server(), NamedLimit::Absent, at(100), at(200));
+    assert!(!tracker.note_cold(&server(), COLD_RATE, Duration::ZERO, at(300)));
+    assert!(!tracker.note_cold(&server(), COLD_RATE, Duration::from_millis(2_900), at(300)));
+    tracker.expire(|_| true, at(2_900));
+    assert_eq!(tracker.rate(&server()), Some(COLD_RATE));
+}
+
+#[parameterized(
+    named_is_lower = { 2.0, 2.0 },
+    cold_is_lower = { 50.0, 14.0 },
+)]
+fn the_lower_rate_of_a_cold_server_counts(named: f64, in_force: f64) {
+    let mut tracker = cold_for(3_000);
+    tracker.note_answer(&server(), rate(named), at(0), at(10));
+    assert_eq!(tracker.rate(&server()), Some(RatePerSecond(in_force)));
+    tracker.expire(|_| true, at(3_000));
+    assert_eq!(tracker.rate(&server()), Some(RatePerSecond(named)));
+}
+
+/// A cold spell was taken for the end of a limit: other processes, which were told of it, dropped theirs.
+#[test]
+fn a_cold_spell_is_no_news_about_limits() {
+    let mut tracker = cold_for(3_000);
+    assert!(tracker.take_update(at(10)).is_empty() && tracker.notices(at(10)).is_empty());
+    assert_eq!(tracker.digest(), LimitTracker::default().digest());
+}
