--- a/crates/node/src/cold_servers.rs
+++ b/crates/node/src/cold_servers.rs
@@ -21,10 +21,10 @@
 
 base::value_type!(
     /// A server that is cold.
-    pub struct ColdNotice {
+    pub(crate) struct ColdNotice {
         /// Id of the server.
-        pub server: ServerId,
+        pub(crate) server: ServerId,
         /// Time for which it stays cold.
-        pub left: Duration,
+        pub(crate) left: Duration,
     }
 );
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,7 +7,6 @@
 
 use {
     crate::{
-        cold_servers::ColdNotice,
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::HeadLoad,
@@ -106,8 +105,6 @@
     pub broken: Vec<ServerId>,
     /// Request loads of serving groups.
     pub loads: Vec<HeadLoad>,
-    /// Engines that have just said that they are cold.
-    pub cold: Vec<ColdNotice>,
 }
 
 /// Probes the engines of the owned domains, steps the planners and sends their orders.
@@ -134,8 +131,6 @@
     reported_broken: BTreeSet<ServerId>,
     /// Request loads of serving heads to broadcast next.
     loads: Vec<HeadLoad>,
-    /// Engines that have said that they are cold, to tell all processes with the next step.
-    cold: Vec<ColdNotice>,
     /// When request loads were last broadcast; 0 makes a broadcast due at once.
     loads_sent_at: Tick,
 }
@@ -175,7 +170,6 @@
             head_updates,
             reported_broken: BTreeSet::new(),
             loads: Vec::new(),
-            cold: Vec::new(),
             loads_sent_at: Tick(0),
         };
         let mut ticks = interval(STEP_INTERVAL);
@@ -238,10 +232,6 @@
         let now = self.clock.now();
         if let Ok(report) = &result {
             self.note_limit(host, report.limit, sent_at);
-            if !report.cold_left.is_zero() {
-                let notice = ColdNotice { server: host.clone(), left: report.cold_left };
-                self.cold.extend(self.view.note_cold(vec![notice], "probe"));
-            }
         }
         let Some(owned) = self.domains.get_mut(domain) else { return };
         if let Some(probe_state) = owned.probes.get_mut(host) {
@@ -358,13 +348,13 @@
         self.send_updates(broken, now);
     }
 
-    /// Sends newly broken heads and cold engines at once, and request loads every [`LOAD_INTERVAL`].
+    /// Sends newly broken heads at once, and request loads every [`LOAD_INTERVAL`].
     fn send_updates(&mut self, broken: BTreeSet<ServerId>, now: Tick) {
         let newly_broken: Vec<ServerId> =
             broken.difference(&self.reported_broken).cloned().collect();
         self.reported_broken = broken;
         let loads_due = now.since(self.loads_sent_at) >= LOAD_INTERVAL && !self.loads.is_empty();
-        if newly_broken.is_empty() && self.cold.is_empty() && !loads_due {
+        if newly_broken.is_empty() && !loads_due {
             return;
         }
         let loads = if loads_due { std::mem::take(&mut self.loads) } else { Vec::new() };
@@ -372,8 +362,7 @@
             self.loads_sent_at = now;
         }
         // If the channel is full, newer updates follow soon.
-        let cold = std::mem::take(&mut self.cold);
-        let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads, cold });
+        let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads });
     }
 
     /// Plans one domain, claims it or stops planning it. `failure_domain` is that of its engines, and
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -4,9 +4,9 @@
     crate::{
         control::HeadUpdates,
         peers::{
-            COLD_PER_MESSAGE, GOSSIP_INTERVAL, GossipMessage, HEARTBEATS_PER_MESSAGE,
-            LIMITS_PER_MESSAGE, LOADS_PER_MESSAGE, LimitAsk, LimitClaim, LimitReply,
-            PEERS_PER_ROUND, PeerHeartbeat, PoisonClaim, TurnClaim, split_update,
+            GOSSIP_INTERVAL, GossipMessage, HEARTBEATS_PER_MESSAGE, LIMITS_PER_MESSAGE,
+            LOADS_PER_MESSAGE, LimitAsk, LimitClaim, LimitReply, PEERS_PER_ROUND, PeerHeartbeat,
+            PoisonClaim, TurnClaim, split_update,
         },
         run::NodeRuntime,
     },
@@ -62,9 +62,6 @@
             for server in &message.leaving_servers {
                 self.view.note_leaving(server);
             }
-            if !message.cold.is_empty() {
-                self.view.note_cold(message.cold, "peer");
-            }
             for server in message.stalled {
                 // A full queue already holds enough servers to probe.
                 let _ = local_sender.try_send(server);
@@ -145,7 +142,6 @@
             poison: Some(PoisonClaim { digest: self.shared.poison.digest(), ..Default::default() }),
             limits: None,
             turn: None,
-            cold: Vec::new(),
         }
     }
 
@@ -237,7 +233,6 @@
                 self.send_turn_claim(TurnClaim::Reply { number, has_turn }, from);
             }
             TurnClaim::Reply { number, has_turn } => poison.receive_reply(number, has_turn),
-            TurnClaim::Nothing => {}
         }
     }
 
@@ -316,7 +311,7 @@
         self: Arc<Self>,
         mut update_receiver: mpsc::Receiver<HeadUpdates>,
     ) {
-        while let Some(HeadUpdates { broken, loads, cold }) = update_receiver.recv().await {
+        while let Some(HeadUpdates { broken, loads }) = update_receiver.recv().await {
             self.view.note_loads(&loads);
             for chunk in loads.chunks(LOADS_PER_MESSAGE) {
                 self.send_to_all(&GossipMessage { loads: chunk.to_vec(), ..self.bare_message() });
@@ -325,9 +320,6 @@
                 self.view.note_broken(&broken);
                 self.send_to_all(&GossipMessage { broken, ..self.bare_message() });
             }
-            for chunk in cold.chunks(COLD_PER_MESSAGE) {
-                self.send_to_all(&GossipMessage { cold: chunk.to_vec(), ..self.bare_message() });
-            }
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub use crate::{
     addresses::{AddressAnswer, AddressQuery},
-    cold_servers::{ColdNotice, ColdRule},
+    cold_servers::ColdRule,
     evacuation::{EvacuationChange, EvacuationClaim, EvacuationSet},
     ports::{
         AddressCodec, ConfigStamp, ConfigUpdate, EngineAccess, EngineReport, EngineService,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,12 @@
     server: String,
 }
 
+/// Labels of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DomainLabels {
+    domain: String,
+}
+
 /// Labels of connections to servers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PathLabels {
@@ -57,6 +63,8 @@
     refused_suspects: Family<SuspectLabels, Gauge<f64, AtomicU64>>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     own_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    evacuated: Family<DomainLabels, Gauge>,
+    cold_servers: Gauge,
     connections: Family<PathLabels, Counter>,
     detoured: Gauge,
     open_forwards: Gauge,
@@ -96,6 +104,12 @@
         let own_limits = Family::default();
         let help = "Part of a server's limit that this process may use, in requests per second";
         registry.register("server_limit_own", help, own_limits.clone());
+        let evacuated = Family::default();
+        let help = "Listed servers of a failure domain that the operator has evacuated";
+        registry.register("evacuated_servers", help, evacuated.clone());
+        let cold_servers = Gauge::default();
+        let help = "Servers that tolerate few requests for a while";
+        registry.register("cold_servers", help, cold_servers.clone());
         let connections = Family::default();
         let help = "Connections to servers, by path";
         registry.register("connections", help, connections.clone());
@@ -121,6 +135,8 @@
             refused_suspects,
             server_limits,
             own_limits,
+            evacuated,
+            cold_servers,
             connections,
             detoured,
             open_forwards,
@@ -163,6 +179,12 @@
             self.server_limits.get_or_create(&labels).set(rate.0);
             self.own_limits.get_or_create(&labels).set(own.0);
         }
+        self.cold_servers.set(self.shared.limits.cold_count() as i64);
+        self.evacuated.clear();
+        for (domain, servers) in self.view.evacuated_servers() {
+            let labels = DomainLabels { domain: domain.to_string() };
+            self.evacuated.get_or_create(&labels).set(servers as i64);
+        }
         self.held_bytes.set(i64::try_from(self.shared.buffers.held().0).unwrap_or(i64::MAX));
         self.render_paths();
         let mut text = String::new();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,7 @@
 //! Gossip messages between processes, sent as datagrams.
 
 use {
-    crate::{cold_servers::ColdNotice, config_tracker::ConfigClaim, ports::ConfigStamp},
+    crate::{config_tracker::ConfigClaim, ports::ConfigStamp},
     base::{Incarnation, ModelName, StoreEra},
     limit::{AskOutcome, LimitNotice},
     poison::{PoisonUpdate, SuspectId},
@@ -31,8 +31,6 @@
 const PARTS_PER_MESSAGE: usize = 16;
 /// Maximum number of limits in one message, at up to 160 bytes each.
 pub const LIMITS_PER_MESSAGE: usize = 7;
-/// Maximum number of cold servers in one message, at up to 140 bytes each.
-pub const COLD_PER_MESSAGE: usize = 8;
 
 base::value_type!(
     /// The heartbeat counter of one incarnation of a process.
@@ -103,10 +101,6 @@
         /// and if the sender is of an earlier version.
         #[serde(skip)]
         pub turn: Option<TurnClaim>,
-        /// Servers that have said to the sender that they are cold. Encoded last, in messages about
-        /// nothing else; an earlier version of this program drops such a message.
-        #[serde(skip)]
-        pub cold: Vec<ColdNotice>,
     }
 );
 
@@ -163,8 +157,6 @@
             /// Whether the receiver has the turn.
             has_turn: bool,
         },
-        /// Says nothing. Stands before the fields that are encoded after it.
-        Nothing,
     }
 );
 
@@ -204,11 +196,6 @@
     let bytes = postcard::to_extend(config, bytes)?;
     let Some(claim) = &message.poison else { return Ok(bytes) };
     let bytes = postcard::to_extend(claim, bytes)?;
-    if !message.cold.is_empty() {
-        let bytes = postcard::to_extend(&LimitClaim::default(), bytes)?;
-        let bytes = postcard::to_extend(&TurnClaim::Nothing, bytes)?;
-        return postcard::to_extend(&message.cold, bytes);
-    }
     let Some(claim) = &message.limits else { return Ok(bytes) };
     let bytes = postcard::to_extend(claim, bytes)?;
     match &message.turn {
@@ -240,14 +227,7 @@
         rest = remaining;
     }
     if !rest.is_empty() {
-        let (claim, remaining) = postcard::take_from_bytes(rest)?;
-        message.turn = Some(claim).filter(|claim| *claim != TurnClaim::Nothing);
-        rest = remaining;
-    }
-    if !rest.is_empty() {
-        // The claim about limits only stands before these.
-        message.limits = None;
-        message.cold = postcard::from_bytes(rest)?;
+        message.turn = Some(postcard::from_bytes(rest)?);
     }
     Ok(message)
 }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -251,8 +251,6 @@
     pub slowdown: f64,
     /// What the response says about a limit on requests to the server.
     pub limit: NamedLimit,
-    /// Time for which the server stays cold; zero if it does not say that it is cold.
-    pub cold_left: Duration,
 }
 
 /// Why a probe of an engine failed.
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -59,11 +59,11 @@
 const LOGGED_WRITE: Duration = Duration::from_millis(200);
 /// The table whose changes a reader requests, encoded as the first byte of the request. The era and
 /// the version of the position up to which the reader knows the table follow, as big-endian numbers
-/// of eight bytes. 1, 2, 4 and 5 were the tables of earlier formats.
+/// of eight bytes. 1, 2, 4, 5 and 7 were the tables of earlier formats.
 #[derive(Clone, Copy)]
 #[repr(u8)]
 enum SharedTable {
-    Servers = 7,
+    Servers = 11,
     Rows = 8,
 }
 
--- a/crates/node/src/view/cold.rs
+++ b/crates/node/src/view/cold.rs
@@ -11,30 +11,24 @@
 };
 
 impl NodeView {
-    /// Records what servers say about being cold, and returns what was not known. `source` says in logs
-    /// where that was said.
-    pub fn note_cold(&self, notices: Vec<ColdNotice>, source: &'static str) -> Vec<ColdNotice> {
-        self.take_cold(&self.state.lock(), notices, source)
-    }
-
+    /// Paces the requests to cold servers. `source` says in logs where it was said that they are cold.
     pub(super) fn take_cold(
         &self,
         state: &ViewState,
         notices: Vec<ColdNotice>,
         source: &'static str,
-    ) -> Vec<ColdNotice> {
-        let is_new = |notice: &ColdNotice| {
+    ) {
+        let is_news = |notice: &&ColdNotice| {
             let entry = state.servers.entry(&notice.server);
             let rule = entry.and_then(|entry| state.cold_rule(entry));
             rule.is_some_and(|rule| {
                 self.shared.limits.note_cold(&notice.server, rule.rate, notice.left)
             })
         };
-        let new: Vec<ColdNotice> = notices.into_iter().filter(is_new).collect();
-        if !new.is_empty() {
-            info!(decision = "servers-cold", count = new.len(), source, "limits");
+        let count = notices.iter().filter(is_news).count();
+        if count > 0 {
+            info!(decision = "servers-cold", count, source, "limits");
         }
-        new
     }
 
     /// Takes the servers of a domain that the operator took back for cold. They may be, and before
--- a/crates/node/src/view/config.rs
+++ b/crates/node/src/view/config.rs
@@ -9,9 +9,9 @@
         evacuation::{EvacuationChange, EvacuationSet},
         ports::{ConfigStamp, ConfigUpdate, OperatorChange, WatchPage},
     },
-    base::{HostId, Tick},
+    base::{FailureDomainId, HostId, Tick},
     relay::ConfigStanding,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tracing::info,
 };
 
@@ -54,6 +54,16 @@
         self.note_evacuations(&mut state, &changes);
     }
 
+    /// The evacuated domains, each with the number of its listed servers.
+    pub fn evacuated_servers(&self) -> BTreeMap<FailureDomainId, usize> {
+        self.with(|state| {
+            let count = |domain: &FailureDomainId| {
+                state.servers.entries().filter(|entry| entry.failure_domain == *domain).count()
+            };
+            state.evacuations.domains().map(|domain| (domain.clone(), count(domain))).collect()
+        })
+    }
+
     /// Keeps requests away from the servers of evacuated domains, and lets them go to those of domains
     /// that were taken back.
     fn note_evacuations(&self, state: &mut ViewState, changes: &[EvacuationChange]) {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -115,7 +115,6 @@
             load: ServerLoad::default(),
             slowdown: 1.0,
             limit: NamedLimit::Absent,
-            cold_left: Duration::ZERO,
         })
     }
 
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -96,7 +96,6 @@
         poison: None,
         limits: None,
         turn: None,
-        cold: Vec::new(),
     };
     let notice = LeavingNotice { server: server(), boot_id: Some(7) };
     let with_notice = GossipMessage { leaving_servers: vec![notice], ..plain.clone() };
--- a/crates/node/tests/support/plain_message.rs
+++ b/crates/node/tests/support/plain_message.rs
@@ -24,6 +24,5 @@
         poison: None,
         limits: None,
         turn: None,
-        cold: Vec::new(),
     }
 }
