Name no dead processes in the last one's address answers

A process that hears no gossip takes itself for the isolated one and counted all others as alive for ever, also as the last one left, or as the first one back after a power cut of all. For address answers the others are now down if the platform confirms this process's configuration; without that it goes on to name all. Owners of fabric domains are decided as before.

the_last_process_names_only_itself fails before: 97 processes, 64 addresses 3 s after the last gossip.

--- a/crates/node/src/addresses.rs
+++ b/crates/node/src/addresses.rs
@@ -31,10 +31,11 @@
     pub ttl: Duration,
 }
 
-/// The callers' addresses of all live members, in random order.
-pub fn answer_addresses(members: &MemberTable, now: Tick) -> AddressAnswer {
-    let mut addresses: Vec<SocketAddr> =
-        members.live_members(now).map(|(_, row)| row.callers).collect();
+/// The callers' addresses of all members that they can use, in random order. `has_platform` says whether the
+/// platform answers this process, see [`MemberTable::callable_members`].
+pub fn answer_addresses(members: &MemberTable, now: Tick, has_platform: bool) -> AddressAnswer {
+    let callable = members.callable_members(now, has_platform);
+    let mut addresses: Vec<SocketAddr> = callable.map(|(_, row)| row.callers).collect();
     addresses.shuffle(&mut rand::rng());
     addresses.truncate(MAX_ADDRESSES);
     AddressAnswer { addresses, ttl: ADDRESS_TTL }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -302,6 +302,27 @@
             .map(|(node, state)| (node, &state.row))
     }
 
+    /// The processes that callers can use, as far as is known. While no gossip arrives, all others are
+    /// down if the platform answers this process (`has_platform`); else it is cut off itself, and names
+    /// all of them. One that was never heard counts for [`DOWN_AFTER`] only: its row may be older than
+    /// its end.
+    pub fn callable_members(
+        &self,
+        now: Tick,
+        has_platform: bool,
+    ) -> impl Iterator<Item = (&HostId, &MemberRow)> {
+        let names_all = self.is_isolated(now) && !has_platform;
+        let is_heard = move |state: &MemberState| {
+            let span = if state.counter == 0 { DOWN_AFTER } else { self.down_after() };
+            now.since(state.advanced_at) < span
+        };
+        let is_callable = move |node: &HostId, state: &MemberState| {
+            !self.is_leaving(node, state) && (names_all || *node == self.own || is_heard(state))
+        };
+        let members = self.members.iter().filter(move |(node, state)| is_callable(node, state));
+        members.map(|(node, state)| (node, &state.row))
+    }
+
     fn is_leaving(&self, node: &HostId, state: &MemberState) -> bool {
         state.leaving || (self.own_leaving && *node == self.own)
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -25,8 +25,8 @@
     infra::TableStore,
     reach::ServerPaths,
     relay::{
-        MemoryBudget, RelayService, RelayShared, RequestCodec, RetryBudget, ServerSign,
-        serve_callers,
+        CONFIG_TRUST, MemoryBudget, RelayService, RelayShared, RequestCodec, RetryBudget,
+        ServerSign, serve_callers,
     },
     snafu::{ResultExt, Snafu},
     std::{
@@ -284,7 +284,9 @@
                 return empty(StatusCode::NOT_FOUND);
             }
             let now = runtime.shared.clock.now();
-            let answer = runtime.view.with(|state| answer_addresses(&state.members, now));
+            let has_platform = runtime.view.config_age().is_some_and(|age| age < CONFIG_TRUST);
+            let answer =
+                runtime.view.with(|state| answer_addresses(&state.members, now, has_platform));
             if answer.addresses.is_empty() {
                 return empty(StatusCode::SERVICE_UNAVAILABLE);
             }
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -161,19 +161,44 @@
     record_all_but(&mut table, 4, 2, after(2_000));
     assert!(!table.is_alive(&name(2), None, after(2_000)));
     assert!(table.is_alive(&name(1), None, after(2_000)));
-    let answer = answer_addresses(&table, after(2_000));
+    let answer = answer_addresses(&table, after(2_000), true);
     assert_eq!(answer.addresses.len(), 3);
     assert!(!answer.addresses.contains(&row(2, "even").callers));
 }
 
-/// A process that receives no gossip at all is isolated itself. Callers that still reach it get all
-/// addresses.
+/// A process that receives no gossip at all is isolated itself, unless the platform answers it. Callers
+/// that still reach it get all addresses.
 #[test]
 fn an_isolated_process_considers_nobody_down() {
     let table = table(4);
     let later = after(30_000);
     assert!(table.is_isolated(later));
-    assert_eq!(answer_addresses(&table, later).addresses.len(), 4);
+    assert_eq!(answer_addresses(&table, later, false).addresses.len(), 4);
+}
+
+/// The last process took itself for the isolated one for ever, and named all that had been killed.
+#[test]
+fn the_last_process_names_only_itself() {
+    let mut table = table(97);
+    record_all_but(&mut table, 97, 0, after(10_000));
+    assert_eq!(answer_addresses(&table, after(10_100), true).addresses.len(), 64);
+    // Within the seven seconds after which nobody may name them.
+    let answer = answer_addresses(&table, after(13_000), true);
+    assert_eq!(answer.addresses, [row(0, "even").callers]);
+}
+
+/// After a power cut of all, the first processes to come back named the others by their old rows. With
+/// hundreds of them a row that nobody stood for counted for more than six seconds.
+#[parameterized(
+    few = { 12 },
+    many = { 295 },
+)]
+fn rows_of_processes_that_were_never_heard_count_for_a_moment(processes: u16) {
+    let mut table = table(processes);
+    record_all_but(&mut table, 3, 0, after(1_000));
+    record_all_but(&mut table, 3, 0, after(2_500));
+    let answer = answer_addresses(&table, after(2_500), true);
+    assert_eq!(answer.addresses.len(), 3, "itself and the two that it heard");
 }
 
 #[test]
@@ -181,7 +206,7 @@
     let mut table = table(4);
     record_all_but(&mut table, 4, 9, after(100));
     table.record_heartbeat(&heartbeat(3, 1, true), after(200));
-    let answer = answer_addresses(&table, after(200));
+    let answer = answer_addresses(&table, after(200), true);
     assert!(!answer.addresses.contains(&row(3, "odd").callers));
 }
 
@@ -190,9 +215,9 @@
 fn a_leaving_process_does_not_name_itself() {
     let mut table = table(4);
     record_all_but(&mut table, 4, 9, after(100));
-    assert!(answer_addresses(&table, after(100)).addresses.contains(&row(0, "even").callers));
+    assert!(answer_addresses(&table, after(100), true).addresses.contains(&row(0, "even").callers));
     table.leave();
-    let answer = answer_addresses(&table, after(200));
+    let answer = answer_addresses(&table, after(200), true);
     assert!(!answer.addresses.contains(&row(0, "even").callers));
     assert_eq!(answer.addresses.len(), 3);
 }
