--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,6 +1,7 @@
 //! The interfaces that the platform implements for a node.
 
 use {
+    crate::{cold_servers::ColdRule, evacuation::EvacuationChange},
     base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
     limit::NamedLimit,
@@ -95,6 +96,8 @@
     pub relay: RelayConfig,
     /// The services with model engines.
     pub engines: Vec<EngineService>,
+    /// The services whose servers may be cold.
+    pub cold: Vec<ColdRule>,
 }
 
 base::value_type!(
@@ -109,6 +112,21 @@
     }
 );
 
+/// A change of what the operator sets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorChange {
+    /// A version of the configuration was written.
+    Config(Box<ConfigUpdate>),
+    /// A failure domain was evacuated or taken back. A snapshot has the evacuated ones.
+    Evacuation(EvacuationChange),
+}
+
+impl From<ConfigUpdate> for OperatorChange {
+    fn from(update: ConfigUpdate) -> Self {
+        Self::Config(Box::new(update))
+    }
+}
+
 impl<T> WatchPage<T> {
     /// The page with its changes in another form.
     pub fn with_changes<U>(&self, changes: Vec<U>) -> WatchPage<U> {
@@ -156,6 +174,8 @@
         /// When the server process started, in Unix milliseconds; distinguishes a restarted server
         /// from the process before it. `None` if the entry does not say.
         pub boot_id: Option<u64>,
+        /// Time for which the server stays cold, as of the entry; zero if it is not cold.
+        pub cold_left: Duration,
         /// The fabric domain; `None` unless the server is a model engine.
         pub fabric_domain: Option<FabricDomainId>,
         /// The state of a model engine: its group and the models staged on its host.
@@ -188,14 +208,14 @@
 /// Each call returns when there is a change, or after a wait that the implementation chooses. With
 /// `after` set to `None` it returns a full snapshot.
 pub trait PlatformWatch: Send + Sync + 'static {
-    /// Watches the configuration; one that can't be parsed is left out. With `short_poll` the watch
-    /// is answered at short intervals even without changes, so that an unresponsive store is
+    /// Watches the configuration, leaving out one that can't be parsed, and the evacuated failure
+    /// domains. With `short_poll` the watch is answered at short intervals even without changes, so that an unresponsive store is
     /// detected.
     fn watch_config(
         &self,
         after: Option<WatchPosition>,
         short_poll: bool,
-    ) -> impl Future<Output = Result<WatchPage<ConfigUpdate>, WatchError>> + Send;
+    ) -> impl Future<Output = Result<WatchPage<OperatorChange>, WatchError>> + Send;
 
     /// Watches the entries that servers register in the store, with `short_poll` as in
     /// [`Self::watch_config`].
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -14,7 +14,7 @@
         page_cache::{CacheLookup, PageCache},
         peer_link::{LinkError, PeerLink, UnreadableSnafu},
         ports::{
-            ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
+            OperatorChange, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage,
             WatchPosition,
         },
         store_reads::ReadReason,
@@ -60,11 +60,11 @@
 const LOGGED_WRITE: Duration = Duration::from_millis(200);
 /// The table whose changes a reader requests, encoded as the first byte of the request. The era and
 /// the version of the position up to which the reader knows the table follow, as big-endian numbers
-/// of eight bytes. 1, 2, 4 and 5 were the tables of earlier formats.
+/// of eight bytes. 1, 2, 4, 5 and 7 were the tables of earlier formats.
 #[derive(Clone, Copy)]
 #[repr(u8)]
 enum SharedTable {
-    Servers = 7,
+    Servers = 11,
     Rows = 8,
 }
 
@@ -234,26 +234,26 @@
 
     /// A configuration from another process, in a page without a position of its own; `None` if the
     /// store has to be read.
-    async fn query_config(&self, after: Option<WatchPosition>) -> Option<WatchPage<ConfigUpdate>> {
+    async fn query_config(
+        &self,
+        after: Option<WatchPosition>,
+    ) -> Option<WatchPage<OperatorChange>> {
         let after = after?;
         if self.store_turn.swap(false, Ordering::Relaxed) {
             return None;
         }
         let (node, address) = self.view.config_source(&|node| self.is_avoided(node))?;
-        let known = self.view.config_claim();
-        let ConfigAnswer { update, age, depth } = self
+        let known = self.view.known_config();
+        let ConfigAnswer { update, age, depth, evacuations } = self
             .query_over(&self.config_link, &node, address, async |link| {
                 poll_config(link, known).await
             })
             .await?;
         self.view.set_config_origin(ConfigOrigin::peer(&node, depth));
         self.config_position_outdated.store(true, Ordering::Relaxed);
-        Some(WatchPage {
-            changes: Vec::from_iter(update),
-            position: after,
-            is_snapshot: false,
-            age,
-        })
+        self.view.adopt_evacuations(evacuations);
+        let changes = update.map(OperatorChange::from).into_iter().collect();
+        Some(WatchPage { changes, position: after, is_snapshot: false, age })
     }
 
     /// Runs a query over the kept connection to a process, or over a new one. The result is `None` if
@@ -339,7 +339,7 @@
         &self,
         after: Option<WatchPosition>,
         short_poll: bool,
-    ) -> Result<WatchPage<ConfigUpdate>, WatchError> {
+    ) -> Result<WatchPage<OperatorChange>, WatchError> {
         if let Some(page) = self.query_config(after).await {
             return Ok(page);
         }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -18,6 +18,7 @@
 
 fn entry(boot_id: u64) -> ServerChange {
     ServerChange::Listed(Box::new(ServerEntry {
+        cold_left: Duration::ZERO,
         id: server(),
         address: ([127, 0, 0, 1], 80).into(),
         service: ServiceName::new("s").unwrap(),
