Choose model engines by the expected time to the first event

The choice compared two servers by the number of their requests, so that a prompt of 40 tokens counted like one of 4,000, and a server that had turned slow was known as such only from the answers that a process had itself. The crate cost estimates the work of a request from its head and the engine's figures in the configuration, and what a server still has to do. Owners tell the paces that members of their groups report. Services without engine figures are chosen as before.

--- /dev/null
+++ b/crates/cost/src/work.rs
@@ -0,0 +1,83 @@
+//! The work of a request, and the work that a server still has to do.
+
+use {crate::speed::EngineSpeed, base::TokenCount, std::time::Duration};
+
+/// What a request is likely to cost an engine of usual pace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestCost {
+    /// Time to read the prompt.
+    pub read: Duration,
+    /// Time that the answer adds to the passes in which it is written.
+    pub write: Duration,
+    /// Tokens of context that it holds in the end.
+    pub memory: TokenCount,
+}
+
+impl RequestCost {
+    /// The cost of a prompt whose answer has `output` tokens.
+    pub fn new(speed: &EngineSpeed, prompt: TokenCount, output: TokenCount) -> Self {
+        let context = (prompt.0 as f64 + output.0 as f64 / 2.0) / 1_000.0;
+        let step = speed.step_per_stream + speed.step_per_context.mul_f64(context);
+        // The step itself is shared by the streams of a full engine.
+        let step = step + speed.step / speed.slots.max(1);
+        Self {
+            read: speed.read(prompt),
+            write: step.mul_f64(output.0 as f64),
+            memory: TokenCount(prompt.0 + output.0),
+        }
+    }
+
+    /// Time of the engine that it takes in all.
+    pub fn total(&self) -> Duration {
+        self.read + self.write
+    }
+}
+
+/// What one server still has to do, as one process knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerWork {
+    /// Requests at the server, those in its queue included.
+    pub requests: f64,
+    /// Those of this process.
+    pub own: f64,
+    /// Prompt tokens of this process's requests that have no event yet.
+    pub unread: f64,
+    /// Output tokens that are still expected of this process's requests.
+    pub unwritten: f64,
+    /// Slowdown against the model's pace; 1 is usual.
+    pub pace: f64,
+    /// Share of sends that fail.
+    pub failing: f64,
+}
+
+/// Time that a request loses at a server that fails it: about that after which it is sent elsewhere.
+const FAILURE_COST: Duration = Duration::from_millis(700);
+
+impl ServerWork {
+    /// Expected time to the first event of a request with `prompt`. `model_pace` is that of
+    /// [`EngineSpeed::model_pace`].
+    pub fn first_event(
+        &self,
+        speed: &EngineSpeed,
+        model_pace: f64,
+        prompt: TokenCount,
+    ) -> Duration {
+        let slots = f64::from(speed.slots.max(1));
+        let pass = speed.pass(self.requests.min(slots));
+        let queued = (self.requests + 1.0 - slots).max(0.0);
+        let slot_wait = pass.mul_f64(queued * self.events_left(speed) / slots);
+        let reading = speed.read_some(self.unread) + speed.read(prompt);
+        let usual = slot_wait + pass / 2 + reading + pass;
+        let wait = usual.mul_f64(self.pace * model_pace);
+        // It costs another attempt, here or at a server like this one, as often as it fails.
+        wait.div_f64(1.0 - self.failing) + FAILURE_COST.mul_f64(self.failing)
+    }
+
+    /// Mean number of events until a request at the server ends.
+    fn events_left(&self, speed: &EngineSpeed) -> f64 {
+        let stride = f64::from(speed.stride.max(1));
+        // Seen at any moment, an answer whose length has no memory has its whole mean left.
+        let others = (self.requests - self.own).max(0.0) * speed.events(speed.usual.answer);
+        (self.unwritten / stride + others) / self.requests.max(1.0)
+    }
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,14 +2,16 @@
 
 mod claims;
 mod pace;
+mod slow_members;
 
 pub use pace::{StepCounter, StepPace};
 
 use {
+    self::slow_members::MemberPaces,
     crate::{
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
-        peers::HeadLoad,
+        peers::{HeadLoad, HeadPace},
         ports::{EngineAccess, EngineReport, ProbeError, ServerEntry, ServerStanding},
         rows::RowOwner,
         view::{EngineDomain, NodeView},
@@ -85,6 +87,7 @@
     /// Maximum number of concurrent requests of each group in the domain.
     slots: u32,
     probes: BTreeMap<ServerId, ProbeState>,
+    paces: MemberPaces,
     /// Engine states from the server list that the planner has seen.
     listed_states: BTreeMap<ServerId, EngineState>,
 }
@@ -105,6 +108,8 @@
     pub broken: Vec<ServerId>,
     /// Request loads of serving groups.
     pub loads: Vec<HeadLoad>,
+    /// Paces of those that are slow.
+    pub paces: Vec<HeadPace>,
 }
 
 /// Probes the engines of the owned domains, steps the planners and sends their orders.
@@ -131,6 +136,8 @@
     reported_broken: BTreeSet<ServerId>,
     /// Request loads of serving heads to broadcast next.
     loads: Vec<HeadLoad>,
+    /// Paces of slow groups to broadcast with them.
+    paces: Vec<HeadPace>,
     /// When request loads were last broadcast; 0 makes a broadcast due at once.
     loads_sent_at: Tick,
 }
@@ -170,6 +177,7 @@
             head_updates,
             reported_broken: BTreeSet::new(),
             loads: Vec::new(),
+            paces: Vec::new(),
             loads_sent_at: Tick(0),
         };
         let mut ticks = interval(STEP_INTERVAL);
@@ -252,15 +260,21 @@
         }
         match result {
             Ok(report) => {
+                let membership = report.facts.membership.as_ref();
+                owned.paces.note(host, membership, report.slowdown);
                 if let Some(model) = serving_model(&owned.planner, host, &report.facts) {
                     let ServerLoad { running, waiting, .. } = report.load;
                     let (head, model, slots) = (host.clone(), model.clone(), owned.slots);
                     self.loads.retain(|load| load.head != *host);
                     self.loads.push(HeadLoad { head, model, running, waiting, slots });
+                    self.paces.retain(|pace| pace.head != *host);
+                    let pace = membership.and_then(|group| owned.paces.of_head(host, group));
+                    self.paces.extend(pace);
                 }
                 owned.planner.observe(host, ObservationSource::Engine, sent_at, report.facts);
             }
             Err(error) => {
+                owned.paces.forget(host);
                 info!(decision = "engine-silent", domain = %domain, server = %host,
                     why = ?error, "groups");
                 let mark = match error {
@@ -357,12 +371,13 @@
         if newly_broken.is_empty() && !loads_due {
             return;
         }
-        let loads = if loads_due { std::mem::take(&mut self.loads) } else { Vec::new() };
+        let (mut loads, mut paces) = (Vec::new(), Vec::new());
         if loads_due {
+            (loads, paces) = (std::mem::take(&mut self.loads), std::mem::take(&mut self.paces));
             self.loads_sent_at = now;
         }
         // If the channel is full, newer updates follow soon.
-        let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads });
+        let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads, paces });
     }
 
     /// Plans one domain, claims it or stops planning it. `failure_domain` is that of its engines, and
@@ -445,6 +460,7 @@
                     planner,
                     slots: engine.slots,
                     probes: BTreeMap::new(),
+                    paces: MemberPaces::default(),
                     listed_states: BTreeMap::new(),
                 };
                 self.domains.insert(domain.clone(), owned);
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -56,6 +56,7 @@
                 self.receive_turn(claim, message.own.incarnation, from);
             }
             self.view.note_loads(&message.loads);
+            self.view.note_paces(&message.paces);
             if !message.broken.is_empty() {
                 self.view.note_broken(&message.broken);
             }
@@ -138,6 +139,7 @@
             stalled: Vec::new(),
             broken: Vec::new(),
             loads: Vec::new(),
+            paces: Vec::new(),
             leaving_servers: Vec::new(),
             poison: Some(PoisonClaim { digest: self.shared.poison.digest(), ..Default::default() }),
             limits: None,
@@ -311,8 +313,12 @@
         self: Arc<Self>,
         mut update_receiver: mpsc::Receiver<HeadUpdates>,
     ) {
-        while let Some(HeadUpdates { broken, loads }) = update_receiver.recv().await {
+        while let Some(HeadUpdates { broken, loads, paces }) = update_receiver.recv().await {
             self.view.note_loads(&loads);
+            self.view.note_paces(&paces);
+            for chunk in paces.chunks(LOADS_PER_MESSAGE) {
+                self.send_to_all(&GossipMessage { paces: chunk.to_vec(), ..self.bare_message() });
+            }
             for chunk in loads.chunks(LOADS_PER_MESSAGE) {
                 self.send_to_all(&GossipMessage { loads: chunk.to_vec(), ..self.bare_message() });
             }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,6 +12,8 @@
 
 /// Version of the message format; messages of another version are ignored.
 const MESSAGE_VERSION: u8 = 1;
+/// Version of messages with paces of groups, which earlier versions of this program ignore.
+const PACES_VERSION: u8 = 2;
 /// Largest message, in bytes; fits into one packet.
 const MAX_MESSAGE_BYTES: usize = 1_400;
 /// Time between two gossip rounds.
@@ -60,6 +62,16 @@
     }
 );
 
+base::value_type!(
+    /// The pace of a serving group, as reports of its members name it.
+    pub struct HeadPace {
+        /// The first member of the group.
+        pub head: ServerId,
+        /// Time that its work takes, in percent of the usual time.
+        pub percent: u32,
+    }
+);
+
 base::value_type!(
     /// The content of one UDP datagram of at most `MAX_MESSAGE_BYTES`: heartbeats, the version of
     /// the configuration, suspected servers and loads of groups.
@@ -81,6 +93,10 @@
         pub broken: Vec<ServerId>,
         /// Loads of heads that the sender probed.
         pub loads: Vec<HeadLoad>,
+        /// Groups that are slow. Encoded first after the other fields, and only in messages of the
+        /// version for them.
+        #[serde(skip)]
+        pub paces: Vec<HeadPace>,
         /// Servers that have said to the sender that they are leaving. Encoded after the other
         /// fields, where an earlier version of this program ignores it.
         #[serde(skip)]
@@ -190,7 +206,12 @@
 );
 
 fn encode(message: &GossipMessage) -> Result<Vec<u8>, postcard::Error> {
-    let bytes = postcard::to_extend(message, vec![MESSAGE_VERSION])?;
+    let bytes = if message.paces.is_empty() {
+        postcard::to_extend(message, vec![MESSAGE_VERSION])?
+    } else {
+        let bytes = postcard::to_extend(message, vec![PACES_VERSION])?;
+        postcard::to_extend(&message.paces, bytes)?
+    };
     let bytes = postcard::to_extend(&message.leaving_servers, bytes)?;
     let Some(config) = &message.config else { return Ok(bytes) };
     let bytes = postcard::to_extend(config, bytes)?;
@@ -204,10 +225,13 @@
     }
 }
 
-/// Decodes a message without its first byte. The parts that an earlier version of this program did
+/// Decodes a message with its version, the first byte. The parts that an earlier version of this program did
 /// not send may be missing at the end.
-fn decode(bytes: &[u8]) -> Result<GossipMessage, postcard::Error> {
+fn decode(version: u8, bytes: &[u8]) -> Result<GossipMessage, postcard::Error> {
     let (mut message, mut rest): (GossipMessage, &[u8]) = postcard::take_from_bytes(bytes)?;
+    if version == PACES_VERSION {
+        (message.paces, rest) = postcard::take_from_bytes(rest)?;
+    }
     if !rest.is_empty() {
         (message.leaving_servers, rest) = postcard::take_from_bytes(rest)?;
     }
@@ -284,12 +308,14 @@
             let received = self.socket.recv_from(&mut buffer).await;
             let Ok((length, from)) = received else { continue };
             match buffer[..length].split_first() {
-                Some((&MESSAGE_VERSION, rest)) => match decode(rest) {
-                    Ok(message) => return (message, from),
-                    Err(error) => {
-                        tracing::debug!(%from, %error, "failed to decode a gossip message")
+                Some((&version @ (MESSAGE_VERSION | PACES_VERSION), rest)) => {
+                    match decode(version, rest) {
+                        Ok(message) => return (message, from),
+                        Err(error) => {
+                            tracing::debug!(%from, %error, "failed to decode a gossip message")
+                        }
                     }
-                },
+                }
                 _ => tracing::debug!(%from, "ignoring a gossip message of another version"),
             }
         }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -16,7 +16,7 @@
         loop_lag::LoopLag,
         members::MemberTable,
         owners::OwnedRow,
-        peers::{HeadLoad, LeavingNotice},
+        peers::{HeadLoad, HeadPace, LeavingNotice},
         ports::{
             ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry, ServerStanding,
             WatchPage,
@@ -288,6 +288,20 @@
         }
     }
 
+    /// Records the paces of slow groups, as reports of their members name them.
+    pub fn note_paces(&self, paces: &[HeadPace]) {
+        if paces.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let state = self.state.lock();
+        for pace in paces {
+            if let Some(counters) = state.counters.get(&pace.head) {
+                counters.note_reported_pace(f64::from(pace.percent) / 100.0, now);
+            }
+        }
+    }
+
     fn apply_list_changes(&self, state: &mut ViewState, delta: &ServerListChanges) {
         for id in &delta.removed {
             info!(decision = "server-gone", server = %id, "state");
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -90,6 +90,7 @@
         stalled: Vec::new(),
         broken: Vec::new(),
         loads: Vec::new(),
+        paces: Vec::new(),
         leaving_servers: Vec::new(),
         config: None,
         poison: None,
--- a/crates/node/tests/support/plain_message.rs
+++ b/crates/node/tests/support/plain_message.rs
@@ -19,6 +19,7 @@
         stalled: Vec::new(),
         broken: Vec::new(),
         loads: Vec::new(),
+        paces: Vec::new(),
         leaving_servers: Vec::new(),
         config: Some(ConfigClaim { stamp, age_ms: Some(900) }),
         poison: None,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -57,6 +57,7 @@
             service,
             workspace,
             model: caller.model,
+            size: caller.size,
             suspects,
             method: head.method,
             uri: head.uri,
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -1,8 +1,12 @@
 //! Chooses the server of a service that gets a request.
 
 use {
-    crate::server::{BackendServer, ServerId},
+    crate::{
+        costs::{WorkFacts, usual_pace},
+        server::{BackendServer, ServerId},
+    },
     base::Tick,
+    cost::{Candidate, pick_candidate, prefers_first},
     std::time::Duration,
 };
 
@@ -29,6 +33,8 @@
     pub sample: u64,
     /// Time at which load and back-off are evaluated.
     pub now: Tick,
+    /// What the request is expected to cost model engines; `None` at other servers.
+    pub work: Option<&'a WorkFacts>,
 }
 
 /// Result of [`choose_server`].
@@ -49,7 +55,8 @@
     }
 }
 
-/// Compares two random servers that are healthy and not full, and prefers the cheaper one. Servers
+/// Compares two random servers that are healthy and not full, and prefers the cheaper one: of model engines
+/// the one whose first event is expected to be earlier. Servers
 /// in back-off are considered only if no other is left. Does not take the least loaded server of
 /// all: load reports are equal on all processes, so it would get all requests until the next report.
 pub fn choose_server<'a>(
@@ -65,7 +72,11 @@
     let usable = if healthy.is_empty() { untried } else { healthy };
     let with_capacity: Vec<&BackendServer> =
         usable.into_iter().filter(|server| !server.counters.is_full(facts.now)).collect();
-    match cheaper_of_two(&with_capacity, facts) {
+    let chosen = match facts.work {
+        Some(work) => earlier_of_two(&with_capacity, work, facts),
+        None => cheaper_of_two(&with_capacity, facts),
+    };
+    match chosen {
         Some(server) => ServerChoice::Server(server),
         None => ServerChoice::Full,
     }
@@ -98,6 +109,21 @@
     }
 }
 
+/// Compares two servers by the expected time to the first event.
+fn earlier_of_two<'a>(
+    servers: &[&'a BackendServer],
+    work: &WorkFacts,
+    facts: &ChoiceFacts<'_>,
+) -> Option<&'a BackendServer> {
+    let usual = usual_pace(servers.iter().copied(), facts.now);
+    let candidate = |server: &&BackendServer| Candidate {
+        wait: work.first_event(server, usual, facts.now),
+        pace: server.counters.pace(usual, facts.now),
+    };
+    let candidates: Vec<Candidate> = servers.iter().map(candidate).collect();
+    pick_candidate(&candidates, facts.sample).map(|index| servers[index])
+}
+
 fn cheaper_of_two<'a>(
     servers: &[&'a BackendServer],
     facts: &ChoiceFacts<'_>,
@@ -115,6 +141,11 @@
 /// Whether `a` gets the request rather than `b`. The probability grows with the difference of their
 /// costs.
 fn prefers(a: &BackendServer, b: &BackendServer, facts: &ChoiceFacts<'_>) -> bool {
+    if let Some(work) = facts.work {
+        let usual = usual_pace([a, b].into_iter(), facts.now);
+        let wait = |server| work.first_event(server, usual, facts.now);
+        return prefers_first(wait(a), wait(b), facts.sample);
+    }
     let slots = a.counters.slots().map_or(DEFAULT_SLOTS, f64::from);
     let cost_difference = cost(b, facts) - cost(a, facts);
     let probability = 1.0 / (1.0 + (-cost_difference / (slots * COST_SCALE_PER_SLOT)).exp());
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,9 +3,14 @@
 use {
     crate::request::RequestKind,
     base::{ServiceName, WorkspaceId},
+    cost::EngineSpeed,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// A service that gets a share of a route's requests.
@@ -84,8 +89,15 @@
     /// time apply to connections that are accepted later, its limit on bodies to all later
     /// requests.
     pub limits: CallerLimits,
+    /// Kept out of the encoded form, which earlier versions of this program read too; see
+    /// [`Self::engines`].
+    #[serde(skip)]
+    engines: EngineSpeeds,
 }
 
+/// The speeds of the engines of each service that has some.
+pub type EngineSpeeds = BTreeMap<ServiceName, Arc<EngineSpeed>>;
+
 impl RelayConfig {
     /// Indexes the parts of a configuration. Each route is paired with the host name that it serves.
     pub fn new(
@@ -109,7 +121,22 @@
                 keys.insert(key, workspace.name.clone());
             }
         }
-        Self { version, hosts, keys, has_keys, limits }
+        Self { version, hosts, keys, has_keys, limits, engines: EngineSpeeds::new() }
+    }
+
+    /// The same configuration with the speeds of its engines.
+    pub fn with_engines(self, engines: EngineSpeeds) -> Self {
+        Self { engines, ..self }
+    }
+
+    /// The speeds of all engines.
+    pub fn engines(&self) -> &EngineSpeeds {
+        &self.engines
+    }
+
+    /// The speed of a service's engines; `None` for a service without engines, or of unknown speed.
+    pub fn engine_speed(&self, service: &ServiceName) -> Option<&Arc<EngineSpeed>> {
+        self.engines.get(service)
     }
 
     /// The route of `host` with the longest prefix that matches `path`.
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -73,6 +73,13 @@
     }
 }
 
+/// Number of events in `events`, which are complete.
+pub(crate) fn count_events(events: &[u8]) -> u64 {
+    let ends = memchr::memmem::find_iter(events, b"\n\n").count();
+    let ends = ends + memchr::memmem::find_iter(events, b"\r\n\r\n").count();
+    ends.max(1) as u64
+}
+
 /// Whether complete events carry data or an id. Comments and empty lines do not: a stalled server may
 /// send them to keep its connection open.
 pub(crate) fn have_content(events: &[u8]) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -196,7 +196,10 @@
         let request = self.write_call(ctx, progress, &server, remaining);
         info!(id = %ctx.id, decision = "sent", route = %ctx.route, server = %server.id,
             load = server.counters.load(sent_at), send = before + 1,
-            left_ms = remaining.as_millis() as u64, "request");
+            left_ms = remaining.as_millis() as u64,
+            expected_ms = place.expected().map(|expected| expected.wait.as_millis() as u64),
+            spread_ms = place.expected().map(|expected| expected.spread.as_millis() as u64),
+            "request");
         let departure = ctx.trace.presence.time_departure(self.shared.metrics.departures());
         let record = progress.record.clone();
         record.note_attempt(&server.id);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,12 +12,14 @@
 //! groups. The relay reports servers at which requests stall, so that the owner probes them.
 
 mod admission;
+mod backlog;
 mod buffered;
 mod caller_body;
 mod caution;
 pub mod choose;
 pub mod codec;
 pub mod config;
+mod costs;
 mod crash;
 mod ending;
 pub mod events;
@@ -54,14 +56,15 @@
 pub use crate::{
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
-    config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
+    config::{CallerLimits, EngineSpeeds, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
+    costs::{CostBook, WorkFacts},
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     memory::{MemoryBudget, MemorySettings},
-    metrics::RelayMetrics,
+    metrics::{ErrorHistograms, RelayMetrics},
     obstacle::SendObstacle,
     poison_watch::{PoisonWatch, TurnQuestion},
-    request::{CallerHead, Refusal, RefusalKind, RequestId, RequestKind},
+    request::{CallerHead, PromptSize, Refusal, RefusalKind, RequestId, RequestKind},
     retry::{RetryBudget, RetryLimits, RetryPermit},
     serve::serve_callers,
     server::{BackendServer, ServerCounters, ServerId, ServerLoad, ServerTable},
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -67,6 +67,31 @@
     sound: &'static str,
 }
 
+/// Labels of errors of expected times.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ErrorLabels {
+    /// "late" if the first event came after the expected time, or else "early".
+    side: &'static str,
+}
+
+/// Labels of the work of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkLabels {
+    route: String,
+}
+
+/// How far first events were from the times expected of them, in seconds.
+#[derive(Clone, Debug)]
+pub struct ErrorHistograms(Family<ErrorLabels, Histogram>);
+
+impl ErrorHistograms {
+    pub(crate) fn note(&self, expected: Duration, seen: Duration) {
+        let side = if seen > expected { "late" } else { "early" };
+        let error = seen.abs_diff(expected);
+        self.0.get_or_create(&ErrorLabels { side }).observe(error.as_secs_f64());
+    }
+}
+
 /// Counters and histograms, by kind of request.
 #[derive(Debug)]
 pub struct RelayMetrics {
@@ -80,6 +105,8 @@
     crash_checks: Family<CrashLabels, Counter>,
     end_checks: Family<EndCheckLabels, Counter>,
     departures: Histogram,
+    first_event_errors: ErrorHistograms,
+    work: Family<WorkLabels, Histogram>,
 }
 
 impl Default for RelayMetrics {
@@ -98,6 +125,8 @@
             crash_checks: Family::default(),
             end_checks: Family::default(),
             departures: Histogram::new(departure_bounds),
+            first_event_errors: ErrorHistograms(Family::new_with_constructor(histogram)),
+            work: Family::new_with_constructor(histogram),
         }
     }
 }
@@ -123,6 +152,10 @@
         let help = "Time from seeing that a caller left to closing the connection to its server, \
                     in seconds";
         registry.register("caller_departure_seconds", help, self.departures.clone());
+        let help = "Difference between the expected and the seen time to a first event, in seconds";
+        registry.register("first_event_error_seconds", help, self.first_event_errors.0.clone());
+        let help = "Expected work of requests at model engines by route, in seconds";
+        registry.register("request_work_seconds", help, self.work.clone());
     }
 
     pub(crate) fn note_send(&self, kind: RequestKind, is_retry: bool) {
@@ -149,6 +182,17 @@
         self.departures.clone()
     }
 
+    /// The errors of expected times to first events.
+    pub(crate) fn first_event_errors(&self) -> ErrorHistograms {
+        self.first_event_errors.clone()
+    }
+
+    /// Records the expected work of a request on its first send.
+    pub(crate) fn note_work(&self, route: &str, work: Duration) {
+        let labels = WorkLabels { route: route.to_owned() };
+        self.work.get_or_create(&labels).observe(work.as_secs_f64());
+    }
+
     pub(crate) fn note_crash_check(&self, crashed: bool) {
         let crashed = if crashed { "true" } else { "false" };
         self.crash_checks.get_or_create(&CrashLabels { crashed }).inc();
--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        backlog::RequestWork,
         choose::{ChoiceFacts, ServerChoice, choose_beside_limits},
         codec::RequestCodec,
+        costs::{WorkFacts, usual_pace},
         obstacle::SendObstacle,
         place::{PlaceError, ServerPlace},
         progress::CallProgress,
@@ -55,11 +57,13 @@
         waiting: &[BackendServer],
     ) -> Result<ServerPlace, SendObstacle> {
         let is_retry = progress.record.reached_count() > 0 || !waiting.is_empty();
+        let work = self.work_facts(ctx, progress.last_event.is_none());
         let mut permit = None;
         let mut denials = 0;
         loop {
             let now = self.shared.clock.now();
-            let (server, room) = self.choose(ctx, progress, waiting, denials < MAX_DENIALS, now)?;
+            let (server, room) =
+                self.choose(ctx, progress, waiting, work.as_ref(), denials < MAX_DENIALS, now)?;
             if is_retry && permit.is_none() {
                 let processes = self.shared.processes.load(Ordering::Relaxed);
                 permit = self.shared.budget.take_permit(&ctx.service, processes, now);
@@ -75,12 +79,38 @@
                 ServerRoom::Full => false,
             };
             if may_send {
-                return Ok(ServerPlace::take(server, permit));
+                let place = ServerPlace::take(server, permit);
+                return Ok(match work {
+                    Some(work) => self.count_work(ctx, place, work, is_retry, now),
+                    None => place,
+                });
             }
             denials += 1;
         }
     }
 
+    /// Counts the work of a request at the server that it goes to.
+    fn count_work(
+        &self,
+        ctx: &CallContext,
+        place: ServerPlace,
+        work: WorkFacts,
+        is_retry: bool,
+        now: Tick,
+    ) -> ServerPlace {
+        let (costs, server) = (&self.shared.costs, place.server());
+        let table = self.shared.servers.load();
+        let servers = table.candidates(&ctx.service, ctx.model.as_ref());
+        let expected = work.first_event(server, usual_pace(servers, now), now);
+        let estimate = costs.estimate(&work, expected);
+        if !is_retry {
+            self.shared.metrics.note_work(work.route(), work.cost().total());
+        }
+        let counters = server.counters.clone();
+        let work = RequestWork::begin(counters, costs.clone(), work, expected, now);
+        place.with_work(work, estimate)
+    }
+
     /// Chooses a server that has room for a request. `may_ask` says whether that of other processes
     /// counts.
     fn choose(
@@ -88,6 +118,7 @@
         ctx: &CallContext,
         progress: &CallProgress,
         waiting: &[BackendServer],
+        work: Option<&WorkFacts>,
         may_ask: bool,
         now: Tick,
     ) -> Result<(BackendServer, ServerRoom), SendObstacle> {
@@ -101,7 +132,7 @@
         let waiting = waiting.iter().map(|server| server.id.clone());
         let tried: Vec<ServerId> =
             progress.tried.iter().cloned().chain(waiting).chain(record.unreached()).collect();
-        let facts = ChoiceFacts { tried: &tried, sample, now };
+        let facts = ChoiceFacts { tried: &tried, sample, now, work };
         let room = |server: &BackendServer| self.shared.limits.room(&server.id, sample, now);
         let candidates = || {
             table.candidates(&ctx.service, ctx.model.as_ref()).filter(|server| may_reach(server))
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::{
+        backlog::RequestWork,
         obstacle::SendObstacle,
         request::Refusal,
         retry::RetryPermit,
         server::{BackendServer, InFlight},
     },
     base::Tick,
+    cost::FirstEventEstimate,
     std::time::Duration,
 };
 
@@ -19,6 +21,8 @@
 pub(crate) struct ServerPlace {
     server: BackendServer,
     in_flight: InFlight,
+    /// When the first event is expected, if that is known.
+    expected: Option<FirstEventEstimate>,
     /// `None` for the first send of a request.
     permit: Option<RetryPermit>,
 }
@@ -27,7 +31,18 @@
     /// Takes a place at a server that has room for the request.
     pub(crate) fn take(server: BackendServer, permit: Option<RetryPermit>) -> Self {
         let in_flight = server.counters.start();
-        Self { server, in_flight, permit }
+        Self { server, in_flight, expected: None, permit }
+    }
+
+    /// Counts the request's work at the server as well.
+    pub(crate) fn with_work(self, work: RequestWork, expected: FirstEventEstimate) -> Self {
+        let in_flight = self.in_flight.with_work(work);
+        Self { in_flight, expected: Some(expected), ..self }
+    }
+
+    /// When the first event is expected; `None` if that is not known.
+    pub(crate) fn expected(&self) -> Option<FirstEventEstimate> {
+        self.expected
     }
 
     pub(crate) fn server(&self) -> &BackendServer {
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -5,6 +5,7 @@
     crate::{
         codec::RequestCodec,
         crash::{AnswerProgress, note_break},
+        events::count_events,
         idle::IdleTime,
         loss::LossCause,
         memory::BufferShare,
@@ -18,6 +19,7 @@
         service::{CallContext, FIRST_EVENT_TIMEOUT, RelayService},
         stopping::StopEffect,
     },
+    base::Tick,
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
@@ -58,6 +60,9 @@
 /// which can query all members of the group. Longer than the time between two events of a fully
 /// loaded model engine. Also the most by which [`IdleTime`] grows at once.
 pub(crate) const STALL_THRESHOLD: Duration = Duration::from_millis(250);
+/// Time within which an event is handed over to a caller that reads. After longer the next event may have
+/// waited in a buffer, so that its time says nothing about the server.
+const MAX_HAND_OVER: Duration = Duration::from_millis(5);
 /// After this many timeouts in a row without an event, a stream looks for another server even if its own
 /// makes progress on other requests.
 const MAX_EVENT_TIMEOUTS: u32 = 3;
@@ -188,6 +193,9 @@
             self.is_stall_noted = false;
             self.is_break_noted = false;
             let end = self.forward(&mut answer).await;
+            if let (ForwardEnd::Whole, Some(work)) = (&end, answer.work()) {
+                work.note_whole();
+            }
             drop(answer);
             let end = match end {
                 ForwardEnd::Whole => self.pass_on(Piece::End, 1).await.err().unwrap_or(end),
@@ -357,15 +365,20 @@
                 ForwardStep::Events(events) => events,
                 ForwardStep::Ends(end) => return end,
             };
-            self.note_events(answer);
+            let received_at = self.note_events(answer, &events);
             if let Err(end) = self.pass_on_events(events).await {
                 return end;
             }
+            if clock.now().since(received_at) > MAX_HAND_OVER
+                && let Some(work) = answer.work()
+            {
+                work.note_held_up();
+            }
         }
     }
 
-    /// Records that the server has sent events.
-    fn note_events(&mut self, answer: &LiveAnswer) {
+    /// Records that the server has sent events. Returns the time.
+    fn note_events(&mut self, answer: &mut LiveAnswer, events: &[u8]) -> Tick {
         let now = self.service.shared.clock.now();
         self.idle = IdleTime::new(now);
         self.search = PlaceSearch::default();
@@ -374,11 +387,15 @@
             self.service.shared.poison.note_sound(&self.ctx.suspects);
         }
         answer.server.counters.note_progress(now);
+        if let Some(work) = answer.work() {
+            work.note_events(count_events(events), now);
+        }
         if self.reader.note_first() {
             let wait = now.since(self.ctx.began);
             answer.server.counters.note_success(wait);
             self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
         }
+        now
     }
 
     /// Passes events on. Where too much is buffered, at most one piece of the stream waits for its caller.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -9,6 +9,8 @@
     std::{fmt, time::Duration},
 };
 
+pub use cost::PromptSize;
+
 /// Id of one request, chosen by the caller. A caller that repeats a request uses a new id.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestId(pub SmolStr);
@@ -71,6 +73,8 @@
     pub deadline: Option<Duration>,
     /// Model that the request needs, if any.
     pub model: Option<ModelName>,
+    /// How large it says that it is; `None` if it does not say so.
+    pub size: Option<PromptSize>,
     /// The parts of the request's prompt; empty if it has none.
     pub parts: PromptParts,
     /// Id of the last event that the caller has received, if it resumes a stream. The relay does
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        backlog::RequestWork,
         codec::{AnswerFacts, RequestCodec, Verdict},
         held_body::HeldBody,
         loss::LossCause,
@@ -43,7 +44,7 @@
     /// What was read of the body before the answer was chosen.
     pub(crate) early: VecDeque<Bytes>,
     _driver: AbortOnDropHandle<()>,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 impl LiveAnswer {
@@ -55,6 +56,11 @@
         }
     }
 
+    /// The request's part in the work of the server, if it is known.
+    pub(crate) fn work(&mut self) -> Option<&mut RequestWork> {
+        self.in_flight.work()
+    }
+
     /// Whether the head or the chunks say where the body ends, rather than the connection.
     pub(crate) fn is_framed(&self) -> bool {
         self.body.size_hint().exact().is_some() || is_chunked(&self.head.headers)
@@ -133,7 +139,7 @@
                 is_forwarded,
                 early: VecDeque::new(),
                 _driver: driver,
-                _in_flight: in_flight,
+                in_flight,
             };
             SendOutcome::Answer(Box::new(answer), facts)
         }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,6 +1,7 @@
 //! Backend servers with their estimated load and recent failures.
 
 use {
+    crate::backlog::{RequestWork, ServerBacklog},
     base::{FailureDomainId, HostId, ModelName, ServiceName, Tick},
     reach::ServerTarget,
     std::{
@@ -55,6 +56,8 @@
     /// Moving mean of the time from a request to the first event of its stream or to its complete
     /// answer, in microseconds; 0 before the first sample.
     response_time_us: AtomicU64,
+    /// What is left to do there, for model engines.
+    pub(crate) backlog: ServerBacklog,
 }
 
 /// Half-life of a load report in the estimated load. Requests last about a second, and reports
@@ -79,13 +82,14 @@
     pub fn start(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent_since_report.fetch_add(1, Ordering::Relaxed);
-        InFlight(self.clone())
+        InFlight { counters: self.clone(), work: None }
     }
 
     /// Records a load report that was received at `now`.
     pub fn note_load(&self, report: ServerLoad, now: Tick) {
         let load = report.running.saturating_add(report.waiting.saturating_mul(2));
         self.reported_load.store(load, Ordering::Relaxed);
+        self.backlog.note_report(report.running.saturating_add(report.waiting));
         self.reported_at.store(now.0, Ordering::Relaxed);
         self.slots.store(report.slots, Ordering::Relaxed);
         self.sent_since_report.store(0, Ordering::Relaxed);
@@ -113,6 +117,7 @@
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(MAX_BACKOFF_DOUBLINGS);
         let until = now + backoff * (1 << failures);
         self.backoff_until.fetch_max(until.0, Ordering::Relaxed);
+        self.backlog.note_outcome(true, now);
     }
 
     /// Whether the server is in back-off after a failure.
@@ -159,13 +164,23 @@
     /// Estimated load of the server, in requests: the last load report, decayed by its age, plus
     /// the requests sent since, but at least those of this process that are in flight.
     pub fn load(&self, now: Tick) -> f64 {
-        let age = now.since(Tick(self.reported_at.load(Ordering::Relaxed)));
+        let age = self.report_age(now);
         let decay = 0.5_f64.powf(age.as_secs_f64() * 1_000.0 / LOAD_REPORT_HALF_LIFE_MS);
         let reported = f64::from(self.reported_load.load(Ordering::Relaxed)) * decay;
-        let sent = f64::from(self.sent_since_report.load(Ordering::Relaxed).min(self.in_flight()));
+        let sent = f64::from(self.sent_since_report());
         (reported + sent).max(f64::from(self.in_flight()))
     }
 
+    /// Time since the last load report was received.
+    pub(crate) fn report_age(&self, now: Tick) -> Duration {
+        now.since(Tick(self.reported_at.load(Ordering::Relaxed)))
+    }
+
+    /// Requests of this process that were sent since the last load report and are in flight.
+    pub(crate) fn sent_since_report(&self) -> u32 {
+        self.sent_since_report.load(Ordering::Relaxed).min(self.in_flight())
+    }
+
     /// Whether the estimated load reaches `FULL_RATIO`; false if the server has not reported its
     /// slots.
     pub fn is_full(&self, now: Tick) -> bool {
@@ -190,11 +205,28 @@
 
 /// Guard that counts a request as in flight at a server until it is dropped.
 #[derive(Debug)]
-pub struct InFlight(Arc<ServerCounters>);
+pub struct InFlight {
+    counters: Arc<ServerCounters>,
+    /// Only at model engines of known speed.
+    work: Option<Box<RequestWork>>,
+}
+
+impl InFlight {
+    /// Counts the work of the request as well.
+    pub(crate) fn with_work(mut self, work: RequestWork) -> Self {
+        self.work = Some(Box::new(work));
+        self
+    }
+
+    /// The request's part in the work of the server, if it is known.
+    pub(crate) fn work(&mut self) -> Option<&mut RequestWork> {
+        self.work.as_deref_mut()
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{
         codec::AnswerFacts,
         config::RelayConfig,
+        costs::CostBook,
         limit_watch::LimitWatch,
         memory::MemoryBudget,
         metrics::RelayMetrics,
@@ -57,6 +58,8 @@
     pub metrics: RelayMetrics,
     /// Parts of prompts that crash servers.
     pub poison: Arc<PoisonWatch>,
+    /// Sizes of answers and errors of expected times.
+    pub costs: Arc<CostBook>,
     /// Request rates that servers have named.
     pub limits: LimitWatch,
     /// Opens connections to servers.
@@ -72,6 +75,8 @@
 impl RelayShared {
     /// Creates the state without a configuration and without servers.
     pub fn new(clock: SharedClock, budget: RetryBudget, signs: mpsc::Sender<ServerSign>) -> Self {
+        let metrics = RelayMetrics::default();
+        let costs = CostBook::new(metrics.first_event_errors(), clock.clone());
         Self {
             config: ArcSwapOption::empty(),
             standing: watch::Sender::default(),
@@ -81,8 +86,9 @@
             in_traffic: AtomicBool::new(false),
             stop: StopWatch::default(),
             work: Arc::default(),
-            metrics: RelayMetrics::default(),
+            metrics,
             poison: PoisonWatch::new(clock.clone()),
+            costs: Arc::new(costs),
             limits: LimitWatch::new(clock.clone()),
             paths: Arc::default(),
             clock,
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -24,7 +24,7 @@
 }
 
 fn facts(sample: u64, now: Tick) -> ChoiceFacts<'static> {
-    ChoiceFacts { tried: &[], sample, now }
+    ChoiceFacts { tried: &[], sample, now, work: None }
 }
 
 fn chosen(choice: ServerChoice<'_>) -> String {
@@ -113,7 +113,7 @@
 fn a_tried_server_is_not_tried_again() {
     let servers = [server("a")];
     let tried = [servers[0].id.clone()];
-    let facts = ChoiceFacts { tried: &tried, sample: 0, now: NOW };
+    let facts = ChoiceFacts { tried: &tried, sample: 0, now: NOW, work: None };
     assert_eq!(chosen(choose_server(servers.iter(), &facts)), "no candidate");
 }
 
--- a/crates/relay/tests/identity.rs
+++ b/crates/relay/tests/identity.rs
@@ -54,6 +54,7 @@
             key: None,
             deadline: Some(Duration::from_millis(self.deadline_ms)),
             model: self.model.map(|name| ModelName::new(name).unwrap()),
+            size: None,
             parts: PromptParts::new(self.parts.iter().map(|part| SuspectId::part(*part))),
             last_event: None,
         };
--- a/crates/relay/tests/spread.rs
+++ b/crates/relay/tests/spread.rs
@@ -99,7 +99,7 @@
 
     fn send(&mut self, ms: u64, now: Tick) -> u32 {
         let process = self.random.random_range(0..self.views.len());
-        let facts = ChoiceFacts { tried: &[], sample: self.random.random(), now };
+        let facts = ChoiceFacts { tried: &[], sample: self.random.random(), now, work: None };
         let view = &self.views[process];
         let ServerChoice::Server(server) = choose_server(view.iter(), &facts) else { return SLOTS };
         let group = view.iter().position(|known| known.id == server.id).unwrap();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -163,6 +163,7 @@
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
             model: None,
+            size: None,
             parts: PromptParts::new(
                 get("x-parts")
                     .into_iter()
