--- a/crates/node/tests/config_sources.rs
+++ b/crates/node/tests/config_sources.rs
@@ -4,7 +4,11 @@
 mod support;
 
 use {
-    base::{BootClock, FailureDomainId, HostId, Incarnation, SharedClock, StoreEra},
+    base::{
+        BootClock, FailureDomainId, HostId, Incarnation, ModelName, RatePerSecond, ServiceName,
+        SharedClock, StoreEra, TokenCount,
+    },
+    cost::{EngineSpeed, UsualSize},
     node::{
         ConfigUpdate, PlatformWatch, RowChange, ServerChange, WatchError, WatchPage, WatchPosition,
         follow::follow_all,
@@ -14,8 +18,8 @@
         view::NodeView,
     },
     parking_lot::Mutex,
-    relay::{CallerLimits, RelayConfig},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    relay::{CallerLimits, EngineSpeeds, RelayConfig},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     support::{relay_shared, tell_version},
     tokio::{
         net::TcpListener,
@@ -211,6 +215,41 @@
     }
 }
 
+/// A peer tells the speeds of engines too, behind what earlier versions of the program know.
+#[tokio::test]
+async fn speeds_of_engines_are_taken_from_a_peer() {
+    let rig = FollowerRig::start().await;
+    let ahead = ServingPeer::start(&rig.clock, &rig.stop).await;
+    let service = ServiceName::new("s").unwrap();
+    let speed = EngineSpeed {
+        step: Duration::from_millis(6),
+        step_per_stream: Duration::from_micros(241),
+        step_per_context: Duration::from_micros(5),
+        read_rate: RatePerSecond(46_000.0),
+        read_pairs: Duration::ZERO,
+        stride: 5,
+        slots: 34,
+        usual: UsualSize { prompt: TokenCount(915), answer: TokenCount(108) },
+        paces: BTreeMap::from([(ModelName::new("m").unwrap(), 0.6)]),
+    };
+    let speeds = EngineSpeeds::from([(service.clone(), Arc::new(speed))]);
+    let mut update = config(36);
+    update.relay = update.relay.with_engines(speeds.clone());
+    ahead.view.apply_config(update);
+    let gossip = async {
+        loop {
+            tell_version(&rig.view, 36, ahead.address);
+            sleep(Duration::from_millis(300)).await;
+        }
+    };
+    tokio::select! {
+        () = gossip => {}
+        reached = timeout(CONFIG_BOUND, rig.reaches(36)) => reached.expect("still on an old version"),
+    }
+    let known = rig.view.with(|state| state.config.clone()).unwrap();
+    assert_eq!(known.relay.engines(), &speeds);
+}
+
 /// Guards against two processes that read from each other and take each other's answers for news of
 /// the store: the age of their configuration grows.
 #[tokio::test]
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -9,7 +9,7 @@
         ConfigStamp, ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
         config_tracker::ConfigClaim,
         members::MemberTable,
-        peers::{GossipMessage, LeavingNotice, PeerHeartbeat, PeerSocket},
+        peers::{GossipMessage, HeadPace, LeavingNotice, PeerHeartbeat, PeerSocket},
         view::NodeView,
     },
     std::{sync::Arc, time::Duration},
@@ -105,7 +105,9 @@
     let config = Some(ConfigClaim { stamp, age_ms: Some(900) });
     let with_claim = GossipMessage { config, ..plain.clone() };
     let with_both = GossipMessage { config, ..with_notice.clone() };
-    for message in [&plain, &with_notice, &with_claim, &with_both] {
+    let paces = vec![HeadPace { head: server(), percent: 500 }];
+    let with_paces = GossipMessage { paces, ..with_both.clone() };
+    for message in [&plain, &with_notice, &with_claim, &with_both, &with_paces] {
         sender.send(message, address);
         let received = tokio::time::timeout(Duration::from_secs(2), receiver.receive());
         assert_eq!(received.await.expect("no message arrived").0, *message);
