Expect prompts of others and queues of almost full engines

Where a step hardly grows with its streams, its estimate was nearly the same for a server with 5 requests and one with 20: neither the prompts that other processes' requests bring nor a slot that may be gone by then counted. Both are expected now, by the number of requests at the server.

--- a/crates/cost/src/work.rs
+++ b/crates/cost/src/work.rs
@@ -53,6 +53,14 @@
 /// Time that a request loses at a server that fails it: about that after which it is sent elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(700);
 
+/// Deviation of the number of requests at a server from what is known of it, as a share of the root of
+/// that number: reports are some hundred milliseconds old.
+const COUNT_DEVIATION: f64 = 0.5;
+/// Exponent up to which the exponential is computed; beyond it the queue is the excess itself.
+const MAX_EXCESS: f64 = 30.0;
+/// Largest share of its time that a server is taken to read prompts.
+const MAX_READING: f64 = 0.8;
+
 impl ServerWork {
     /// Expected time to the first event of a request with `prompt`. `model_pace` is that of
     /// [`EngineSpeed::model_pace`].
@@ -64,15 +72,32 @@
     ) -> Duration {
         let slots = f64::from(speed.slots.max(1));
         let pass = speed.pass(self.requests.min(slots));
-        let queued = (self.requests + 1.0 - slots).max(0.0);
-        let slot_wait = pass.mul_f64(queued * self.events_left(speed) / slots);
-        let reading = speed.read_some(self.unread) + speed.read(prompt);
+        let slot_wait = pass.mul_f64(self.queued(slots) * self.events_left(speed) / slots);
+        let reading = self.reading(speed, pass) + speed.read(prompt);
         let usual = slot_wait + pass / 2 + reading + pass;
         let wait = usual.mul_f64(self.pace * model_pace);
         // It costs another attempt, here or at a server like this one, as often as it fails.
         wait.div_f64(1.0 - self.failing) + FAILURE_COST.mul_f64(self.failing)
     }
 
+    /// Expected length of the queue for a slot with one more request. The number of requests is not known
+    /// exactly, so that the queue of a server that is almost full is not empty.
+    fn queued(&self, slots: f64) -> f64 {
+        let deviation = self.requests.max(1.0).sqrt() * COUNT_DEVIATION;
+        let excess = (self.requests + 1.0 - slots) / deviation;
+        deviation * excess.min(MAX_EXCESS).exp().ln_1p().max(excess)
+    }
+
+    /// Time to read the prompts that are there: those of this process, and as many of others as come and
+    /// wait at a server that is busy with them for that share of its time.
+    fn reading(&self, speed: &EngineSpeed, pass: Duration) -> Duration {
+        let others = (self.requests - self.own).max(0.0);
+        let stay = pass.mul_f64(speed.events(speed.usual.answer)).as_secs_f64();
+        let read = speed.read(speed.usual.prompt);
+        let busy = (others * read.as_secs_f64() / stay.max(f64::EPSILON)).min(MAX_READING);
+        speed.read_some(self.unread) + read.mul_f64(busy / (1.0 - busy))
+    }
+
     /// Mean number of events until a request at the server ends.
     fn events_left(&self, speed: &EngineSpeed) -> f64 {
         let stride = f64::from(speed.stride.max(1));
--- a/crates/cost/tests/model/mod.rs
+++ b/crates/cost/tests/model/mod.rs
@@ -46,6 +46,7 @@
     pub requests_per_s: f64,
     pub mean_prompt: f64,
     pub mean_events: f64,
+    pub speed: fn() -> EngineSpeed,
     /// Share of servers that turn slow, and how much.
     pub slow: (f64, f64),
 }
@@ -92,7 +93,22 @@
     waits: Vec<f64>,
 }
 
-pub fn engine_speed() -> EngineSpeed {
+/// Engines whose steps hardly grow with their streams: what makes requests wait is a full engine.
+pub fn level_engines() -> EngineSpeed {
+    EngineSpeed {
+        step: Duration::from_micros(5_950),
+        step_per_stream: Duration::from_micros(45),
+        step_per_context: Duration::from_micros(8),
+        read_rate: RatePerSecond(50_700.0),
+        stride: 7,
+        slots: 26,
+        usual: UsualSize { prompt: TokenCount(720), answer: TokenCount(220) },
+        ..steep_engines()
+    }
+}
+
+/// Engines whose steps take more than twice as long with all streams.
+pub fn steep_engines() -> EngineSpeed {
     EngineSpeed {
         step: Duration::from_micros(6_070),
         step_per_stream: Duration::from_micros(241),
@@ -122,7 +138,7 @@
         let mut model = Self {
             load,
             rule,
-            speed: engine_speed(),
+            speed: (load.speed)(),
             random: Pcg64Mcg::seed_from_u64(seed),
             engines: (0..load.servers).map(|_| engine()).collect(),
             views: (0..load.processes).map(|_| views()).collect(),
--- a/crates/cost/tests/spread.rs
+++ b/crates/cost/tests/spread.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use {
-    model::{ChoiceRule, LoadModel, ModelLoad},
+    model::{ChoiceRule, LoadModel, ModelLoad, level_engines, steep_engines},
     yare::parameterized,
 };
 
@@ -37,13 +37,25 @@
     requests_per_s: 110.0,
     mean_prompt: 915.0,
     mean_events: 20.0,
+    speed: steep_engines,
     slow: (0.0, 1.0),
 };
 
-fn scaled(processes: usize, times: f64, slow: (f64, f64)) -> ModelLoad {
-    let servers = (EVEN.servers as f64 * times) as usize;
-    let requests_per_s = EVEN.requests_per_s * times;
-    ModelLoad { processes, servers, requests_per_s, slow, ..EVEN }
+/// Engines that are full at times.
+const FULL: ModelLoad = ModelLoad {
+    processes: 12,
+    servers: 12,
+    requests_per_s: 112.0,
+    mean_prompt: 720.0,
+    mean_events: 36.0,
+    speed: level_engines,
+    slow: (0.0, 1.0),
+};
+
+fn scaled(load: ModelLoad, processes: usize, times: f64, slow: (f64, f64)) -> ModelLoad {
+    let servers = (load.servers as f64 * times) as usize;
+    let requests_per_s = load.requests_per_s * times;
+    ModelLoad { processes, servers, requests_per_s, slow, ..load }
 }
 
 /// Requests of unlike size on servers of which some turn slow: by requests and response times alone,
@@ -55,7 +67,7 @@
     three_hundred = { 295, 6.0 },
 )]
 fn slow_servers_get_less(processes: usize, times: f64) {
-    let load = scaled(processes, times, (0.17, 5.0));
+    let load = scaled(EVEN, processes, times, (0.17, 5.0));
     let (by_requests, _) = late_share(load, ChoiceRule::Requests);
     let (by_work, _) = late_share(load, ChoiceRule::Work);
     late_share(load, ChoiceRule::Random);
@@ -75,7 +87,7 @@
     three_hundred = { 295, 6.0 },
 )]
 fn processes_do_not_herd(processes: usize, times: f64) {
-    let load = scaled(processes, times, (0.0, 1.0));
+    let load = scaled(EVEN, processes, times, (0.0, 1.0));
     let (_, by_requests) = late_share(load, ChoiceRule::Requests);
     let (_, by_work) = late_share(load, ChoiceRule::Work);
     let (_, at_random) = late_share(load, ChoiceRule::Random);
@@ -83,3 +95,23 @@
     let best = by_requests.min(at_random);
     assert!(by_work < 1.1 * best, "p99: {by_work:.0} ms by work, {best:.0} ms by another rule");
 }
+
+/// Engines that are full at times: whoever fills some of them while others have free slots makes requests
+/// wait for the end of an answer.
+#[parameterized(
+    dozen = { 12, 1.0 },
+    thirty = { 29, 2.0 },
+    hundred = { 97, 3.0 },
+    three_hundred = { 295, 6.0 },
+)]
+fn full_servers_get_less(processes: usize, times: f64) {
+    let load = scaled(FULL, processes, times, (0.0, 1.0));
+    let (by_requests, _) = late_share(load, ChoiceRule::Requests);
+    let (by_work, _) = late_share(load, ChoiceRule::Work);
+    late_share(load, ChoiceRule::Random);
+    late_share(load, ChoiceRule::Clairvoyant);
+    assert!(
+        by_work < 1.05 * by_requests,
+        "late: {by_work:.4} by work, {by_requests:.4} by requests"
+    );
+}
