Do not take a full server for a failing one

A request that a full server did not run raised its share of failures, and with it the expected time by up to 0.7 s for some seconds, although a slot may be free the next moment; of two groups the other one got all requests. Only lost, silent and failed requests count now.

--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -36,8 +36,7 @@
         self.reported.store(requests, Ordering::Relaxed);
     }
 
-    /// Records whether the server failed a request.
-    pub(crate) fn note_outcome(&self, failed: bool, now: Tick) {
+    fn note_outcome(&self, failed: bool, now: Tick) {
         self.failures.note(failed, now);
     }
 
@@ -48,6 +47,12 @@
 }
 
 impl ServerCounters {
+    /// Records that the server failed a request, so that it does not look fast by that. One that did not
+    /// run a request because it is full has failed nothing.
+    pub fn note_failed_request(&self, now: Tick) {
+        self.backlog.note_outcome(true, now);
+    }
+
     /// Records the slowdown that the server's report names; 1 is usual.
     pub fn note_reported_pace(&self, slowdown: f64, now: Tick) {
         self.backlog.reported_pace.note(slowdown, now);
@@ -62,7 +67,7 @@
 
     /// What the server still has to do. Reported requests leave after about `stay`; `usual_pace` is
     /// assumed where this process has seen no stream of the server lately.
-    pub(crate) fn work(&self, stay: Duration, usual_pace: f64, now: Tick) -> ServerWork {
+    pub fn work(&self, stay: Duration, usual_pace: f64, now: Tick) -> ServerWork {
         let own = f64::from(self.in_flight());
         let age = self.report_age(now).as_secs_f64() / stay.as_secs_f64().max(f64::EPSILON);
         let reported = f64::from(self.backlog.reported.load(Ordering::Relaxed)) * (-age).exp();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -232,6 +232,9 @@
                 server.counters.note_progress(now);
                 self.shared.note_facts(&server, &facts, sent_at, now);
                 let status = answer.head.status;
+                if status.is_server_error() {
+                    server.counters.note_failed_request(now);
+                }
                 Ok(if status.is_server_error() && ctx.kind.is_retryable() {
                     ExchangeStep::Failed(answer)
                 } else if status.is_success() && ctx.kind.is_stream() && !is_alone {
@@ -305,7 +308,9 @@
 
     /// Puts a server in back-off that failed or makes no progress, and reports it.
     pub(crate) fn note_stalled(&self, server: &BackendServer) {
-        server.counters.note_failure(self.shared.clock.now(), FAILURE_BACKOFF);
+        let now = self.shared.clock.now();
+        server.counters.note_failure(now, FAILURE_BACKOFF);
+        server.counters.note_failed_request(now);
         self.shared.report_stall(server);
     }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -117,7 +117,6 @@
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(MAX_BACKOFF_DOUBLINGS);
         let until = now + backoff * (1 << failures);
         self.backoff_until.fetch_max(until.0, Ordering::Relaxed);
-        self.backlog.note_outcome(true, now);
     }
 
     /// Whether the server is in back-off after a failure.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -4,8 +4,12 @@
 pub(crate) mod log_text;
 
 use {
-    base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, WorkspaceId},
+    base::{
+        BootClock, FailureDomainId, HostId, RatePerSecond, ServiceName, SharedClock, TokenCount,
+        WorkspaceId,
+    },
     bytes::Bytes,
+    cost::{EngineSpeed, UsualSize},
     futures::future::{BoxFuture, FutureExt, pending, ready},
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
     http_body_util::Full,
@@ -13,10 +17,10 @@
     poison::{PromptParts, SuspectId},
     reach::{FORWARD_QUERY, ListedServer, PeerHost, ServerDialer, ServerDirectory, ServerPaths},
     relay::{
-        AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, HeadError, Refusal,
-        RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind, RetryBudget,
-        RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit, Verdict,
-        WorkspaceRule, serve_callers,
+        AnswerFacts, BackendCall, BackendServer, CallerHead, CallerLimits, EngineSpeeds, HeadError,
+        Refusal, RelayConfig, RelayService, RelayShared, RequestCodec, RequestId, RequestKind,
+        RetryBudget, RetryLimits, RouteRule, ServerId, ServerSign, ServerTable, ServiceSplit,
+        Verdict, WorkspaceRule, serve_callers,
     },
     socket2::{Domain, SockRef, Socket, Type},
     std::{
@@ -348,6 +352,25 @@
         self.shared.servers.store(Arc::new(server_table("t", addresses)));
     }
 
+    /// Makes the servers model engines of a known speed.
+    pub(crate) fn set_engines(&self) {
+        let speed = EngineSpeed {
+            step: Duration::from_millis(6),
+            step_per_stream: Duration::from_micros(241),
+            step_per_context: Duration::from_micros(5),
+            read_rate: RatePerSecond(46_000.0),
+            read_pairs: Duration::ZERO,
+            stride: 5,
+            slots: 34,
+            usual: UsualSize { prompt: TokenCount(915), answer: TokenCount(108) },
+            paces: BTreeMap::new(),
+        };
+        let service = ServiceName::new("s").unwrap();
+        let speeds = EngineSpeeds::from([(service, Arc::new(speed))]);
+        let config = RelayConfig::clone(&self.shared.config.load_full().unwrap());
+        self.shared.config.store(Some(Arc::new(config.with_engines(speeds))));
+    }
+
     /// Tells the relay to stop, with its last answers due after a time.
     pub(crate) fn stop(&self, answers_due_after: Duration) -> PlannedStop<Leaving> {
         let settings = StopSettings { answers_due_after, ..StopSettings::default() };
