--- a/crates/cost/tests/model/mod.rs
+++ b/crates/cost/tests/model/mod.rs
@@ -27,7 +27,7 @@
 
 /// How a process chooses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChoiceRule {
+pub(crate) enum ChoiceRule {
     /// Any server.
     Random,
     /// By the number of requests and the mean response time, as for servers without engines.
@@ -40,15 +40,15 @@
 
 /// A load, and the servers that bear it.
 #[derive(Clone, Copy, Debug)]
-pub struct ModelLoad {
-    pub processes: usize,
-    pub servers: usize,
-    pub requests_per_s: f64,
-    pub mean_prompt: f64,
-    pub mean_events: f64,
-    pub speed: fn() -> EngineSpeed,
+pub(crate) struct ModelLoad {
+    pub(crate) processes: usize,
+    pub(crate) servers: usize,
+    pub(crate) requests_per_s: f64,
+    pub(crate) mean_prompt: f64,
+    pub(crate) mean_events: f64,
+    pub(crate) speed: fn() -> EngineSpeed,
     /// Share of servers that turn slow, and how much.
-    pub slow: (f64, f64),
+    pub(crate) slow: (f64, f64),
 }
 
 #[derive(Clone, Copy)]
@@ -82,7 +82,7 @@
     reported_pace: PaceReport,
 }
 
-pub struct LoadModel {
+pub(crate) struct LoadModel {
     load: ModelLoad,
     rule: ChoiceRule,
     speed: EngineSpeed,
@@ -94,7 +94,7 @@
 }
 
 /// Engines whose steps hardly grow with their streams: what makes requests wait is a full engine.
-pub fn level_engines() -> EngineSpeed {
+pub(crate) fn level_engines() -> EngineSpeed {
     EngineSpeed {
         step: Duration::from_micros(5_950),
         step_per_stream: Duration::from_micros(45),
@@ -108,7 +108,7 @@
 }
 
 /// Engines whose steps take more than twice as long with all streams.
-pub fn steep_engines() -> EngineSpeed {
+pub(crate) fn steep_engines() -> EngineSpeed {
     EngineSpeed {
         step: Duration::from_micros(6_070),
         step_per_stream: Duration::from_micros(241),
@@ -132,7 +132,7 @@
 
 impl LoadModel {
     /// Times to the first event in milliseconds, sorted.
-    pub fn play(load: ModelLoad, rule: ChoiceRule, seed: u64) -> Vec<f64> {
+    pub(crate) fn play(load: ModelLoad, rule: ChoiceRule, seed: u64) -> Vec<f64> {
         let engine = || ModelEngine { pace: 1.0, ..ModelEngine::default() };
         let views = || (0..load.servers).map(|_| ServerView::default()).collect();
         let mut model = Self {
