--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -14,8 +14,9 @@
     node::{
         ConfigUpdate, EngineAccess, EngineReport, EngineService, ModelRule, ProbeError, RowChange,
         ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition,
-        control::{ControlLoop, StepPace},
+        control::{ControlLoop, HeadUpdates, StepPace},
         members::MemberTable,
+        peers::HeadPace,
         rows::{MemberRow, RowName, RowOwner},
         view::NodeView,
     },
@@ -23,6 +24,7 @@
     relay::{RelayConfig, ServerLoad},
     std::{
         collections::BTreeMap,
+        iter,
         net::SocketAddr,
         sync::{
             Arc,
@@ -88,6 +90,8 @@
     /// Upper bound of the time that an engine takes to answer, a different one for each probe.
     probe_time_ms: AtomicU64,
     probes: AtomicU64,
+    /// An engine that reports five times the usual time.
+    slow: parking_lot::Mutex<Option<HostId>>,
 }
 
 impl EngineAccess for AcceptingEngines {
@@ -113,7 +117,7 @@
         Ok(EngineReport {
             facts,
             load: ServerLoad::default(),
-            slowdown: 1.0,
+            slowdown: if self.slow.lock().as_ref() == Some(host) { 5.0 } else { 1.0 },
             limit: NamedLimit::Absent,
         })
     }
@@ -176,6 +180,7 @@
     clock: Arc<ManualClock>,
     view: Arc<NodeView>,
     engines: Arc<AcceptingEngines>,
+    head_updates: parking_lot::Mutex<mpsc::Receiver<HeadUpdates>>,
 }
 
 impl Rig {
@@ -187,7 +192,7 @@
         let view = Arc::new(NodeView::new(MemberTable::new(own.node.clone()), shared.clone()));
         let engines = Arc::new(AcceptingEngines::default());
         let (_, local_stalls) = mpsc::channel(8);
-        let (head_updates, _) = mpsc::channel(8);
+        let (head_updates, received_updates) = mpsc::channel(256);
         view.apply_config(config());
         view.apply_rows(member_row(&own));
         tokio::spawn(ControlLoop::run(
@@ -200,7 +205,7 @@
             head_updates,
             CancellationToken::new(),
         ));
-        Self { clock, view, engines }
+        Self { clock, view, engines, head_updates: parking_lot::Mutex::new(received_updates) }
     }
 
     async fn run(&self, span: Duration) {
@@ -211,6 +216,12 @@
         }
     }
 
+    /// The paces in the updates since the last call.
+    fn told_paces(&self) -> Vec<HeadPace> {
+        let mut updates = self.head_updates.lock();
+        iter::from_fn(|| updates.try_recv().ok()).flat_map(|update| update.paces).collect()
+    }
+
     fn list(&self, names: &[&str]) {
         let changes = names.iter().map(|name| ServerChange::Listed(Box::new(engine(name))));
         let changes = changes.collect();
@@ -330,6 +341,27 @@
     assert!(!rig.engines.compositions().is_empty());
 }
 
+/// A group works at the pace of its slowest member, which takes no requests itself.
+#[tokio::test(start_paused = true)]
+async fn owner_tells_the_pace_of_a_group_with_a_slow_member() {
+    let rig = Rig::start().await;
+    rig.engines.follow.store(true, Ordering::Relaxed);
+    rig.list(&["a1", "a2", "a3"]);
+    rig.run(Duration::from_secs(6)).await;
+    assert!(rig.told_paces().is_empty());
+    let (_, _, members) = rig.engines.compositions().remove(0);
+    *rig.engines.slow.lock() = members.last().cloned();
+    rig.run(Duration::from_secs(2)).await;
+    let expected = HeadPace { head: members[0].clone(), percent: 500 };
+    let told = rig.told_paces();
+    assert!(told.len() > 1 && told.iter().all(|pace| *pace == expected), "{told:?}");
+    *rig.engines.slow.lock() = None;
+    rig.run(Duration::from_secs(1)).await;
+    rig.told_paces();
+    rig.run(Duration::from_secs(1)).await;
+    assert!(rig.told_paces().is_empty());
+}
+
 /// An owner that was cut off from all engines took them for down, broke up their groups and told all
 /// processes to keep away from the heads.
 #[tokio::test(start_paused = true)]
