Count on how long a head has lacked a member when the owner changes

Cause: the time and the member were known to the old owner alone. The member shows no group after its leave.

All processes read the host list. Each now notes when it showed that an engine was no longer in its group, and forgets it when the engine is in the group again. A new owner counts from there, once the engine itself says that it is out, and leaves the member alone while the group exists.

Tests, which fail without the note: a_change_of_the_owner_does_not_lengthen_ the_wait (11.1 s and 13 s from the cut, bound 9.5 s) and a_new_owner_leaves_ alone_the_member_that_left (joined after 2.7 s); departures_from_groups_are_ remembered. The tests of plan pass except repair_bound, which was not run.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,7 +10,7 @@
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::HeadLoad,
-        ports::{EngineAccess, EngineReport, ProbeError, ServerEntry, ServerStanding},
+        ports::{EngineAccess, EngineReport, ProbeError, ServerEntry},
         rows::RowOwner,
         view::{EngineDomain, NodeView},
     },
@@ -430,11 +430,8 @@
                 elsewhere: elsewhere.get(&rule.name).copied().unwrap_or(0),
             })
             .collect();
-        let (delisted, out_of_date) =
-            self.view.with(|state| (state.delisted_in(domain), state.servers.was_out_of_date(now)));
-        let listed = entries.iter().map(|entry| to_host(entry, true, out_of_date));
-        let gone = delisted.iter().map(|entry| to_host(entry, false, out_of_date));
-        let hosts: Vec<StagedHost> = listed.chain(gone).collect();
+        let (delisted, hosts) =
+            self.view.with(|state| (state.delisted_in(domain), state.hosts_of(domain, now)));
         let owned = match self.domains.get_mut(domain) {
             Some(owned) if owned.term == term => owned,
             _ => {
@@ -561,13 +558,3 @@
     let serves = membership.phase == MemberPhase::Open && planner.is_serving_head(host, membership);
     facts.model.as_ref().filter(|_| serves)
 }
-
-fn to_host(entry: &ServerEntry, listed: bool, may_leave_unseen: bool) -> StagedHost {
-    StagedHost {
-        host: entry.id.clone(),
-        address: entry.address,
-        leaving: entry.standing == ServerStanding::Leaving,
-        listed,
-        may_leave_unseen,
-    }
-}
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -5,7 +5,8 @@
         peers::LeavingNotice,
         ports::{ServerChange, ServerEntry, ServerStanding, WatchPage},
     },
-    base::{StoreEra, Tick},
+    base::{Epoch, GroupId, StoreEra, Tick},
+    plan::staged::{GroupDeparture, Membership},
     relay::ServerId,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -30,6 +31,10 @@
 /// on, and above the age of the copy from which the store may come back.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
+/// How long the leaving of a group is remembered; above the time that members of a head which is out
+/// of reach wait.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 /// A server in the list.
 #[derive(Clone, Debug)]
 struct ListedServer {
@@ -46,6 +51,42 @@
     since: Tick,
 }
 
+/// The last composition that each engine left, as its entries showed.
+#[derive(Debug, Default)]
+struct DepartureLog {
+    departures: BTreeMap<ServerId, GroupDeparture>,
+}
+
+impl DepartureLog {
+    /// Compares an engine's entry with the one before it.
+    fn note(&mut self, before: &ServerEntry, after: &ServerEntry, now: Tick) {
+        let left = membership(before).filter(|left| !is_in(after, &left.group, left.epoch));
+        if let Some(left) = left {
+            let (group, epoch) = (left.group.clone(), left.epoch);
+            self.departures.insert(after.id.clone(), GroupDeparture { group, epoch, seen: now });
+        }
+        if self.of(&after.id).is_some_and(|left| is_in(after, &left.group, left.epoch)) {
+            self.departures.remove(&after.id);
+        }
+    }
+
+    fn of(&self, id: &ServerId) -> Option<&GroupDeparture> {
+        self.departures.get(id)
+    }
+
+    fn expire(&mut self, now: Tick) {
+        self.departures.retain(|_, left| now.since(left.seen) < DEPARTURE_RETENTION);
+    }
+}
+
+fn membership(entry: &ServerEntry) -> Option<&Membership> {
+    entry.facts.as_ref()?.membership.as_ref()
+}
+
+fn is_in(entry: &ServerEntry, group: &GroupId, epoch: Epoch) -> bool {
+    membership(entry).is_some_and(|present| present.group == *group && present.epoch == epoch)
+}
+
 /// The servers that count as listed, and those that were removed recently.
 #[derive(Debug, Default)]
 pub struct ServerList {
@@ -55,6 +96,7 @@
     /// Servers that are leaving or left. An entry that says otherwise is out of date, unless the
     /// server was started again.
     leaving: BTreeMap<ServerId, LeavingServer>,
+    departures: DepartureLog,
     /// When the store last failed to answer.
     failed_at: Option<Tick>,
     /// The era of the last page.
@@ -152,6 +194,7 @@
         }
         self.delisted.retain(|_, (_, since)| now.since(*since) < DELISTED_RETENTION);
         self.leaving.retain(|_, server| now.since(server.since) < LEAVING_RETENTION);
+        self.departures.expire(now);
         ServerListChanges { added: Vec::new(), removed }
     }
 
@@ -165,6 +208,11 @@
         self.entry(id).or_else(|| self.delisted.get(id).map(|(entry, _)| entry))
     }
 
+    /// The last group that an engine left, unless it is in it again.
+    pub fn departure(&self, id: &ServerId) -> Option<&GroupDeparture> {
+        self.departures.of(id)
+    }
+
     /// Servers that were removed from the list recently. They may still be alive without access to
     /// the store.
     pub fn delisted(&self) -> impl Iterator<Item = &ServerEntry> {
@@ -188,6 +236,9 @@
         }
         self.delisted.remove(&id);
         let boot_id = entry.boot_id;
+        if let Some(before) = self.listed.get(&id) {
+            self.departures.note(&before.entry, &entry, now);
+        }
         let before = self.listed.insert(id.clone(), ListedServer { entry, kept_until: None });
         let restarted = before.as_ref().is_some_and(|before| before.entry.boot_id != boot_id);
         if restarted {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -27,7 +27,7 @@
     },
     base::{FabricDomainId, FailureDomainId, HostId, ModelName, StoreEra, Tick},
     parking_lot::Mutex,
-    plan::staged::{EngineState, MemberPhase, Membership},
+    plan::staged::{EngineState, MemberPhase, Membership, StagedHost},
     relay::{BackendServer, RelayShared, ServerCounters, ServerId, ServerLoad, ServerTable},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -326,6 +326,23 @@
         domains
     }
 
+    /// The hosts of a fabric domain, as the server list shows them, and recently delisted ones.
+    pub fn hosts_of(&self, domain: &FabricDomainId, now: Tick) -> Vec<StagedHost> {
+        let may_leave_unseen = self.servers.was_out_of_date(now);
+        let to_host = |entry: &ServerEntry, listed: bool| StagedHost {
+            host: entry.id.clone(),
+            address: entry.address,
+            leaving: entry.standing == ServerStanding::Leaving,
+            listed,
+            may_leave_unseen,
+            left: self.servers.departure(&entry.id).cloned(),
+        };
+        let in_domain = |entry: &&ServerEntry| entry.fabric_domain.as_ref() == Some(domain);
+        let listed = self.servers.entries().filter(in_domain).map(|entry| to_host(entry, true));
+        let delisted = self.servers.delisted().filter(in_domain);
+        listed.chain(delisted.map(|entry| to_host(entry, false))).collect()
+    }
+
     /// The listed model engines of a fabric domain.
     pub fn engines_of(&self, domain: &FabricDomainId) -> Vec<ServerEntry> {
         let in_domain = |entry: &&ServerEntry| entry.fabric_domain.as_ref() == Some(domain);
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -2,8 +2,8 @@
 
 use {
     base::{
-        FabricDomainId, FailureDomainId, HostId, Incarnation, RowVersion, ServiceName, StoreEra,
-        Term, Tick,
+        Epoch, FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, RowVersion,
+        ServiceName, StoreEra, Term, Tick,
     },
     node::{
         ServerChange, ServerEntry, ServerList, ServerStanding, WatchPage, WatchPosition,
@@ -13,6 +13,7 @@
         peers::{GOSSIP_INTERVAL, HEARTBEATS_PER_MESSAGE, PEERS_PER_ROUND, PeerHeartbeat},
         rows::{MemberRow, OwnerRow, RowName, RowOwner},
     },
+    plan::staged::{EngineState, MemberPhase, Membership},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::time::Duration,
@@ -326,3 +327,32 @@
         assert_eq!(name.key(), key);
     }
 }
+
+/// An engine's departure from a group is remembered while it is out of it, so that an owner that takes
+/// over need not count anew how long the group has lacked it.
+#[test]
+fn departures_from_groups_are_remembered() {
+    let engine = |group: Option<&str>| {
+        let membership = group.map(|group| Membership {
+            group: GroupId::new(group).unwrap(),
+            epoch: Epoch(1),
+            rank: 1,
+            phase: MemberPhase::Ready,
+        });
+        let facts = EngineState { boot_id: Some(1), membership, model: None, staged: Vec::new() };
+        page(
+            vec![ServerChange::Listed(Box::new(ServerEntry { facts: Some(facts), ..entry("a") }))],
+            false,
+        )
+    };
+    let mut list = ServerList::default();
+    let id = HostId::new("a").unwrap();
+    list.apply(engine(Some("g1")), after(0));
+    assert_eq!(list.departure(&id), None);
+    list.apply(engine(None), after(100));
+    list.apply(engine(None), after(900));
+    let left = list.departure(&id).expect("it left");
+    assert_eq!((left.group.to_string(), left.seen), ("g1".to_owned(), after(100)));
+    list.apply(engine(Some("g1")), after(1_000));
+    assert_eq!(list.departure(&id), None, "it has joined again");
+}
--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -35,10 +35,10 @@
 
 /// A member that its head has lost, which breaks the head some time later even if nobody can reach
 /// it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct MemberLoss {
-    pub(super) rank: usize,
-    /// When the member was known to be out of the composition.
+    pub(super) member: HostId,
+    /// A time at which the member was out of the composition.
     pub(super) since: Tick,
 }
 
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -129,7 +129,7 @@
         if composition.loss.is_none() {
             composition.loss = self.find_loss(composition, now);
         }
-        if let Some(loss) = composition.loss {
+        if let Some(loss) = &composition.loss {
             let is_broken = now.since(loss.since) >= self.settings.break_time();
             if is_broken {
                 self.record_dissolved(composition, now);
@@ -146,8 +146,9 @@
 
     /// Takes a loss back whose member is in the composition again, by a join that arrived late.
     fn check_loss(&mut self, composition: &mut Composition) {
-        let Some(loss) = composition.loss else { return };
-        let Some(member) = composition.members.get(loss.rank).cloned().flatten() else { return };
+        let Some(member) = composition.loss.as_ref().map(|loss| loss.member.clone()) else {
+            return;
+        };
         if self.membership(&member, composition).is_none() {
             return;
         }
@@ -157,17 +158,33 @@
         }
     }
 
-    /// A member other than the head that is known to be out of the composition.
+    /// A member other than the head that is known to be out of the composition, the one of whom that
+    /// has been known for longest.
     fn find_loss(&mut self, composition: &Composition, now: Tick) -> Option<MemberLoss> {
+        if let Some(loss) = self.find_departure(composition) {
+            return Some(loss);
+        }
         let is_out = |rank: &usize| self.is_out(composition, *rank);
         let rank = (1..composition.members.len()).find(is_out)?;
-        let member = composition.members[rank].as_ref()?;
-        if self.has_left(composition, member)
-            && let Some(record) = self.hosts.get_mut(member)
+        let member = composition.members[rank].clone()?;
+        if self.has_left(composition, &member)
+            && let Some(record) = self.hosts.get_mut(&member)
         {
             record.clear_membership();
         }
-        Some(MemberLoss { rank, since: now })
+        Some(MemberLoss { member, since: now })
+    }
+
+    /// The earliest loss that the host list showed. The engine itself must say that it is out of the
+    /// composition, because the list may be behind.
+    fn find_departure(&self, composition: &Composition) -> Option<MemberLoss> {
+        let (group, epoch) = (&composition.group, composition.epoch);
+        let departed = self.hosts.iter().filter_map(|(host, record)| {
+            let left = record.left(group, epoch)?;
+            let is_out = record.is_confirmed() && !record.is_in(group, epoch);
+            is_out.then(|| MemberLoss { member: host.clone(), since: left.seen })
+        });
+        departed.min_by_key(|loss| loss.since)
     }
 
     /// Whether the engine of the member at `rank` has left, has restarted, or says itself that it is
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         composition::{Composition, CompositionPhase, FormingProgress},
-        host::RunningLoad,
+        host::{HostRecord, RunningLoad},
         planner::{StagedInput, StagedPlanner},
         types::{StagedCommand, StagedModel},
     },
@@ -12,13 +12,21 @@
 };
 
 impl StagedPlanner {
-    /// Usable hosts that are in no composition, not even in one that is being dissolved.
+    /// Usable hosts that are in no composition, not even in one that is being dissolved, and that have
+    /// not left one that still exists, whose head may be open.
     pub(super) fn free_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
-        let free =
-            |host: &HostId| !self.compositions.values().any(|composition| composition.has(host));
+        let free = |host: &HostId, record: &HostRecord| {
+            let holds = |composition: &Composition| {
+                composition.has(host)
+                    || record.left(&composition.group, composition.epoch).is_some()
+            };
+            !self.compositions.values().any(holds)
+        };
         self.hosts
             .iter()
-            .filter(|(host, record)| record.is_usable(input.now, &self.settings) && free(host))
+            .filter(|(host, record)| {
+                record.is_usable(input.now, &self.settings) && free(host, record)
+            })
             .map(|(host, _)| host.clone())
             .collect()
     }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -2,8 +2,8 @@
 
 use {
     super::types::{
-        EngineState, MemberPhase, Membership, ObservationSource, OrderEnd, ProbeFailure,
-        StagedCommand, StagedHost, StagedSettings,
+        EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
+        ProbeFailure, StagedCommand, StagedHost, StagedSettings,
     },
     base::{Epoch, GroupId, ModelName, Tick},
     std::time::Duration,
@@ -152,6 +152,17 @@
         self.confirmed
     }
 
+    /// Whether the engine reports to be in a composition.
+    pub(super) fn is_in(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let membership = self.state.as_ref().and_then(|state| state.membership.as_ref());
+        membership.is_some_and(|present| present.group == *group && present.epoch == epoch)
+    }
+
+    /// The host's departure from a composition, if that is the last one that it left.
+    pub(super) fn left(&self, group: &GroupId, epoch: Epoch) -> Option<&GroupDeparture> {
+        self.entry.left.as_ref().filter(|left| left.group == *group && left.epoch == epoch)
+    }
+
     /// Clears the membership of a host that has accepted the order to leave, ahead of the engine's
     /// own report.
     pub(super) fn clear_membership(&mut self) {
--- a/crates/plan/src/staged/mod.rs
+++ b/crates/plan/src/staged/mod.rs
@@ -29,7 +29,8 @@
     divide::divide_groups,
     planner::{StagedInput, StagedPlanner},
     types::{
-        DemandWeight, EngineState, MemberPhase, Membership, ObservationSource, OrderEnd,
-        ProbeFailure, StagedCommand, StagedHost, StagedModel, StagedOrder, StagedSettings,
+        DemandWeight, EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource,
+        OrderEnd, ProbeFailure, StagedCommand, StagedHost, StagedModel, StagedOrder,
+        StagedSettings,
     },
 };
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -1,10 +1,22 @@
 //! The planner's inputs, the orders it returns, and its settings.
 
 use {
-    base::{Epoch, GroupId, HostId, ModelName},
+    base::{Epoch, GroupId, HostId, ModelName, Tick},
     std::{net::SocketAddr, time::Duration},
 };
 
+base::value_type!(
+    /// A composition that a host is no longer in, as this process saw in the host list.
+    pub struct GroupDeparture {
+        /// Group that the host was in.
+        pub group: GroupId,
+        /// Epoch of the composition.
+        pub epoch: Epoch,
+        /// When the list first showed the host outside the composition; later than it left.
+        pub seen: Tick,
+    }
+);
+
 base::value_type!(
     /// A backend server host as the host list shows it, or showed it before the host was delisted.
     pub struct StagedHost {
@@ -20,6 +32,9 @@
         /// Whether the host may have announced its leave without the list showing it, because the
         /// list was out of date until a short time ago.
         pub may_leave_unseen: bool,
+        /// The last composition that the host left, unless it is in it again. An owner that takes over
+        /// counts from it how long a head has lacked the host.
+        pub left: Option<GroupDeparture>,
     }
 );
 
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -6,7 +6,7 @@
 
 use {
     base::ModelName,
-    domain::{DomainRig, HostCondition},
+    domain::{DomainRig, HostCondition, STALL_TIME},
     plan::staged::{DemandWeight, StagedCommand, StagedModel},
     std::time::Duration,
     yare::parameterized,
@@ -102,6 +102,41 @@
     assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
 }
 
+/// A new owner counted anew, so that members waited longer with each change: it may count from when the
+/// list showed that a member had left.
+#[parameterized(
+    after_it_is_delisted = { 4_000 },
+    shortly_before_it_is_broken = { 6_000 },
+)]
+fn a_change_of_the_owner_does_not_lengthen_the_wait(after_ms: u64) {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_millis(after_ms));
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    let took = took.map(|took| took + Duration::from_millis(after_ms));
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// The member that left to break its head was free for a new owner, which joined it to two spares while
+/// the head was open.
+#[test]
+fn a_new_owner_leaves_alone_the_member_that_left() {
+    let mut rig = serving_small();
+    rig.add_hosts(1);
+    rig.run(LONG);
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_secs(2));
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    let took = took.map(|took| took + Duration::from_secs(2));
+    assert!(took.is_some_and(|took| took >= STALL_TIME), "took {took:?}");
+}
+
 /// All machines of the domain are cut off; the members come back before their head does. They were
 /// joined to another group at once.
 #[test]
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -9,8 +9,9 @@
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     engine::{Reply, SimulatedEngine},
     plan::staged::{
-        EngineState, ObservationSource, OrderEnd, ProbeFailure, StagedCommand, StagedHost,
-        StagedInput, StagedModel, StagedOrder, StagedPlanner, StagedSettings,
+        EngineState, GroupDeparture, Membership, ObservationSource, OrderEnd, ProbeFailure,
+        StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder, StagedPlanner,
+        StagedSettings,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -28,7 +29,7 @@
 /// Time after which the host list drops a host whose engine does not write to it.
 const LIST_EXPIRY: Duration = Duration::from_secs(3);
 /// Time after which a head that has lost a member is broken.
-const STALL_TIME: Duration = Duration::from_secs(6);
+pub(crate) const STALL_TIME: Duration = Duration::from_secs(6);
 
 /// Condition of a host and of its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     condition_ends: Option<Tick>,
     last_probe: Tick,
     listed_state: Option<EngineState>,
+    /// Last composition that the list showed the host to leave, unless it is in it again.
+    left: Option<GroupDeparture>,
     pending_listing: Option<(Tick, EngineState)>,
     /// Host whose engine answers at this host's address, if it isn't this host's own engine.
     answered_by: Option<HostId>,
@@ -152,6 +155,7 @@
                 condition_ends: None,
                 last_probe: Tick(0),
                 listed_state: None,
+                left: None,
                 pending_listing: None,
                 answered_by: None,
             };
@@ -455,6 +459,7 @@
                 leaving: host.has_announced,
                 listed: is_listed(host, self.now),
                 may_leave_unseen: host.condition == HostCondition::LeavingUnseen,
+                left: host.left.clone(),
             })
             .collect()
     }
@@ -474,6 +479,7 @@
             }
             let Some((due, state)) = &host.pending_listing else { continue };
             if *due <= self.now && host.listed_state.as_ref() != Some(state) {
+                host.left = departure(host, state, self.now);
                 host.listed_state = Some(state.clone());
                 let source = ObservationSource::HostList;
                 self.planner.observe(id, source, self.now, state.clone());
@@ -604,6 +610,17 @@
     }
 }
 
+/// The composition that the host is seen to leave if the list shows `state` now.
+fn departure(host: &RigHost, state: &EngineState, now: Tick) -> Option<GroupDeparture> {
+    let key = |membership: &Membership| (membership.group.clone(), membership.epoch);
+    let before = host.listed_state.as_ref().and_then(|state| state.membership.as_ref()).map(key);
+    let after = state.membership.as_ref().map(key);
+    match before.filter(|before| Some(before) != after.as_ref()) {
+        Some((group, epoch)) => Some(GroupDeparture { group, epoch, seen: now }),
+        None => host.left.clone().filter(|left| after != Some((left.group.clone(), left.epoch))),
+    }
+}
+
 fn is_listed(host: &RigHost, now: Tick) -> bool {
     match host.condition {
         HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner => true,
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -237,6 +237,7 @@
             leaving: false,
             listed: true,
             may_leave_unseen: false,
+            left: None,
         })
         .collect();
     let model = model("small", 3, 1.0);
