Order another member to leave when the answer of the first is late

The wait for a head that is out of reach counts from the first member that has left.

Another reachable member is ordered after 0.1 s without an answer. More than one may leave then, which changes nothing for the group: it ends either way.

another_member_leaves_if_the_first_does_not_answer fails without the change (the head was never broken). The other tests of plan pass except repair_bound, which was not run.

--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -136,14 +136,25 @@
             }
             return is_broken;
         }
-        let members = composition.members.iter().skip(1).flatten();
-        let mut reachable = members.filter(|host| self.is_reachable_member(composition, host));
-        if let Some(member) = reachable.next().cloned() {
-            self.order(&member, leave_order(composition), now);
-        }
+        self.order_member_out(composition, now);
         false
     }
 
+    /// Orders a reachable member to leave, and another one if its answer is late: it may have been lost
+    /// with the head.
+    fn order_member_out(&mut self, composition: &Composition, now: Tick) {
+        let leave = leave_order(composition);
+        for member in composition.members.iter().skip(1).flatten() {
+            if !self.is_reachable_member(composition, member) {
+                continue;
+            }
+            let is_awaited = self.hosts[member].awaits_end(&leave, now);
+            if is_awaited || self.order(member, leave.clone(), now) {
+                return;
+            }
+        }
+    }
+
     /// Takes a loss back whose member is in the composition again, by a join that arrived late.
     fn check_loss(&mut self, composition: &mut Composition) {
         let Some(member) = composition.loss.as_ref().map(|loss| loss.member.clone()) else {
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -61,6 +61,9 @@
 /// Consecutive failed probes before a host is considered down. A single one may be a lost packet.
 const DOWN_PROBES: u32 = 2;
 
+/// Time after which the answer to an order counts as late. Engines answer within a few milliseconds.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
+
 impl HostRecord {
     pub(super) fn new(entry: StagedHost) -> Self {
         Self {
@@ -312,6 +315,13 @@
         self.state.as_ref().is_some_and(|state| state.staged.contains(model))
     }
 
+    /// Whether `command` was sent a moment ago and its outcome is not known yet.
+    pub(super) fn awaits_end(&self, command: &StagedCommand, now: Tick) -> bool {
+        self.last_order.as_ref().is_some_and(|last| {
+            last.command == *command && last.end.is_none() && now.since(last.sent) < LATE_ANSWER
+        })
+    }
+
     /// Whether `command` should be sent now: it differs from the last order, or that was sent
     /// `order_retry` ago, a quarter of it if the engine refused the order or did not get it.
     pub(super) fn is_due(
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -55,6 +55,18 @@
     assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
 }
 
+/// The answers of one member were lost, and no other one was ordered to leave meanwhile.
+#[test]
+fn another_member_leaves_if_the_first_does_not_answer() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    let member = rig.member_of_serving(1);
+    rig.lose_orders_to(&member);
+    rig.set_condition(&head, HostCondition::CutOff);
+    let was_broken = rig.run_until(CUT_OFF_BOUND, |rig| !rig.serves(&head));
+    assert!(was_broken.is_some());
+}
+
 /// The head answered when the list dropped it, and so was taken for one that leaves, and for ended
 /// 11 s later.
 #[test]
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -61,6 +61,7 @@
     condition_since: Tick,
     /// Whether the host has announced that it leaves; its entry says so until it is dropped.
     has_announced: bool,
+    loses_orders: bool,
     condition_ends: Option<Tick>,
     last_probe: Tick,
     listed_state: Option<EngineState>,
@@ -152,6 +153,7 @@
                 condition: HostCondition::Healthy,
                 condition_since: self.now,
                 has_announced: false,
+                loses_orders: false,
                 condition_ends: None,
                 last_probe: Tick(0),
                 listed_state: None,
@@ -226,6 +228,16 @@
         self.is_owner_stopped = true;
     }
 
+    /// Loses all orders to a host, whose probes are answered.
+    pub(crate) fn lose_orders_to(&mut self, host: &HostId) {
+        self.hosts.get_mut(host).unwrap().loses_orders = true;
+    }
+
+    /// Whether the host is the head of an open group.
+    pub(crate) fn serves(&self, host: &HostId) -> bool {
+        self.hosts[host].engine.serves()
+    }
+
     /// Runs until dead and cut hosts are delisted, then hides all delisted hosts from owners.
     pub(crate) fn forget_unlisted(&mut self) {
         self.run(LIST_EXPIRY + STEP);
@@ -529,6 +541,9 @@
             self.planner.note_end(&order, self.now, OrderEnd::NotSent);
             return;
         }
+        if self.hosts[&order.host].loses_orders {
+            return;
+        }
         if self.hosts[&order.host].answered_by.is_some() {
             self.planner.note_end(&order, self.now, OrderEnd::Refused);
             return;
