--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         composition::{Composition, CompositionPhase, FormingProgress},
-        host::RunningLoad,
+        host::{HostRecord, RunningLoad},
         planner::{StagedInput, StagedPlanner},
         types::{StagedCommand, StagedModel},
     },
@@ -12,13 +12,21 @@
 };
 
 impl StagedPlanner {
-    /// Usable hosts that are in no composition, not even in one that is being dissolved.
+    /// Usable hosts that are in no composition, not even in one that is being dissolved, and that have
+    /// not left one that still exists, whose head may be open.
     pub(super) fn free_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
-        let free =
-            |host: &HostId| !self.compositions.values().any(|composition| composition.has(host));
+        let free = |host: &HostId, record: &HostRecord| {
+            let holds = |composition: &Composition| {
+                composition.has(host)
+                    || record.left(&composition.group, composition.epoch).is_some()
+            };
+            !self.compositions.values().any(holds)
+        };
         self.hosts
             .iter()
-            .filter(|(host, record)| record.is_usable(input.now, &self.settings) && free(host))
+            .filter(|(host, record)| {
+                record.is_usable(input.now, &self.settings) && free(host, record)
+            })
             .map(|(host, _)| host.clone())
             .collect()
     }
@@ -163,6 +171,8 @@
             return;
         }
         let mut spare = free.clone();
+        spare.extend(self.waiting_members(input));
+        let available = spare.clone();
         // Before traffic only the first groups are considered; all other hosts are spares.
         let mut models = self.formable_models(input);
         models.sort_by(|a, b| {
@@ -181,11 +191,30 @@
             if has_model || self.hosts[host].staging.is_some() {
                 continue;
             }
-            let Some(model) = self.model_to_stage(&free, input) else { return };
+            let Some(model) = self.model_to_stage(&available, input) else { return };
             self.stage(host, model, input);
         }
     }
 
+    /// Members with the weights of their model that will be free once their head is broken. They count
+    /// for the models of other hosts, so that a load which their next group needs begins at once.
+    fn waiting_members(&self, input: &StagedInput<'_>) -> Vec<HostId> {
+        let is_ready = |host: &&HostId, model: &ModelName| {
+            self.hosts.get(*host).is_some_and(|record| {
+                record.is_usable(input.now, &self.settings) && record.has_staged(model)
+            })
+        };
+        let waiting = self.compositions.values().filter(|composition| composition.loss.is_some());
+        waiting
+            .filter_map(|composition| Some((composition, composition.model.as_ref()?)))
+            .filter(|(_, model)| input.models.iter().any(|known| known.name == **model))
+            .flat_map(|(composition, model)| {
+                let members = composition.members.iter().flatten();
+                members.filter(move |host| is_ready(host, model)).cloned()
+            })
+            .collect()
+    }
+
     /// Removes the hosts of one more group of a model from `spare`, if there are enough of them,
     /// and stages the model on those that lack it. Hosts that have the model come first, then hosts
     /// without any model.
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -2,8 +2,8 @@
 
 use {
     super::types::{
-        EngineState, MemberPhase, Membership, ObservationSource, OrderEnd, ProbeFailure,
-        StagedCommand, StagedHost, StagedSettings,
+        EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
+        ProbeFailure, StagedCommand, StagedHost, StagedSettings,
     },
     base::{Epoch, GroupId, ModelName, Tick},
     std::time::Duration,
@@ -61,6 +61,9 @@
 /// Consecutive failed probes before a host is considered down. A single one may be a lost packet.
 const DOWN_PROBES: u32 = 2;
 
+/// Time after which the answer to an order counts as late. Engines answer within a few milliseconds.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
+
 impl HostRecord {
     pub(super) fn new(entry: StagedHost) -> Self {
         Self {
@@ -152,6 +155,17 @@
         self.confirmed
     }
 
+    /// Whether the engine reports to be in a composition.
+    pub(super) fn is_in(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let membership = self.state.as_ref().and_then(|state| state.membership.as_ref());
+        membership.is_some_and(|present| present.group == *group && present.epoch == epoch)
+    }
+
+    /// The host's departure from a composition, if that is the last one that it left.
+    pub(super) fn left(&self, group: &GroupId, epoch: Epoch) -> Option<&GroupDeparture> {
+        self.entry.left.as_ref().filter(|left| left.group == *group && left.epoch == epoch)
+    }
+
     /// Clears the membership of a host that has accepted the order to leave, ahead of the engine's
     /// own report.
     pub(super) fn clear_membership(&mut self) {
@@ -301,6 +315,13 @@
         self.state.as_ref().is_some_and(|state| state.staged.contains(model))
     }
 
+    /// Whether `command` was sent a moment ago and its outcome is not known yet.
+    pub(super) fn awaits_end(&self, command: &StagedCommand, now: Tick) -> bool {
+        self.last_order.as_ref().is_some_and(|last| {
+            last.command == *command && last.end.is_none() && now.since(last.sent) < LATE_ANSWER
+        })
+    }
+
     /// Whether `command` should be sent now: it differs from the last order, or that was sent
     /// `order_retry` ago, a quarter of it if the engine refused the order or did not get it.
     pub(super) fn is_due(
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -6,7 +6,7 @@
 
 use {
     base::ModelName,
-    domain::{DomainRig, HostCondition},
+    domain::{DomainRig, HostCondition, STALL_TIME},
     plan::staged::{DemandWeight, StagedCommand, StagedModel},
     std::time::Duration,
     yare::parameterized,
@@ -18,6 +18,9 @@
 const CUT_OFF_BOUND: Duration = Duration::from_millis(9_500);
 /// The same after its head has crashed: its entry expires after 3 s.
 const CRASH_BOUND: Duration = Duration::from_millis(4_500);
+/// Longest time until a group of the large model serves again with a host that had no weights: a load
+/// (16 s) and the start of the group.
+const LOAD_BOUND: Duration = Duration::from_millis(18_000);
 /// The same if a new owner does not know the head: it looks for one for 6 s.
 const UNKNOWN_HEAD_BOUND: Duration = Duration::from_millis(15_500);
 /// Longer than any cut of these tests takes effect.
@@ -55,6 +58,18 @@
     assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
 }
 
+/// The answers of one member were lost, and no other one was ordered to leave meanwhile.
+#[test]
+fn another_member_leaves_if_the_first_does_not_answer() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    let member = rig.member_of_serving(1);
+    rig.lose_orders_to(&member);
+    rig.set_condition(&head, HostCondition::CutOff);
+    let was_broken = rig.run_until(CUT_OFF_BOUND, |rig| !rig.serves(&head));
+    assert!(was_broken.is_some());
+}
+
 /// The head answered when the list dropped it, and so was taken for one that leaves, and for ended
 /// 11 s later.
 #[test]
@@ -102,6 +117,41 @@
     assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
 }
 
+/// A new owner counted anew, so that members waited longer with each change: it may count from when the
+/// list showed that a member had left.
+#[parameterized(
+    after_it_is_delisted = { 4_000 },
+    shortly_before_it_is_broken = { 6_000 },
+)]
+fn a_change_of_the_owner_does_not_lengthen_the_wait(after_ms: u64) {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_millis(after_ms));
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    let took = took.map(|took| took + Duration::from_millis(after_ms));
+    assert!(took.is_some_and(|took| took <= CUT_OFF_BOUND), "took {took:?}");
+}
+
+/// The member that left to break its head was free for a new owner, which joined it to two spares while
+/// the head was open.
+#[test]
+fn a_new_owner_leaves_alone_the_member_that_left() {
+    let mut rig = serving_small();
+    rig.add_hosts(1);
+    rig.run(LONG);
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_secs(2));
+    rig.replace_owner();
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    let took = took.map(|took| took + Duration::from_secs(2));
+    assert!(took.is_some_and(|took| took >= STALL_TIME), "took {took:?}");
+}
+
 /// All machines of the domain are cut off; the members come back before their head does. They were
 /// joined to another group at once.
 #[test]
@@ -136,6 +186,25 @@
     assert!(took.is_some_and(|took| took <= Duration::from_secs(3)), "took {took:?}");
 }
 
+/// Guards against a load that starts only once the members of a head that is out of reach are free, or
+/// of the wrong model: a host that came meanwhile got that of the group that served.
+#[test]
+fn a_host_that_comes_while_members_wait_loads_their_model() {
+    let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
+    rig.first_groups = vec!["big", "small"];
+    rig.add_hosts(7);
+    rig.run(Duration::from_secs(8));
+    rig.in_traffic = true;
+    let mut hosts = (0..7).map(|index| rig.host(index));
+    let head = hosts.find(|host| rig.serves_with(host, 4)).expect("the large group serves");
+    rig.set_condition(&head, HostCondition::CutOff);
+    rig.run(Duration::from_secs(2));
+    rig.add_hosts(1);
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 2);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= LOAD_BOUND), "took {took:?}");
+}
+
 /// Caution with silent heads must not delay the repair after a crash, which refused connections show.
 #[test]
 fn a_crashed_head_is_replaced_as_soon_as_its_entry_expires() {
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -9,8 +9,9 @@
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     engine::{Reply, SimulatedEngine},
     plan::staged::{
-        EngineState, ObservationSource, OrderEnd, ProbeFailure, StagedCommand, StagedHost,
-        StagedInput, StagedModel, StagedOrder, StagedPlanner, StagedSettings,
+        EngineState, GroupDeparture, Membership, ObservationSource, OrderEnd, ProbeFailure,
+        StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder, StagedPlanner,
+        StagedSettings,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -28,7 +29,7 @@
 /// Time after which the host list drops a host whose engine does not write to it.
 const LIST_EXPIRY: Duration = Duration::from_secs(3);
 /// Time after which a head that has lost a member is broken.
-const STALL_TIME: Duration = Duration::from_secs(6);
+pub(crate) const STALL_TIME: Duration = Duration::from_secs(6);
 
 /// Condition of a host and of its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,9 +61,12 @@
     condition_since: Tick,
     /// Whether the host has announced that it leaves; its entry says so until it is dropped.
     has_announced: bool,
+    loses_orders: bool,
     condition_ends: Option<Tick>,
     last_probe: Tick,
     listed_state: Option<EngineState>,
+    /// Last composition that the list showed the host to leave, unless it is in it again.
+    left: Option<GroupDeparture>,
     pending_listing: Option<(Tick, EngineState)>,
     /// Host whose engine answers at this host's address, if it isn't this host's own engine.
     answered_by: Option<HostId>,
@@ -149,9 +153,11 @@
                 condition: HostCondition::Healthy,
                 condition_since: self.now,
                 has_announced: false,
+                loses_orders: false,
                 condition_ends: None,
                 last_probe: Tick(0),
                 listed_state: None,
+                left: None,
                 pending_listing: None,
                 answered_by: None,
             };
@@ -222,6 +228,21 @@
         self.is_owner_stopped = true;
     }
 
+    /// Loses all orders to a host, whose probes are answered.
+    pub(crate) fn lose_orders_to(&mut self, host: &HostId) {
+        self.hosts.get_mut(host).unwrap().loses_orders = true;
+    }
+
+    /// Whether the host is the head of an open group.
+    pub(crate) fn serves(&self, host: &HostId) -> bool {
+        self.hosts[host].engine.serves()
+    }
+
+    /// Whether the host is the head of an open group of `size` members.
+    pub(crate) fn serves_with(&self, host: &HostId, size: usize) -> bool {
+        self.serves(host) && self.hosts[host].engine.members().len() == size
+    }
+
     /// Runs until dead and cut hosts are delisted, then hides all delisted hosts from owners.
     pub(crate) fn forget_unlisted(&mut self) {
         self.run(LIST_EXPIRY + STEP);
@@ -455,6 +476,7 @@
                 leaving: host.has_announced,
                 listed: is_listed(host, self.now),
                 may_leave_unseen: host.condition == HostCondition::LeavingUnseen,
+                left: host.left.clone(),
             })
             .collect()
     }
@@ -474,6 +496,7 @@
             }
             let Some((due, state)) = &host.pending_listing else { continue };
             if *due <= self.now && host.listed_state.as_ref() != Some(state) {
+                host.left = departure(host, state, self.now);
                 host.listed_state = Some(state.clone());
                 let source = ObservationSource::HostList;
                 self.planner.observe(id, source, self.now, state.clone());
@@ -523,6 +546,9 @@
             self.planner.note_end(&order, self.now, OrderEnd::NotSent);
             return;
         }
+        if self.hosts[&order.host].loses_orders {
+            return;
+        }
         if self.hosts[&order.host].answered_by.is_some() {
             self.planner.note_end(&order, self.now, OrderEnd::Refused);
             return;
@@ -604,6 +630,17 @@
     }
 }
 
+/// The composition that the host is seen to leave if the list shows `state` now.
+fn departure(host: &RigHost, state: &EngineState, now: Tick) -> Option<GroupDeparture> {
+    let key = |membership: &Membership| (membership.group.clone(), membership.epoch);
+    let before = host.listed_state.as_ref().and_then(|state| state.membership.as_ref()).map(key);
+    let after = state.membership.as_ref().map(key);
+    match before.filter(|before| Some(before) != after.as_ref()) {
+        Some((group, epoch)) => Some(GroupDeparture { group, epoch, seen: now }),
+        None => host.left.clone().filter(|left| after != Some((left.group.clone(), left.epoch))),
+    }
+}
+
 fn is_listed(host: &RigHost, now: Tick) -> bool {
     match host.condition {
         HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner => true,
