--- a/crates/limit/src/tracker.rs
+++ b/crates/limit/src/tracker.rs
@@ -102,8 +102,8 @@
 pub struct LimitTracker {
     settings: LimitSettings,
     records: BTreeMap<HostId, LimitRecord>,
-    /// Cold servers. Unlike named limits, these are not told to others: each process learns of them
-    /// from the list of servers, or from the process that saw it first.
+    /// Cold servers. Unlike named limits, these are not told to others: each process learns of them from
+    /// the list of servers.
     cold: BTreeMap<HostId, ColdSpell>,
     /// The rates that are in force.
     shares: BTreeMap<HostId, RateShare>,
--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -43,9 +43,9 @@
 /// Stands for an age that is not known, in messages.
 const UNKNOWN_AGE: u32 = u32::MAX;
 
-/// First byte of a query; other ones are `SharedTable` and [`reach::FORWARD_QUERY`]. A [`ConfigQuery`]
-/// follows. 3 was that of queries without an age, 6 that of
-/// queries without evacuated domains.
+/// First byte of a query; those of other messages to a process are in `share` and `reach`. A
+/// [`ConfigQuery`] follows. 3 was that of queries without an age, 6 that of queries without evacuated
+/// domains.
 pub(crate) const CONFIG_QUERY: u8 = 10;
 
 /// What a process has when it asks another one.
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -208,9 +208,9 @@
 /// Each call returns when there is a change, or after a wait that the implementation chooses. With
 /// `after` set to `None` it returns a full snapshot.
 pub trait PlatformWatch: Send + Sync + 'static {
-    /// Watches the configuration, leaving out one that can't be parsed, and the evacuated failure
-    /// domains. With `short_poll` the watch is answered at short intervals even without changes, so that an unresponsive store is
-    /// detected.
+    /// Watches the configuration and the evacuated failure domains; rows that can't be used are left out.
+    /// With `short_poll` the watch is answered at short intervals even without changes, so that an
+    /// unresponsive store is detected.
     fn watch_config(
         &self,
         after: Option<WatchPosition>,
