Bear odd figures in configurations and reports

Products of times with figures of other programs overflowed, which ends the task of the request: a step of 1e15 s, a report of four billion requests. The times are at most an hour now. The test odd_figures_give_long_times panicked in Duration before.

--- a/crates/cost/src/errors.rs
+++ b/crates/cost/src/errors.rs
@@ -1,6 +1,6 @@
 //! Corrects the expected time to the first event by what was seen.
 
-use std::time::Duration;
+use {crate::speed::scaled, std::time::Duration};
 
 /// When the first event of a request is expected.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,8 +47,8 @@
     pub fn estimate(&self, expected: Duration) -> FirstEventEstimate {
         let wait = expected.as_secs_f64() + self.offset_s.unwrap_or(0.0);
         FirstEventEstimate {
-            wait: Duration::from_secs_f64(wait.max(0.0)),
-            spread: Duration::from_secs_f64(self.spread_s),
+            wait: scaled(Duration::from_secs(1), wait),
+            spread: scaled(Duration::from_secs(1), self.spread_s),
         }
     }
 }
--- a/crates/cost/src/lib.rs
+++ b/crates/cost/src/lib.rs
@@ -18,6 +18,6 @@
     errors::{FirstEventErrors, FirstEventEstimate},
     fading::{FailureShare, PaceMean, PaceReport},
     size::{PromptSize, SizeClass},
-    speed::{EngineSpeed, UsualSize},
+    speed::{EngineSpeed, UsualSize, scaled},
     work::{RequestCost, ServerWork},
 };
--- a/crates/cost/src/speed.rs
+++ b/crates/cost/src/speed.rs
@@ -48,22 +48,21 @@
     /// of a stream.
     pub fn pass(&self, streams: f64) -> Duration {
         let context = streams * self.usual.prompt.0 as f64 / 1_000.0;
-        let step = self.step
-            + self.step_per_stream.mul_f64(streams)
-            + self.step_per_context.mul_f64(context);
-        step * self.stride.max(1)
+        let step = scaled(self.step, 1.0)
+            + scaled(self.step_per_stream, streams)
+            + scaled(self.step_per_context, context);
+        scaled(step, f64::from(self.stride.max(1)))
     }
 
     /// Time to read `prompt`.
     pub fn read(&self, prompt: TokenCount) -> Duration {
         let pairs = (prompt.0 as f64).powi(2) / 2e6;
-        self.read_some(prompt.0 as f64) + self.read_pairs.mul_f64(pairs)
+        self.read_some(prompt.0 as f64) + scaled(self.read_pairs, pairs)
     }
 
     /// Time to read `tokens` of any prompts, without that for pairs.
     pub fn read_some(&self, tokens: f64) -> Duration {
-        let seconds = tokens / self.read_rate.0;
-        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+        scaled(Duration::from_secs(1), tokens / self.read_rate.0)
     }
 
     /// Events of an answer of `output` tokens.
@@ -71,3 +70,16 @@
         (output.0 as f64 / f64::from(self.stride.max(1))).max(1.0)
     }
 }
+
+/// Longest time that is expected of anything. Beyond it figures of a configuration or a report are odd, and
+/// sums of a few such times still fit into their type.
+const MAX_SPAN: Duration = Duration::from_secs(3_600);
+
+/// `span` times `factor`, at most an hour; nothing if the factor is negative.
+pub fn scaled(span: Duration, factor: f64) -> Duration {
+    if factor <= 0.0 {
+        return Duration::ZERO;
+    }
+    let seconds = span.as_secs_f64() * factor;
+    Duration::try_from_secs_f64(seconds).map_or(MAX_SPAN, |span| span.min(MAX_SPAN))
+}
--- a/crates/cost/src/work.rs
+++ b/crates/cost/src/work.rs
@@ -1,6 +1,10 @@
 //! The work of a request, and the work that a server still has to do.
 
-use {crate::speed::EngineSpeed, base::TokenCount, std::time::Duration};
+use {
+    crate::speed::{EngineSpeed, scaled},
+    base::TokenCount,
+    std::time::Duration,
+};
 
 /// What a request is likely to cost an engine of usual pace.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -17,13 +21,13 @@
     /// The cost of a prompt whose answer has `output` tokens.
     pub fn new(speed: &EngineSpeed, prompt: TokenCount, output: TokenCount) -> Self {
         let context = (prompt.0 as f64 + output.0 as f64 / 2.0) / 1_000.0;
-        let step = speed.step_per_stream + speed.step_per_context.mul_f64(context);
+        let step = scaled(speed.step_per_stream, 1.0) + scaled(speed.step_per_context, context);
         // The step itself is shared by the streams of a full engine.
-        let step = step + speed.step / speed.slots.max(1);
+        let step = step + scaled(speed.step, 1.0 / f64::from(speed.slots.max(1)));
         Self {
             read: speed.read(prompt),
-            write: step.mul_f64(output.0 as f64),
-            memory: TokenCount(prompt.0 + output.0),
+            write: scaled(step, output.0 as f64),
+            memory: TokenCount(prompt.0.saturating_add(output.0)),
         }
     }
 
@@ -72,12 +76,12 @@
     ) -> Duration {
         let slots = f64::from(speed.slots.max(1));
         let pass = speed.pass(self.requests.min(slots));
-        let slot_wait = pass.mul_f64(self.queued(slots) * self.events_left(speed) / slots);
+        let slot_wait = scaled(pass, self.queued(slots) * self.events_left(speed) / slots);
         let reading = self.reading(speed, pass) + speed.read(prompt);
         let usual = slot_wait + pass / 2 + reading + pass;
-        let wait = usual.mul_f64(self.pace * model_pace);
+        let wait = scaled(usual, self.pace * model_pace);
         // It costs another attempt, here or at a server like this one, as often as it fails.
-        wait.div_f64(1.0 - self.failing) + FAILURE_COST.mul_f64(self.failing)
+        scaled(wait, 1.0 / (1.0 - self.failing)) + scaled(FAILURE_COST, self.failing)
     }
 
     /// Expected length of the queue for a slot with one more request. The number of requests is not known
@@ -92,10 +96,10 @@
     /// wait at a server that is busy with them for that share of its time.
     fn reading(&self, speed: &EngineSpeed, pass: Duration) -> Duration {
         let others = (self.requests - self.own).max(0.0);
-        let stay = pass.mul_f64(speed.events(speed.usual.answer)).as_secs_f64();
+        let stay = scaled(pass, speed.events(speed.usual.answer)).as_secs_f64();
         let read = speed.read(speed.usual.prompt);
         let busy = (others * read.as_secs_f64() / stay.max(f64::EPSILON)).min(MAX_READING);
-        speed.read_some(self.unread) + read.mul_f64(busy / (1.0 - busy))
+        speed.read_some(self.unread) + scaled(read, busy / (1.0 - busy))
     }
 
     /// Mean number of events until a request at the server ends.
--- a/crates/cost/tests/estimates.rs
+++ b/crates/cost/tests/estimates.rs
@@ -10,6 +10,7 @@
 };
 
 const NOW: Tick = Tick(1_000_000_000_000);
+const HOUR: Duration = Duration::from_secs(3_600);
 const USUAL: TokenCount = TokenCount(100);
 
 fn speed() -> EngineSpeed {
@@ -102,6 +103,34 @@
     assert_eq!(report.value(NOW + Duration::from_secs(2)), 0.0);
 }
 
+/// A configuration and reports are other programs' words: odd figures must not end the process.
+#[test]
+fn odd_figures_give_long_times() {
+    let odd = EngineSpeed {
+        step: Duration::MAX,
+        step_per_stream: Duration::MAX,
+        step_per_context: Duration::MAX,
+        read_rate: RatePerSecond(f64::MIN_POSITIVE),
+        read_pairs: Duration::MAX,
+        stride: u32::MAX,
+        slots: 0,
+        usual: UsualSize { prompt: TokenCount(u64::MAX), answer: TokenCount(u64::MAX) },
+        paces: BTreeMap::new(),
+    };
+    let most = f64::from(u32::MAX);
+    let busy = ServerWork { requests: most, own: most, unread: 1e18, unwritten: 1e18, ..idle() };
+    let failing = ServerWork { pace: most, failing: 0.95, ..busy };
+    for (speed, work, pace) in
+        [(odd.clone(), busy, -1.0), (odd, failing, 1e9), (speed(), busy, 1.0)]
+    {
+        let wait = work.first_event(&speed, pace, TokenCount(u64::MAX));
+        assert!(wait <= 2 * HOUR, "{wait:?}");
+        let cost = RequestCost::new(&speed, TokenCount(u64::MAX), TokenCount(u64::MAX));
+        assert!(cost.total() >= HOUR, "{cost:?}");
+        assert_eq!(FirstEventErrors::default().estimate(wait).wait, wait.min(HOUR));
+    }
+}
+
 /// Callers that leave cut answers off, which then looked short.
 #[test]
 fn answers_that_are_cut_off_do_not_count_as_short() {
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -135,7 +135,8 @@
             let streams = self.counters.work(self.facts.stay(), 1.0, now).requests;
             let usual = self.facts.pass(streams);
             let seen = now.since(last).as_secs_f64() / events.max(1) as f64;
-            self.counters.backlog.pace.note(seen / usual.as_secs_f64(), now);
+            let usual = usual.as_secs_f64().max(f64::MIN_POSITIVE);
+            self.counters.backlog.pace.note(seen / usual, now);
         }
         self.last_event = Some(now);
         self.events += events;
--- a/crates/relay/src/costs.rs
+++ b/crates/relay/src/costs.rs
@@ -10,7 +10,7 @@
     base::{ModelName, ServiceName, SharedClock, Tick, TokenCount},
     cost::{
         AnswerEnd, AnswerKind, AnswerSizes, EngineSpeed, FirstEventErrors, FirstEventEstimate,
-        OutputEstimate, PromptSize, RequestCost,
+        OutputEstimate, PromptSize, RequestCost, scaled,
     },
     parking_lot::Mutex,
     std::{collections::HashMap, fmt, sync::Arc, time::Duration},
@@ -53,13 +53,13 @@
     /// Time that a request usually stays at a server that is moderately loaded.
     pub(crate) fn stay(&self) -> Duration {
         let streams = f64::from(self.speed.slots) / 2.0;
-        self.pass(streams).mul_f64(self.speed.events(self.speed.usual.answer))
+        scaled(self.pass(streams), self.speed.events(self.speed.usual.answer))
     }
 
     /// Time between two events at a server of usual pace with `requests`.
     pub(crate) fn pass(&self, requests: f64) -> Duration {
         let streams = requests.clamp(1.0, f64::from(self.speed.slots.max(1)));
-        self.speed.pass(streams).mul_f64(self.model_pace)
+        scaled(self.speed.pass(streams), self.model_pace)
     }
 
     /// Expected time to the first event at a server, before correction by earlier errors.
@@ -150,23 +150,4 @@
         let engines = EngineKind { service: ctx.service.clone(), model };
         Some(WorkFacts { speed, model_pace, size, output, engines, kind, is_whole })
     }
-
-    /// The least expected time to the first event of a request, over the servers that accept
-    /// requests; `None` where it is not known.
-    pub(crate) fn expected_first_event(
-        &self,
-        ctx: &CallContext,
-        now: Tick,
-    ) -> Option<FirstEventEstimate> {
-        let facts = self.work_facts(ctx, true)?;
-        let table = self.shared.servers.load();
-        let accepting = || {
-            let servers = table.candidates(&ctx.service, ctx.model.as_ref());
-            servers
-                .filter(|server| server.counters.accepts(now) && !server.counters.in_backoff(now))
-        };
-        let usual = usual_pace(accepting(), now);
-        let expected = accepting().map(|server| facts.first_event(server, usual, now)).min()?;
-        Some(self.shared.costs.estimate(&facts, expected))
-    }
 }
