--- a/crates/relay/src/costs.rs
+++ b/crates/relay/src/costs.rs
@@ -10,7 +10,7 @@
     base::{ModelName, ServiceName, SharedClock, Tick, TokenCount},
     cost::{
         AnswerEnd, AnswerKind, AnswerSizes, EngineSpeed, FirstEventErrors, FirstEventEstimate,
-        OutputEstimate, PromptSize, RequestCost,
+        OutputEstimate, PromptSize, RequestCost, scaled,
     },
     parking_lot::Mutex,
     std::{collections::HashMap, fmt, sync::Arc, time::Duration},
@@ -53,13 +53,13 @@
     /// Time that a request usually stays at a server that is moderately loaded.
     pub(crate) fn stay(&self) -> Duration {
         let streams = f64::from(self.speed.slots) / 2.0;
-        self.pass(streams).mul_f64(self.speed.events(self.speed.usual.answer))
+        scaled(self.pass(streams), self.speed.events(self.speed.usual.answer))
     }
 
     /// Time between two events at a server of usual pace with `requests`.
     pub(crate) fn pass(&self, requests: f64) -> Duration {
         let streams = requests.clamp(1.0, f64::from(self.speed.slots.max(1)));
-        self.speed.pass(streams).mul_f64(self.model_pace)
+        scaled(self.speed.pass(streams), self.model_pace)
     }
 
     /// Expected time to the first event at a server, before correction by earlier errors.
