--- a/crates/relay/src/next_server.rs
+++ b/crates/relay/src/next_server.rs
@@ -9,6 +9,7 @@
         obstacle::SendObstacle,
         place::{PlaceError, ServerPlace},
         progress::CallProgress,
+        retry::RetryPermit,
         server::{BackendServer, ServerId},
         service::{CallContext, DEFAULT_RETRY_AFTER, MIN_REMAINING, RelayService},
     },
@@ -79,36 +80,36 @@
                 ServerRoom::Full => false,
             };
             if may_send {
-                let place = ServerPlace::take(server, permit);
+                if let Some(work) = work.as_ref().filter(|_| !is_retry) {
+                    self.shared.metrics.note_work(work.route(), work.cost().total());
+                }
                 return Ok(match work {
-                    Some(work) => self.count_work(ctx, place, work, is_retry, now),
-                    None => place,
+                    Some(work) => self.take_with_work(ctx, server, permit, work, now),
+                    None => ServerPlace::take(server, permit),
                 });
             }
             denials += 1;
         }
     }
 
-    /// Counts the work of a request at the server that it goes to.
-    fn count_work(
+    /// Takes a place and counts the work of the request at its server.
+    fn take_with_work(
         &self,
         ctx: &CallContext,
-        place: ServerPlace,
+        server: BackendServer,
+        permit: Option<RetryPermit>,
         work: WorkFacts,
-        is_retry: bool,
         now: Tick,
     ) -> ServerPlace {
-        let (costs, server) = (&self.shared.costs, place.server());
+        let costs = &self.shared.costs;
         let table = self.shared.servers.load();
         let servers = table.candidates(&ctx.service, ctx.model.as_ref());
-        let expected = work.first_event(server, usual_pace(servers, now), now);
+        // Before the request counts as one of the server's.
+        let expected = work.first_event(&server, usual_pace(servers, now), now);
         let estimate = costs.estimate(&work, expected);
-        if !is_retry {
-            self.shared.metrics.note_work(work.route(), work.cost().total());
-        }
         let counters = server.counters.clone();
         let work = RequestWork::begin(counters, costs.clone(), work, expected, now);
-        place.with_work(work, estimate)
+        ServerPlace::take(server, permit).with_work(work, estimate)
     }
 
     /// Chooses a server that has room for a request. `may_ask` says whether that of other processes
