Take the room of bodies that arrive too slowly for others

Callers saw: beside a few tens of bodies that stop just short of their end, each body of some size was refused (503 memory-full), for as long as the routes let a request last. Bodies far over the limit kept their connection as long, and a client that waits to be asked for such a body was asked.

Cause: a body takes its room when its length is known, and nothing gave it back but the end of the request. A refused body that was too large was read up to the limit first, and reading it asks for it.

Fix: where a body finds no room, those that arrive slowest lose theirs (no byte for 2 s, under 32 KiB a second, or older than 40 s), then those of an address that holds more than the one that needs some. They are answered as not run, which is true: nothing was sent. What has arrived whole keeps its room, so a body that is sent at once is served. A body over the limit is refused before it is read; behind the refusal twice the legal size is discarded, as before in two steps.

--- a/crates/caller/src/socket.rs
+++ b/crates/caller/src/socket.rs
@@ -13,7 +13,7 @@
         mem::MaybeUninit,
         pin::Pin,
         sync::{
-            Arc,
+            Arc, Weak,
             atomic::{AtomicBool, Ordering},
         },
         task::{Context, Poll, ready},
@@ -60,6 +60,20 @@
     state: Arc<SocketState>,
 }
 
+/// A view of a caller's socket.
+#[derive(Debug)]
+pub(crate) struct WeakSocket {
+    state: Weak<SocketState>,
+}
+
+impl WeakSocket {
+    /// Whether bytes of the caller wait to be read.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.state.upgrade().is_some_and(|state| state.has_unread())
+    }
+}
+
+#[derive(Debug)]
 struct SocketState {
     read: Mutex<ReadSide>,
     write: Mutex<OwnedWriteHalf>,
@@ -74,6 +88,7 @@
     written: Notify,
 }
 
+#[derive(Debug)]
 struct ReadSide {
     half: OwnedReadHalf,
     /// Bytes that were read before the connection asked for them.
@@ -109,15 +124,27 @@
     }
 
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(_)))
-            && self.state.has_input.swap(false, Ordering::Relaxed)
-        {
-            self.state.written.notify_one();
+        let presence = &self.state.presence;
+        match written {
+            Poll::Ready(Ok(count)) => {
+                presence.note_read(*count);
+                if self.state.has_input.swap(false, Ordering::Relaxed) {
+                    presence.note_answering();
+                    self.state.written.notify_one();
+                }
+            }
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => presence.note_unread(),
         }
     }
 }
 
 impl SocketWatch {
+    /// A view of the socket that does not keep it open.
+    pub(crate) fn weak(&self) -> WeakSocket {
+        WeakSocket { state: Arc::downgrade(&self.state) }
+    }
+
     /// Closes the connection so that the caller gets its last answer, once nothing else uses it. The
     /// kernel discards what was not sent yet when a connection is closed with unread bytes, so up to
     /// `limit` bytes are read first.
@@ -269,7 +296,9 @@
         let read = ready!(state.read.lock().poll_read(context, buffer));
         if buffer.filled().len() > before {
             state.is_used.store(true, Ordering::Relaxed);
-            state.has_input.store(true, Ordering::Relaxed);
+            if !state.has_input.swap(true, Ordering::Relaxed) {
+                state.presence.note_head();
+            }
         } else if read.is_err() || buffer.remaining() > 0 {
             state.note_closed();
         }
@@ -302,7 +331,9 @@
         true
     }
 
+    /// Called once there is nothing left to write.
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.presence.note_all_read();
         Pin::new(&mut *self.state.write.lock()).poll_flush(context)
     }
 
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -39,8 +39,11 @@
         let mut identity = IdentityHasher::new(&head, &caller, &service, workspace.as_ref());
         let limits = BodyLimits { bytes: config.limits.body_bytes, wait: limit };
         let (budget, clock) = (&self.shared.buffers, &self.shared.clock);
-        let reader = BodyReader { budget, clock, id: &caller.id };
+        let owner = trace.presence.address();
+        let reader = BodyReader { budget, clock, id: &caller.id, owner };
+        let arriving = trace.presence.begin_body();
         let body = reader.read(body, limits, &mut identity).await?;
+        drop(arriving);
         let expires_at = began + limit;
         // After the body: closing a connection with unread bytes can lose the answer.
         if !self.shared.stop.covers(expires_at) {
--- a/crates/relay/src/caller_body.rs
+++ b/crates/relay/src/caller_body.rs
@@ -9,10 +9,9 @@
         service::DEFAULT_RETRY_AFTER,
     },
     base::SharedClock,
-    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{sync::Arc, time::Duration},
+    std::{net::IpAddr, pin::pin, sync::Arc, time::Duration},
     tokio::time::timeout,
     tracing::info,
 };
@@ -30,11 +29,14 @@
     pub(crate) budget: &'a Arc<MemoryBudget>,
     pub(crate) clock: &'a SharedClock,
     pub(crate) id: &'a RequestId,
+    /// The caller's address.
+    pub(crate) owner: Option<IpAddr>,
 }
 
 impl BodyReader<'_> {
     /// Reads a body and adds it to the request's identity. One whose length is announced is refused
-    /// before it is read if there is no room for it; the connection then discards it.
+    /// before it is read if it is too large or there is no room for it. The connection then discards a
+    /// part of it, so that its caller gets the refusal.
     pub(crate) async fn read(
         &self,
         body: Incoming,
@@ -47,7 +49,6 @@
         let read = async {
             match body.size_hint().exact() {
                 Some(length) if length > limits.bytes as u64 => {
-                    discard(body, limits.bytes).await;
                     Err(Refusal::new(RefusalKind::BodyTooLarge))
                 }
                 length => {
@@ -64,7 +65,7 @@
 
     /// Reserves room for a body of an announced length, or 0.
     fn hold(&self, length: usize) -> Result<GrowingBody, Refusal> {
-        let share = self.budget.admit_body(length, self.clock.now());
+        let share = self.budget.admit_body(length, self.owner, self.clock.now());
         let share = share.map_err(|shortage| self.refuse(length, shortage))?;
         Ok(GrowingBody::new(share, self.clock.clone()))
     }
@@ -76,7 +77,16 @@
         limit: usize,
         identity: &mut IdentityHasher,
     ) -> Result<HeldBody, Refusal> {
-        while let Some(frame) = body.frame().await {
+        let mut evicted = pin!(held.share().evicted());
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = &mut evicted => {
+                    return Err(self.refuse_evicted(&held));
+                }
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|_| Refusal::new(RefusalKind::BadHead))?;
             let Ok(bytes) = frame.into_data() else { continue };
             let length = held.length_with(bytes.len());
@@ -86,7 +96,17 @@
             held.extend(&bytes).map_err(|shortage| self.refuse(length, shortage))?;
             identity.update(&bytes);
         }
-        Ok(held.finish())
+        let length = held.length();
+        held.finish().map_err(|shortage| self.refuse(length, shortage))
+    }
+
+    /// Refuses a body that arrived too slowly and has lost its room to another one.
+    fn refuse_evicted(&self, held: &GrowingBody) -> Refusal {
+        let shortage = held.share().lost();
+        let retry_after = shortage.frees_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        info!(id = %self.id, decision = "body-evicted", bytes = held.length(),
+            held = shortage.held.0, retry_ms = retry_after.as_millis() as u64, "request");
+        Refusal::until(RefusalKind::MemoryFull, retry_after)
     }
 
     fn refuse(&self, bytes: usize, shortage: MemoryShortage) -> Refusal {
@@ -96,12 +116,3 @@
         Refusal::until(RefusalKind::MemoryFull, retry_after)
     }
 }
-
-/// Reads up to `limit` bytes of a body that is not used, so that its caller gets the refusal.
-async fn discard(mut body: Incoming, limit: usize) {
-    let mut total = 0;
-    while total < limit {
-        let Some(Ok(frame)) = body.frame().await else { return };
-        total += frame.data_ref().map_or(0, Bytes::len);
-    }
-}
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -42,7 +42,7 @@
         }
         let id = trace.map(|trace| &trace.id);
         let response = self.codec.refuse(id, &refusal).map(full_body);
-        if refusal.kind == RefusalKind::MemoryFull {
+        if refusal.kind.leaves_body() {
             // The body is not read, so that the connection can't be used again.
             return with_close(response);
         }
--- a/crates/relay/src/held_body.rs
+++ b/crates/relay/src/held_body.rs
@@ -32,6 +32,16 @@
         Self { full: Vec::new(), last: Vec::new(), length: 0, share, clock }
     }
 
+    /// The room that the body has.
+    pub(crate) fn share(&self) -> &BodyShare {
+        &self.share
+    }
+
+    /// Bytes that have arrived.
+    pub(crate) fn length(&self) -> usize {
+        self.length
+    }
+
     /// Length with `more` bytes.
     pub(crate) fn length_with(&self, more: usize) -> usize {
         self.length + more
@@ -40,9 +50,11 @@
     /// Adds bytes, unless there is no room for them.
     pub(crate) fn extend(&mut self, mut bytes: &[u8]) -> Result<(), MemoryShortage> {
         let length = self.length + bytes.len();
+        let now = self.clock.now();
         if length > self.share.bytes() {
-            self.share.grow(length.next_multiple_of(PIECE_BYTES))?;
+            self.share.grow(length.next_multiple_of(PIECE_BYTES), now)?;
         }
+        self.share.note_arrived(bytes.len(), now);
         self.length = length;
         while !bytes.is_empty() {
             if self.last.len() == self.last.capacity() {
@@ -67,13 +79,14 @@
         self.last = Vec::with_capacity(room.max(bytes).min(PIECE_BYTES));
     }
 
-    /// The whole body.
-    pub(crate) fn finish(mut self) -> HeldBody {
+    /// The whole body, unless it has lost its room.
+    pub(crate) fn finish(mut self) -> Result<HeldBody, MemoryShortage> {
+        self.share.note_whole()?;
         if !self.last.is_empty() {
             self.full.push(Bytes::from(self.last));
         }
         let pieces = BodyPieces { pieces: self.full, share: self.share, clock: self.clock };
-        HeldBody { pieces: Some(Arc::new(pieces)), next: 0, left: self.length as u64 }
+        Ok(HeldBody { pieces: Some(Arc::new(pieces)), next: 0, left: self.length as u64 })
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod standing;
 mod stopping;
 mod trace;
+mod unfinished;
 mod unframed;
 
 pub use crate::{
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -4,11 +4,14 @@
 //!
 //! [`MemoryBudget`] counts them together. The classes run out of room one after the other: large bodies
 //! first, then small ones. Answers have a part that bodies can't take, because a server has already run
-//! their requests. Connections are counted and never refused here.
+//! their requests. Connections are counted and never refused here. Bodies that arrive too slowly give up
+//! their room when another one needs it.
 
 use {
+    crate::unfinished::{BodyEntry, BodyTable, RoomQuery},
     base::{ByteCount, Tick},
     std::{
+        net::IpAddr,
         sync::{
             Arc,
             atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -30,6 +33,10 @@
 const LARGE_BODY_PERCENT: usize = 55;
 const ALL_BODIES_PERCENT: usize = 61;
 const ANSWERS_PERCENT: usize = 15;
+/// The most that connections may come to, so that a large body has room beside all of them.
+const CONNECTIONS_PERCENT: usize = 45;
+/// What connections may come to, whatever bodies hold.
+const LEAST_CONNECTIONS_PERCENT: usize = 12;
 
 /// Weight of the latest body in the mean time for which bodies are held.
 const HOLD_WEIGHT: f64 = 0.2;
@@ -71,6 +78,12 @@
     used: AtomicUsize,
     answers: AtomicUsize,
     bodies: AtomicUsize,
+    table: BodyTable,
+    /// Bodies that lost their room to others.
+    evictions: AtomicU64,
+    /// Bytes that connections may come to, and beside any bodies.
+    all_connections: usize,
+    least_connections: usize,
     /// Mean time for which bodies are held, in microseconds; 0 if none has ended.
     mean_hold_us: AtomicU64,
 }
@@ -93,6 +106,10 @@
             used: AtomicUsize::new(0),
             answers: AtomicUsize::new(0),
             bodies: AtomicUsize::new(0),
+            table: BodyTable::default(),
+            evictions: AtomicU64::new(0),
+            all_connections: part(CONNECTIONS_PERCENT),
+            least_connections: part(LEAST_CONNECTIONS_PERCENT),
             mean_hold_us: AtomicU64::new(0),
         }
     }
@@ -107,14 +124,36 @@
         BufferShare { budget: self.clone(), bytes: 0 }
     }
 
-    /// A share for a body of `bytes` that begins to arrive at `now`.
+    /// Whether answers and pieces of streams hold all that they may.
+    pub fn are_answers_full(&self) -> bool {
+        self.answers.load(Ordering::Relaxed) >= self.all_answers
+    }
+
+    /// Most connections of callers that there is room for beside the bodies that are held. A part of the
+    /// memory is always theirs.
+    pub fn most_connections(&self) -> usize {
+        let bodies = self.bodies.load(Ordering::Relaxed);
+        let beside = self.all_bodies.saturating_sub(bodies);
+        beside.clamp(self.least_connections, self.all_connections) / CONNECTION_BYTES
+    }
+
+    /// How many bodies have lost their room to others.
+    pub fn evictions(&self) -> u64 {
+        self.evictions.load(Ordering::Relaxed)
+    }
+
+    /// A share for a body of `bytes` that begins to arrive at `now` from the address `owner`. Where there
+    /// is no room for it, bodies that arrive too slowly lose theirs, or some of another address that
+    /// has more.
     pub fn admit_body(
         self: &Arc<Self>,
         bytes: usize,
+        owner: Option<IpAddr>,
         now: Tick,
     ) -> Result<BodyShare, MemoryShortage> {
-        let mut share = BodyShare { budget: self.clone(), bytes: 0, began: now };
-        share.grow(bytes)?;
+        let entry = self.table.add(owner, now);
+        let mut share = BodyShare { budget: self.clone(), entry, began: now };
+        share.grow(bytes, now)?;
         Ok(share)
     }
 
@@ -168,6 +207,17 @@
         let total = answers.fetch_add(grown, Ordering::Relaxed) + grown;
         bytes <= MAX_ANSWER_BYTES && total <= *all_answers
     }
+
+    /// Whether there is room now for what the buffer holds.
+    pub(crate) fn fits(&self) -> bool {
+        self.bytes <= MAX_ANSWER_BYTES
+            && self.budget.answers.load(Ordering::Relaxed) <= self.budget.all_answers
+    }
+
+    /// Whether the buffer is larger than any may be.
+    pub(crate) fn is_too_large(&self) -> bool {
+        self.bytes > MAX_ANSWER_BYTES
+    }
 }
 
 impl Drop for BufferShare {
@@ -180,31 +230,77 @@
 #[derive(Debug)]
 pub struct BodyShare {
     budget: Arc<MemoryBudget>,
-    bytes: usize,
+    entry: Arc<BodyEntry>,
     began: Tick,
 }
 
 impl BodyShare {
-    /// Bytes that the body may hold.
+    /// Bytes that the body may hold; 0 once it has lost its room.
     pub fn bytes(&self) -> usize {
-        self.bytes
+        self.entry.room()
     }
 
-    /// Lets the body hold `bytes` in all, or leaves it as it is.
-    pub fn grow(&mut self, bytes: usize) -> Result<(), MemoryShortage> {
+    /// Lets the body hold `bytes` in all at `now`, or leaves it as it is. Fails for one that has lost its
+    /// room.
+    pub fn grow(&mut self, bytes: usize, now: Tick) -> Result<(), MemoryShortage> {
+        let grown = bytes.saturating_sub(self.bytes());
+        if self.entry.is_evicted() {
+            return Err(self.budget.shortage(grown));
+        }
+        let Err(missing) = self.take(bytes, grown) else { return Ok(()) };
+        let query = RoomQuery {
+            number: self.entry.number(),
+            owner: self.entry.owner(),
+            missing,
+            bytes,
+            now,
+        };
+        let evicted = self.budget.table.evict(query);
+        if evicted.bodies == 0 {
+            return Err(self.budget.shortage(missing));
+        }
+        self.budget.used.fetch_sub(evicted.bytes, Ordering::Relaxed);
+        self.budget.bodies.fetch_sub(evicted.bytes, Ordering::Relaxed);
+        self.budget.evictions.fetch_add(evicted.bodies as u64, Ordering::Relaxed);
+        self.take(bytes, grown).map_err(|missing| self.budget.shortage(missing))
+    }
+
+    /// Takes `grown` bytes for a body that then has `bytes`, or returns how many are missing.
+    fn take(&self, bytes: usize, grown: usize) -> Result<(), usize> {
         let budget = &*self.budget;
         let room = if bytes <= SMALL_BODY_BYTES { budget.all_bodies } else { budget.large_bodies };
-        let grown = bytes.saturating_sub(self.bytes);
         let fits = |used: usize| used.checked_add(grown).filter(|total| *total <= room);
         budget
             .used
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, fits)
-            .map_err(|used| budget.shortage(used.saturating_add(grown) - room))?;
+            .map_err(|used| used.saturating_add(grown) - room)?;
         budget.bodies.fetch_add(grown, Ordering::Relaxed);
-        self.bytes += grown;
+        self.entry.add_room(grown);
         Ok(())
     }
 
+    /// Notes at `now` that bytes of the body have arrived.
+    pub fn note_arrived(&self, bytes: usize, now: Tick) {
+        self.entry.note_arrived(bytes, now);
+    }
+
+    /// Notes that the body has arrived whole. It keeps its room from then on, unless it has lost it.
+    pub fn note_whole(&self) -> Result<(), MemoryShortage> {
+        self.entry.note_whole();
+        if self.entry.is_evicted() { Err(self.budget.shortage(0)) } else { Ok(()) }
+    }
+
+    /// Waits until the body has lost its room.
+    pub(crate) fn evicted(&self) -> impl Future<Output = ()> + use<> {
+        let entry = self.entry.clone();
+        async move { entry.evicted().await }
+    }
+
+    /// What a caller is told whose body has lost its room.
+    pub(crate) fn lost(&self) -> MemoryShortage {
+        self.budget.shortage(0)
+    }
+
     /// Notes at `now` how long the body was held, for the time told to callers that are refused.
     pub fn note_end(&self, now: Tick) {
         self.budget.note_hold(now.since(self.began));
@@ -213,8 +309,10 @@
 
 impl Drop for BodyShare {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.budget.bodies.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.table.remove(&self.entry);
+        let bytes = self.entry.take_room();
+        self.budget.used.fetch_sub(bytes, Ordering::Relaxed);
+        self.budget.bodies.fetch_sub(bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -99,6 +99,8 @@
     NoServer,
     /// The process has no memory for the request's body; it was not run.
     MemoryFull,
+    /// The process has no descriptors for a connection to a server; the request was not run.
+    ConnectionsFull,
     /// Every server that could take the request is at the limit that it named; it was not run.
     AtLimit,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
@@ -138,6 +140,7 @@
                 | Self::ConfigInDoubt
                 | Self::NoServer
                 | Self::MemoryFull
+                | Self::ConnectionsFull
                 | Self::AtLimit
                 | Self::PoisonPart
                 | Self::PoisonRequest
@@ -152,6 +155,11 @@
         matches!(self, Self::Failed | Self::TimedOut | Self::CutShort)
     }
 
+    /// Whether the body of the request is not read to its end because of the refusal.
+    pub fn leaves_body(self) -> bool {
+        matches!(self, Self::MemoryFull | Self::ConnectionsFull | Self::BodyTooLarge)
+    }
+
     /// Whether a newer configuration could have admitted the request.
     pub fn rests_on_config(self) -> bool {
         matches!(self, Self::UnknownKey | Self::NoRoute | Self::ConfigInDoubt)
@@ -168,6 +176,7 @@
             Self::ConfigInDoubt => "config-in-doubt",
             Self::NoServer => "no-server",
             Self::MemoryFull => "memory-full",
+            Self::ConnectionsFull => "connections-full",
             Self::AtLimit => "at-limit",
             Self::PoisonPart => "poison-part",
             Self::PoisonRequest => "poison-request",
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -87,7 +87,7 @@
     if let Err(error) = serve_requests(socket, &watch, presence, limits, service).await {
         debug!(%error, "a caller's connection failed");
     }
-    watch.close(limits.body_bytes).await;
+    watch.close(2 * limits.body_bytes).await;
 }
 
 /// Serves the requests of one connection.
--- a/crates/relay/tests/memory_budget.rs
+++ b/crates/relay/tests/memory_budget.rs
@@ -20,7 +20,7 @@
 
 /// Bodies of a size, as many as there is room for.
 fn fill(budget: &Arc<MemoryBudget>, bytes: usize) -> Vec<BodyShare> {
-    std::iter::from_fn(|| budget.admit_body(bytes, BEGAN).ok()).collect()
+    std::iter::from_fn(|| budget.admit_body(bytes, None, BEGAN).ok()).collect()
 }
 
 /// Bodies were bounded one by one, and all together exceeded the memory of the process.
@@ -64,13 +64,25 @@
     assert_eq!(fill(&budget, BODY).len(), alone - 2);
 }
 
+/// Connections that came after the bodies were counted and took room that was not there.
+#[test]
+fn connections_leave_room_for_the_bodies_that_are_held() {
+    let budget = budget(112);
+    assert_eq!(budget.most_connections(), 1_538, "45 % of the memory");
+    let _large = fill(&budget, BODY);
+    let most = budget.most_connections();
+    assert_eq!(most, 410, "12 % of it");
+    let _connections: Vec<_> = (0..most).map(|_| budget.open_connection()).collect();
+    assert!(budget.held() <= ByteCount(112 * MB as u64 * 67 / 100), "{}", budget.held());
+}
+
 #[test]
 fn a_body_without_a_length_takes_room_as_it_grows() {
     let budget = budget(160);
-    let mut body = budget.admit_body(0, BEGAN).unwrap();
+    let mut body = budget.admit_body(0, None, BEGAN).unwrap();
     let _large = fill(&budget, BODY);
-    body.grow(SMALL_BODY_BYTES).unwrap();
-    assert!(body.grow(SMALL_BODY_BYTES + 1).is_err(), "it has become a large one");
+    body.grow(SMALL_BODY_BYTES, BEGAN).unwrap();
+    assert!(body.grow(SMALL_BODY_BYTES + 1, BEGAN).is_err(), "it has become a large one");
     assert_eq!(body.bytes(), SMALL_BODY_BYTES);
 }
 
@@ -83,10 +95,10 @@
 fn the_wait_follows_from_how_long_bodies_are_held(held_ms: u64, wait_ms: u64) {
     let budget = budget(160);
     let shares = fill(&budget, BODY);
-    let shortage = budget.admit_body(BODY, BEGAN).unwrap_err();
+    let shortage = budget.admit_body(BODY, None, BEGAN).unwrap_err();
     assert_eq!(shortage.frees_after, None);
     shares[0].note_end(Tick(BEGAN.0 + held_ms * 1_000_000));
-    let shortage = budget.admit_body(BODY, BEGAN).unwrap_err();
+    let shortage = budget.admit_body(BODY, None, BEGAN).unwrap_err();
     let wait = shortage.frees_after.unwrap();
     assert!(wait.abs_diff(Duration::from_millis(wait_ms)) < Duration::from_millis(1), "{wait:?}");
 }
