Close the connections of least use when descriptors or memory run short

Callers saw: beside as many idle connections as the process has descriptors, no other caller was accepted and readiness was not answered; beside some hundreds of unfinished heads every larger body was refused.

Cause: connections were counted and never bounded. `limits.max_fds` was not read.

Fix: a table of callers' connections knows what each is used for. As a new one comes, or a request begins, and there are too many for the descriptors (the new setting, less 200 for files and a tenth for the program) or for the memory beside the bodies held, the oldest idle ones are closed, then those that send a head, then old bodies, then callers that do not read. Requests at work stay; what then has no place is closed or refused as not run (connections-full). The ports for addresses, readiness and metrics close their oldest connections.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -18,13 +18,15 @@
 /// Read buffer of a connection, which a whole head must fit; the library's own bound is 400 KiB.
 const HEADER_BYTES: usize = 16 * 1024;
 
-/// Responds to each request on the basis of its header alone, until cancelled.
+/// Responds to each request on the basis of its header alone, until cancelled. Beyond `most`
+/// connections it closes the oldest ones.
 pub(crate) async fn serve_requests(
     listener: TcpListener,
+    most: usize,
     answer: Arc<dyn Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Send + Sync>,
     stop: CancellationToken,
 ) {
-    accept_until(listener, stop, |stream| {
+    accept_until(listener, most, stop, |stream| {
         let answer = answer.clone();
         let handler = service_fn(move |request| {
             let response = answer(&request);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{logs::dropped_lines, view::NodeView},
+    caller::CutCause,
     limit::KnownLimit,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
@@ -38,6 +39,13 @@
     path: &'static str,
 }
 
+/// Labels of callers' connections that were closed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    /// [`CutCause::label`].
+    why: &'static str,
+}
+
 /// Labels of requests that run.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabels {
@@ -61,6 +69,9 @@
     detoured: Gauge,
     open_forwards: Gauge,
     held_bytes: Gauge,
+    open_connections: Gauge,
+    cut_connections: Family<CutLabels, Counter>,
+    evicted_bodies: Counter,
     view: Arc<NodeView>,
     shared: Arc<RelayShared>,
 }
@@ -108,6 +119,15 @@
         let held_bytes = Gauge::default();
         let help = "Memory that is held for what callers and servers send, in bytes";
         registry.register("held_bytes", help, held_bytes.clone());
+        let open_connections = Gauge::default();
+        let help = "Connections of callers that are open";
+        registry.register("open_connections", help, open_connections.clone());
+        let cut_connections = Family::default();
+        let help = "Connections of callers that were closed for the sake of others, by reason";
+        registry.register("connections_cut", help, cut_connections.clone());
+        let evicted_bodies = Counter::default();
+        let help = "Bodies that arrived too slowly and lost their memory to others";
+        registry.register("bodies_evicted", help, evicted_bodies.clone());
         view.store_reads.register(&mut registry);
         shared.metrics.register(&mut registry);
         view.config_ages.register(&mut registry);
@@ -125,6 +145,9 @@
             detoured,
             open_forwards,
             held_bytes,
+            open_connections,
+            cut_connections,
+            evicted_bodies,
             config_version,
             config_age,
             servers,
@@ -164,6 +187,7 @@
             self.own_limits.get_or_create(&labels).set(own.0);
         }
         self.held_bytes.set(i64::try_from(self.shared.buffers.held().0).unwrap_or(i64::MAX));
+        self.render_callers();
         self.render_paths();
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
@@ -172,6 +196,16 @@
         text
     }
 
+    fn render_callers(&self) {
+        let connections = &self.shared.connections;
+        self.open_connections.set(connections.len() as i64);
+        for cause in CutCause::ALL {
+            let counter = self.cut_connections.get_or_create(&CutLabels { why: cause.label() });
+            counter.inner().store(connections.cut_count(cause), Ordering::Relaxed);
+        }
+        self.evicted_bodies.inner().store(self.shared.buffers.evictions(), Ordering::Relaxed);
+    }
+
     fn render_paths(&self) {
         let counts = self.shared.paths.counts();
         let set = |path, made| {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -127,6 +127,7 @@
     let mut shared = RelayShared::new(clock, budget, signs);
     shared.paths = ports.paths.clone();
     shared.buffers = Arc::new(MemoryBudget::new(settings.memory()));
+    shared.descriptors = settings.descriptors();
     let shared = Arc::new(shared);
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     shared.poison.set_admitted(settings.admitted());
@@ -261,7 +262,8 @@
         stop: &CancellationToken,
     ) -> Result<(), NodeError> {
         let listener = bind(address).await?;
-        tokio::spawn(serve_requests(listener, answer, stop.clone()));
+        let most = self.shared.descriptors.for_own_port();
+        tokio::spawn(serve_requests(listener, most, answer, stop.clone()));
         Ok(())
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 use {
     base::{ByteCount, FailureDomainId, HostId, RegionId},
     poison::{SuspectId, SuspectKind},
-    relay::{MemorySettings, RetryLimits},
+    relay::{DescriptorSettings, MemorySettings, RetryLimits},
     serde::{Deserialize, Deserializer, Serialize},
     smol_str::SmolStr,
     snafu::{ResultExt, Snafu, ensure},
@@ -95,11 +95,16 @@
 pub struct LimitSettings {
     /// Resident memory beyond which the platform kills the process, in millions of bytes.
     pub memory_mb: f64,
+    /// Open descriptors beyond which the platform gives no more. It sets 200 of them aside for files.
+    pub max_fds: u32,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { memory_mb: MemorySettings::default().limit.0 as f64 / BYTES_PER_MB }
+        Self {
+            memory_mb: MemorySettings::default().limit.0 as f64 / BYTES_PER_MB,
+            max_fds: DescriptorSettings::default().limit as u32,
+        }
     }
 }
 
@@ -213,6 +218,11 @@
         MemorySettings { limit: ByteCount((self.limits.memory_mb * BYTES_PER_MB) as u64) }
     }
 
+    /// The descriptors that the process may use, in the type that the relay uses.
+    pub fn descriptors(&self) -> DescriptorSettings {
+        DescriptorSettings { limit: self.limits.max_fds as usize }
+    }
+
     /// The prompt parts and requests that are never refused as ones that crash servers.
     pub fn admitted(&self) -> BTreeSet<SuspectId> {
         let parts = self.admitted_parts.iter().map(|id| SuspectId::from_wire(id));
@@ -245,6 +255,7 @@
     range(settings.retries.window_s > 0.0, "repeats.window_s", "must be above 0")?;
     let memory_mb = settings.limits.memory_mb;
     range(finite(memory_mb) && memory_mb > 0.0, "limits.memory_mb", "must be above 0")?;
+    range(settings.limits.max_fds > 0, "limits.max_fds", "must be above 0")?;
     range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
     let are_requests = settings.admitted_requests.iter().all(|id| read_request_id(id).is_some());
     range(are_requests, "admitted_requests", "must be ids of requests: 32 hexadecimal digits")?;
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -372,7 +372,8 @@
     clock: SharedClock,
     stop: CancellationToken,
 ) {
-    accept_until(listener, stop, |stream| {
+    // Only peers connect here, and each has few connections.
+    accept_until(listener, usize::MAX, stop, |stream| {
         let (view, caches, clock) = (view.clone(), caches.clone(), clock.clone());
         async move {
             if let Err(error) = serve_peer(stream, &view, &caches, &clock).await {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -67,10 +67,23 @@
     fs::remove_file(path).unwrap();
 }
 
+/// So are the descriptors, which were left out before.
+#[parameterized(
+    named = { "limits: {\"max_fds\": 400, \"memory_mb\": 182}\n", 400 },
+    absent = { "limits: {\"memory_mb\": 182}\n", 2_870 },
+)]
+fn the_descriptor_limit_is_read(line: &str, limit: usize) {
+    let path = file(&format!("{GOOD}{line}"));
+    let settings = load_settings(&path).unwrap();
+    assert_eq!(settings.descriptors().limit, limit);
+    fs::remove_file(path).unwrap();
+}
+
 #[parameterized(
     missing_field = { "peer_port: 7340\n", "", "peer_port" },
     port_zero = { "peer_port: 7340", "peer_port: 0", "peer_port" },
     no_memory = { "first_start: true", "limits: {memory_mb: 0}", "limits.memory_mb" },
+    no_descriptors = { "first_start: true", "limits: {max_fds: 0}", "limits.max_fds" },
     negative = { "ratio: 0.2", "ratio: -1", "repeats.ratio" },
     no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
     no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Connections that this process passes on for peers.
+    pub fn open_forwards(&self) -> usize {
+        self.forwards.load(Ordering::Relaxed)
+    }
+
     /// Declines new forwards and waits for the end of those that peers use.
     pub async fn finish_forwards(&self) {
         self.declines_forwards.store(true, Ordering::Relaxed);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod codec;
 pub mod config;
 mod crash;
+mod descriptors;
 mod ending;
 pub mod events;
 mod exchange;
@@ -56,6 +57,7 @@
     choose::{ChoiceFacts, ServerChoice, choose_beside_limits, choose_server},
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
+    descriptors::DescriptorSettings,
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     memory::{MemoryBudget, MemorySettings},
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -98,6 +98,10 @@
         let id = caller.id.clone();
         let trace = RequestTrace::begin(&self.shared.work, clock, id, began, presence);
         let trace = Arc::new(trace);
+        if !self.shared.keep_descriptors() {
+            let refusal = Refusal::until(RefusalKind::ConnectionsFull, DEFAULT_RETRY_AFTER);
+            return self.refuse(Some(&trace), refusal);
+        }
         let admitted = tokio::select! {
             biased;
             admitted = self.clone().admit(head, caller, body, trace.clone()) => admitted,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{
         codec::AnswerFacts,
         config::RelayConfig,
+        descriptors::DescriptorSettings,
         limit_watch::LimitWatch,
         memory::MemoryBudget,
         metrics::RelayMetrics,
@@ -14,6 +15,7 @@
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     base::{SharedClock, Tick},
+    caller::ConnectionTable,
     reach::ServerPaths,
     std::sync::{
         Arc,
@@ -65,6 +67,10 @@
     pub clock: SharedClock,
     /// Memory for what callers and servers send.
     pub buffers: Arc<MemoryBudget>,
+    /// The open connections of callers.
+    pub connections: Arc<ConnectionTable>,
+    /// The descriptors that the process may use.
+    pub descriptors: DescriptorSettings,
     /// Passes what requests show about servers to a task of the node.
     pub signs: mpsc::Sender<ServerSign>,
 }
@@ -87,10 +93,32 @@
             paths: Arc::default(),
             clock,
             buffers: Arc::default(),
+            connections: Arc::default(),
+            descriptors: DescriptorSettings::default(),
             signs,
         }
     }
 
+    /// Closes connections of callers for which there are not enough descriptors; false if too many remain,
+    /// whose requests are at work.
+    pub(crate) fn keep_descriptors(&self) -> bool {
+        self.connections.keep_within(self.most_connections())
+    }
+
+    /// Closes connections of callers until there are enough descriptors and enough memory for a new one;
+    /// false if too many remain, whose requests are at work.
+    pub(crate) fn make_place(&self) -> bool {
+        let most = self.most_connections().min(self.buffers.most_connections());
+        self.connections.keep_within(most.saturating_sub(1))
+    }
+
+    /// Connections of callers that there are descriptors for.
+    fn most_connections(&self) -> usize {
+        // A request at work has a connection to a server, a forward one to a peer and one to a server.
+        let others = self.work.len() + 2 * self.paths.open_forwards();
+        self.descriptors.for_callers().saturating_sub(others)
+    }
+
     /// Reports that requests stall at a server; the report is dropped when the channel is full.
     pub(crate) fn report_stall(&self, server: &BackendServer) {
         let _ = self.signs.try_send(ServerSign::Stalled(server.id.clone()));
