Count answers until they are written to the caller's socket

Callers saw: nothing at first; the process grew with each caller that does not read, up to the kill by the platform that ends all its requests (176 MB of 48 in the test, 40 callers).

Cause: a whole answer gave its share of the memory back when it was complete, and a piece of a stream when the HTTP library took it. Both then waited in the library's buffers, uncounted. Servers were read up to 32 KiB at a time for streams.

Fix: the share and the place among the waiting pieces travel with the bytes and end when they are written. Streams without a length are read 8 KiB at a time and each piece counts as the buffer that it keeps. Requests in a pipeline wait until the answer before is written. The body of an answer is no longer boxed.

--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
+        answer_body::RelayBody,
         codec::RequestCodec,
         obstacle::SendObstacle,
-        pump::{RelayBody, full_body},
         request::{Refusal, RefusalKind, RequestId},
         service::{CallContext, RelayService},
         stopping::StopEffect,
@@ -41,7 +41,7 @@
             });
         }
         let id = trace.map(|trace| &trace.id);
-        let response = self.codec.refuse(id, &refusal).map(full_body);
+        let response = self.codec.refuse(id, &refusal).map(RelayBody::Own);
         if refusal.kind.leaves_body() {
             // The body is not read, so that the connection can't be used again.
             return with_close(response);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! groups. The relay reports servers at which requests stall, so that the owner probes them.
 
 mod admission;
+mod answer_body;
 mod buffered;
 mod caller_body;
 mod caution;
@@ -47,6 +48,7 @@
 pub mod server;
 pub mod service;
 mod shared;
+mod short_reads;
 pub mod standing;
 mod stopping;
 mod trace;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -3,11 +3,11 @@
 
 use {
     crate::{
+        answer_body::{AnswerBytes, RelayBody, StreamTruncated},
         codec::RequestCodec,
         crash::{AnswerProgress, note_break},
         idle::IdleTime,
         loss::LossCause,
-        memory::BufferShare,
         obstacle::SendObstacle,
         place::PlaceSearch,
         progress::CallProgress,
@@ -20,9 +20,7 @@
     },
     bytes::Bytes,
     http::Response,
-    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     hyper::body::{Body, Frame},
-    snafu::Snafu,
     std::{
         pin::{Pin, pin},
         slice,
@@ -32,24 +30,17 @@
     },
     stop::WorkEnd,
     tokio::{
-        sync::mpsc,
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc},
         time::{sleep, timeout},
     },
     tracing::info,
 };
 
-/// The body of an answer to a caller.
-pub(crate) type RelayBody = UnsyncBoxBody<Bytes, StreamTruncated>;
-
-/// The stream ended before its last event. The caller's connection is closed without the final
-/// chunk, so that the caller can tell.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("stream truncated before its last event"))]
-pub(crate) struct StreamTruncated;
-
-/// Pieces that are buffered for a slow caller; when the buffer is full, reading from the server
-/// pauses.
-const MAX_BUFFERED_PIECES: usize = 4;
+/// Pieces that are buffered for a slow caller until they are written to its socket; when the buffer is
+/// full, reading from the server pauses.
+const MAX_BUFFERED_PIECES: u32 = 4;
+/// Least memory that a piece takes, in bytes: it keeps the read buffer that it arrived in.
+const LEAST_PIECE_BYTES: usize = 8 * 1024;
 /// A stream without a further event for this long looks for another server, if its current server
 /// makes no progress on other requests either. Two events of a stream from a fully loaded model engine
 /// are less than 200 ms apart.
@@ -64,33 +55,31 @@
 
 /// A part of a stream on its way from the pump to the caller's connection.
 enum Piece {
-    Events { bytes: Bytes, _share: BufferShare },
+    Events(AnswerBytes),
     End,
 }
 
 /// The body of a streamed answer; fails with [`StreamTruncated`] if the pump stops without
 /// [`Piece::End`].
-struct PieceBody {
+pub(crate) struct PieceBody {
     pieces: mpsc::Receiver<Piece>,
     ended: bool,
 }
 
 impl Body for PieceBody {
-    type Data = Bytes;
+    type Data = AnswerBytes;
     type Error = StreamTruncated;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamTruncated>>> {
+    ) -> Poll<Option<Result<Frame<AnswerBytes>, StreamTruncated>>> {
         if self.ended {
             return Poll::Ready(None);
         }
         match self.pieces.poll_recv(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Piece::Events { bytes, .. })) => {
-                Poll::Ready(Some(Ok(Frame::data(bytes))))
-            }
+            Poll::Ready(Some(Piece::Events(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Poll::Ready(Some(Piece::End)) => {
                 self.ended = true;
                 Poll::Ready(None)
@@ -103,11 +92,6 @@
     }
 }
 
-/// Wraps the body of an answer that is not streamed.
-pub(crate) fn full_body(body: Full<Bytes>) -> RelayBody {
-    body.map_err(|never| match never {}).boxed_unsync()
-}
-
 /// Why forwarding from one server ended.
 enum ForwardEnd {
     /// The server ended its answer after the last event.
@@ -131,6 +115,8 @@
     progress: CallProgress,
     reader: EventReader,
     pieces: mpsc::Sender<Piece>,
+    /// One permit for each piece that may wait.
+    places: Arc<Semaphore>,
     /// The answer of the current server.
     answered: AnswerProgress,
     /// How long the current server has sent no event.
@@ -156,8 +142,10 @@
         head.headers.remove(http::header::CONTENT_LENGTH);
         // In an older version the end of the stream could not be told from a cut.
         head.version = http::Version::HTTP_11;
-        let (pieces, received) = mpsc::channel(MAX_BUFFERED_PIECES);
-        let body = PieceBody { pieces: received, ended: false }.boxed_unsync();
+        // Room for the end beside the pieces.
+        let (pieces, received) = mpsc::channel(MAX_BUFFERED_PIECES as usize + 1);
+        let places = Arc::new(Semaphore::new(MAX_BUFFERED_PIECES as usize));
+        let body = RelayBody::Pieces(PieceBody { pieces: received, ended: false });
         let response = service.close_if_leaving(Response::from_parts(head, body));
         let reader = EventReader::new(service.shared.buffers.open());
         let idle = IdleTime::new(service.shared.clock.now());
@@ -168,6 +156,7 @@
             progress,
             reader,
             pieces,
+            places,
             answered: AnswerProgress::default(),
             idle,
             search: PlaceSearch::default(),
@@ -190,7 +179,7 @@
             let end = self.forward(&mut answer).await;
             drop(answer);
             let end = match end {
-                ForwardEnd::Whole => self.pass_on(Piece::End, 1).await.err().unwrap_or(end),
+                ForwardEnd::Whole => self.send_piece(Piece::End).err().unwrap_or(end),
                 _ => end,
             };
             let why = match end {
@@ -384,26 +373,35 @@
     /// Passes events on. Where too much is buffered, at most one piece of the stream waits for its caller.
     async fn pass_on_events(&self, bytes: Bytes) -> Result<(), ForwardEnd> {
         let mut share = self.service.shared.buffers.open();
-        let free_pieces = if share.resize(bytes.len()) { 1 } else { MAX_BUFFERED_PIECES };
-        self.pass_on(Piece::Events { bytes, _share: share }, free_pieces).await
+        let fits = share.resize(bytes.len().max(LEAST_PIECE_BYTES));
+        let free_places = if fits { 1 } else { MAX_BUFFERED_PIECES };
+        let place = self.take_place(free_places).await?;
+        self.send_piece(Piece::Events(AnswerBytes::piece(bytes, share, place)))
     }
 
-    /// Passes a piece on to the caller's connection once it has room for `free_pieces`. Where the caller
-    /// reads too slowly, it waits until the request or the process ends.
-    async fn pass_on(&self, piece: Piece, free_pieces: usize) -> Result<(), ForwardEnd> {
+    /// Waits until there are `free_places` for pieces, and takes one. Where the caller reads too slowly, it
+    /// waits until the request or the process ends.
+    async fn take_place(&self, free_places: u32) -> Result<OwnedSemaphorePermit, ForwardEnd> {
+        if free_places == 1
+            && let Ok(place) = self.places.clone().try_acquire_owned()
+        {
+            return Ok(place);
+        }
         let remaining = self.ctx.expires_at.since(self.service.shared.clock.now());
-        tokio::select! {
+        let places = tokio::select! {
             biased;
-            permits = timeout(remaining, self.pieces.reserve_many(free_pieces)) => match permits {
-                Ok(Ok(mut permits)) => {
-                    permits.next().expect("at least one was reserved").send(piece);
-                    Ok(())
-                }
-                Ok(Err(_)) => Err(ForwardEnd::CallerLeft),
-                Err(_) => Err(ForwardEnd::OutOfTime),
-            },
-            () = self.service.ending() => Err(ForwardEnd::Stopping),
-        }
+            () = self.pieces.closed() => return Err(ForwardEnd::CallerLeft),
+            places = timeout(remaining, self.places.clone().acquire_many_owned(free_places)) => places,
+            () = self.service.ending() => return Err(ForwardEnd::Stopping),
+        };
+        let Ok(places) = places else { return Err(ForwardEnd::OutOfTime) };
+        let place = places.ok().and_then(|mut places| places.split(1));
+        Ok(place.expect("the semaphore is never closed, and at least one was acquired"))
+    }
+
+    /// Gives a piece to the caller's connection; there is a place for it.
+    fn send_piece(&self, piece: Piece) -> Result<(), ForwardEnd> {
+        self.pieces.try_send(piece).map_err(|_| ForwardEnd::CallerLeft)
     }
 
     /// Looks for another server where the present one has sent no event for too long, and waits for
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -13,6 +13,7 @@
         progress::SendRecord,
         request::RequestId,
         server::{BackendServer, InFlight},
+        short_reads::ShortReads,
     },
     bytes::Bytes,
     caller::DepartureTimer,
@@ -104,6 +105,7 @@
     };
     let is_forwarded = stream.is_forwarded();
     let in_flight = place.depart();
+    let (stream, read_size) = ShortReads::new(stream);
     let handshake =
         http1::Builder::new().max_buf_size(ANSWER_HEAD_BYTES).handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
@@ -121,6 +123,9 @@
         Ok(Ok(answer)) => answer,
     };
     let (head, body) = answer.into_parts();
+    if body.size_hint().exact().is_none() {
+        read_size.shorten();
+    }
     let facts = codec.read_answer(id, &head);
     match facts.verdict {
         Verdict::NotRun | Verdict::OtherServer => SendOutcome::NotRun(facts),
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -2,22 +2,21 @@
 
 use {
     crate::{
+        answer_body::RelayBody,
         codec::RequestCodec,
         crash::note_break,
         held_body::HeldBody,
         obstacle::SendObstacle,
         progress::CallProgress,
-        pump::{RelayBody, StreamPump, full_body},
+        pump::StreamPump,
         request::{Refusal, RefusalKind, RequestId, RequestKind},
         send::LiveAnswer,
         shared::RelayShared,
         trace::RequestTrace,
     },
     base::{ServiceName, Tick, WorkspaceId},
-    bytes::Bytes,
     caller::CallerPresence,
     http::{HeaderMap, Method, Request, Response, Uri},
-    http_body_util::Full,
     hyper::body::Incoming,
     poison::RequestSuspects,
     std::{sync::Arc, time::Duration},
@@ -84,6 +83,8 @@
         request: Request<Incoming>,
         presence: Arc<CallerPresence>,
     ) -> Response<RelayBody> {
+        // A caller that sends requests without reading their answers has one answer at a time.
+        presence.answers_read().await;
         let began = self.shared.clock.now();
         let (head, body) = request.into_parts();
         let caller = match self.codec.read_caller(&head) {
@@ -123,7 +124,7 @@
             () = self.ending() => Err(self.cut_short(&progress)),
         };
         match served {
-            Ok(FetchedAnswer::Whole(response)) => self.close_if_leaving(response.map(full_body)),
+            Ok(FetchedAnswer::Whole(response)) => self.close_if_leaving(response),
             // No event has been passed on, so that the caller can still get a complete answer.
             Ok(FetchedAnswer::Stream(_)) if self.shared.stop.phase() == StopPhase::Ending => {
                 let refusal = self.cut_short(&progress);
@@ -218,7 +219,7 @@
 /// What a request is answered with.
 enum FetchedAnswer {
     /// A complete answer.
-    Whole(Response<Full<Bytes>>),
+    Whole(Response<RelayBody>),
     /// A stream that has begun.
     Stream(Box<LiveAnswer>),
 }
--- a/crates/relay/src/unframed.rs
+++ b/crates/relay/src/unframed.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        answer_body::RelayBody,
         buffered::collect_answer,
         codec::RequestCodec,
         loss::LossCause,
@@ -14,7 +15,6 @@
         service::{CallContext, RelayService},
     },
     http::Response,
-    http_body_util::Full,
     std::time::Duration,
     tokio::time::{sleep, timeout},
 };
@@ -30,10 +30,10 @@
         &self,
         ctx: &CallContext,
         answer: Box<LiveAnswer>,
-    ) -> Result<Response<Full<bytes::Bytes>>, LossCause> {
+    ) -> Result<Response<RelayBody>, LossCause> {
         let remaining = ctx.expires_at.since(self.shared.clock.now());
         let (server, is_framed) = (answer.server.clone(), answer.is_framed());
-        let response = collect_answer(&self.codec, &self.shared.buffers, answer, remaining).await?;
+        let response = collect_answer(&self.codec, &self.shared, answer, remaining).await?;
         if !is_framed {
             self.check_sound(ctx, &server).await?;
         }
