--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! groups. The relay reports servers at which requests stall, so that the owner probes them.
 
 mod admission;
+mod answer_body;
 mod backlog;
 mod buffered;
 mod caller_body;
@@ -21,6 +22,7 @@
 pub mod config;
 mod costs;
 mod crash;
+mod descriptors;
 mod ending;
 pub mod events;
 mod exchange;
@@ -48,9 +50,11 @@
 pub mod server;
 pub mod service;
 mod shared;
+mod short_reads;
 pub mod standing;
 mod stopping;
 mod trace;
+mod unfinished;
 mod unframed;
 
 pub use crate::{
@@ -58,6 +62,7 @@
     codec::{AnswerFacts, BackendCall, HeadError, RequestCodec, Verdict},
     config::{CallerLimits, EngineSpeeds, RelayConfig, RouteRule, ServiceSplit, WorkspaceRule},
     costs::{CostBook, WorkFacts},
+    descriptors::DescriptorSettings,
     identity::IdentityHasher,
     limit_watch::{LimitQuestion, LimitWatch},
     memory::{MemoryBudget, MemorySettings},
