--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -190,7 +190,11 @@
         if let Some(encoded) = self.encoded.get() {
             return Ok(encoded.clone());
         }
-        let encoded = time_step("config encoded", || postcard::to_stdvec(&*self.update));
+        let encoded = time_step("config encoded", || {
+            let encoded = postcard::to_stdvec(&*self.update)?;
+            // Earlier versions of this program ignore what follows the configuration.
+            postcard::to_extend(self.update.relay.terms(), encoded)
+        });
         let encoded = encoded.map_err(io::Error::other)?;
         Ok(self.encoded.get_or_init(|| Bytes::from(encoded)).clone())
     }
@@ -216,6 +220,15 @@
     send_query(&mut link, ConfigQuery { known, wait: Duration::ZERO }, FETCH_LIMIT).await
 }
 
+/// Decodes a configuration. One from an earlier version of this program lacks goals and priorities.
+fn decode_config(encoded: &[u8]) -> Result<ConfigUpdate, postcard::Error> {
+    let (mut update, rest): (ConfigUpdate, &[u8]) = postcard::take_from_bytes(encoded)?;
+    if !rest.is_empty() {
+        update.relay = update.relay.with_terms(postcard::from_bytes(rest)?);
+    }
+    Ok(update)
+}
+
 async fn send_query(
     link: &mut PeerLink,
     query: ConfigQuery,
@@ -229,7 +242,7 @@
     let update: Option<ConfigUpdate> = match rest {
         [] => None,
         encoded => {
-            let decoded = time_step("config decoded", || postcard::from_bytes(encoded));
+            let decoded = time_step("config decoded", || decode_config(encoded));
             Some(decoded.context(UnreadableSnafu)?)
         }
     };
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -7,6 +7,7 @@
         config::{RelayConfig, RouteRule},
         identity::IdentityHasher,
         request::{CallerHead, Refusal, RefusalKind, RequestId},
+        room::{RoomDemand, RoomPool},
         service::{CallContext, DEFAULT_RETRY_AFTER, RelayService},
         standing::{ConfigDoubt, NEWER_CONFIG_WAIT},
         trace::RequestTrace,
@@ -49,6 +50,7 @@
         let suspects = RequestSuspects::new(&caller.parts, identity.finish());
         self.admit_suspects(&caller.id, &suspects)?;
         self.shared.budget.note_request(&service, began);
+        let room = find_room(&config, route, &service, workspace.as_ref(), &caller);
         Ok(CallContext {
             id: caller.id,
             kind: route.kind,
@@ -57,6 +59,7 @@
             service,
             workspace,
             model: caller.model,
+            room,
             suspects,
             method: head.method,
             uri: head.uri,
@@ -128,6 +131,20 @@
     Ok((route, workspace.cloned()))
 }
 
+/// The room that a request asks for: that of the servers of its model, if its route has a goal for
+/// streams.
+fn find_room(
+    config: &RelayConfig,
+    route: &RouteRule,
+    service: &ServiceName,
+    workspace: Option<&WorkspaceId>,
+    caller: &CallerHead,
+) -> Option<RoomDemand> {
+    let terms = config.terms().find(&route.name, workspace).filter(|_| route.kind.is_stream())?;
+    let pool = RoomPool { service: service.clone(), model: caller.model.clone()? };
+    Some(RoomDemand { pool, terms, is_resumed: caller.last_event.is_some() })
+}
+
 /// Picks one of the route's services at random, by their weights.
 fn pick_service(route: &RouteRule) -> Option<ServiceName> {
     let total: f64 = route.splits.iter().map(|split| split.weight).sum();
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: routes, services, workspaces and limits for callers.
 
 use {
-    crate::request::RequestKind,
+    crate::{request::RequestKind, terms::ServingTerms},
     base::{ServiceName, WorkspaceId},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -80,6 +80,10 @@
     hosts: HashMap<SmolStr, Vec<RouteRule>>,
     keys: HashMap<SmolStr, WorkspaceId>,
     has_keys: bool,
+    /// Goals and priorities. Sent to other processes behind the other fields, where an earlier version
+    /// of this program ignores them.
+    #[serde(skip)]
+    terms: ServingTerms,
     /// Limits on callers' requests and connections. A new version's limits on heads and on idle
     /// time apply to connections that are accepted later, its limit on bodies to all later
     /// requests.
@@ -109,7 +113,17 @@
                 keys.insert(key, workspace.name.clone());
             }
         }
-        Self { version, hosts, keys, has_keys, limits }
+        Self { version, hosts, keys, has_keys, terms: ServingTerms::default(), limits }
+    }
+
+    /// The same configuration with goals and priorities.
+    pub fn with_terms(self, terms: ServingTerms) -> Self {
+        Self { terms, ..self }
+    }
+
+    /// Goals and priorities.
+    pub fn terms(&self) -> &ServingTerms {
+        &self.terms
     }
 
     /// The route of `host` with the longest prefix that matches `path`.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -67,6 +67,7 @@
         ctx: &CallContext,
         progress: &mut CallProgress,
     ) -> Result<Box<LiveAnswer>, Refusal> {
+        self.check_room(ctx, progress)?;
         match self.take_place(ctx, progress, &[]).await {
             Ok(place) => self.send_from(place, ctx, progress, StreamSign::Head).await,
             Err(error) => Err(self.refusal_without_place(ctx, progress, error)),
@@ -86,6 +87,7 @@
         let mut failure: Option<HeldFailure> = None;
         let mut place = Some(place);
         let mut search_at = None;
+        let mut sent_at = Instant::now();
         let mut silent = Vec::new();
         loop {
             // What arrived while a place was looked for comes first: it may make the place needless.
@@ -94,6 +96,7 @@
                 if let Some(place) = place.take() {
                     self.note_again(ctx, failure.as_mut());
                     self.start_send(ctx, progress, place, &mut sends);
+                    sent_at = Instant::now();
                     search_at = self.patience(ctx).map(|patience| Instant::now() + patience);
                 }
                 let failure_until = failure.as_ref().map(|failure| failure.until);
@@ -123,7 +126,15 @@
                     // It was taken before this outcome was known.
                     place = None;
                 }
-                None => self.note_silent(&sends, &mut silent),
+                None => {
+                    let stalls = self.note_silent(&sends, &mut silent);
+                    progress.is_disturbed |= stalls;
+                    let is_over = failure.as_ref().is_some_and(|held| held.until <= Instant::now());
+                    if !stalls && !is_over && self.stays_at_full(ctx, &sends, sent_at) {
+                        search_at = Some(Instant::now() + FIRST_EVENT_TIMEOUT);
+                        continue;
+                    }
+                }
             }
             if let Some(held) = failure.take_if(|failure| failure.until <= Instant::now()) {
                 return Ok(held.answer);
@@ -230,6 +241,7 @@
                 self.shared.note_facts(&server, &facts, sent_at, now);
                 let status = answer.head.status;
                 Ok(if status.is_server_error() && ctx.kind.is_retryable() {
+                    progress.is_disturbed = true;
                     ExchangeStep::Failed(answer)
                 } else if status.is_success() && ctx.kind.is_stream() && !is_alone {
                     ExchangeStep::Begins(answer)
@@ -240,6 +252,7 @@
             SendOutcome::Begun(answer) => Ok(ExchangeStep::Answered(answer)),
             SendOutcome::OutOfTime => Ok(ExchangeStep::Unanswered),
             SendOutcome::NotSent(error) => {
+                progress.is_disturbed = true;
                 self.note_stalled(&server);
                 info!(id = %ctx.id, decision = "not-sent", server = %server.id, why = %error,
                     "request");
@@ -257,6 +270,7 @@
                 Ok(ExchangeStep::Unanswered)
             }
             SendOutcome::Lost(why) => {
+                progress.is_disturbed = true;
                 progress.may_have_run = true;
                 let busy = server.counters.progressed_within(now, STALL_THRESHOLD);
                 let waited_ms = now.since(sent_at).as_millis() as u64;
@@ -285,19 +299,32 @@
         }
     }
 
+    /// Whether the request waits on although its server is silent: while room is scarce, servers are
+    /// silent because they are full, and a second one would work for nobody. Not for longer than another
+    /// server needs before the caller leaves.
+    fn stays_at_full(&self, ctx: &CallContext, sends: &OpenSends<'_>, sent_at: Instant) -> bool {
+        !sends.is_empty()
+            && sent_at.elapsed() < FIRST_EVENT_TIMEOUT * 3 / 2
+            && self.has_scarce_room(ctx)
+    }
+
     /// Records that servers have been silent for too long, once for each. One that works on other
-    /// requests is not held back for them.
-    fn note_silent(&self, sends: &OpenSends<'_>, noted: &mut Vec<ServerId>) {
+    /// requests is not held back for them. Returns whether one of them makes no progress.
+    fn note_silent(&self, sends: &OpenSends<'_>, noted: &mut Vec<ServerId>) -> bool {
+        let mut stalls = false;
         let now = self.shared.clock.now();
         for server in sends.servers() {
+            let is_busy = server.counters.progressed_within(now, STALL_THRESHOLD);
+            stalls |= !is_busy;
             if noted.contains(&server.id) {
                 continue;
             }
             noted.push(server.id.clone());
-            if !server.counters.progressed_within(now, STALL_THRESHOLD) {
+            if !is_busy {
                 self.note_stalled(server);
             }
         }
+        stalls
     }
 
     /// Puts a server in back-off that failed or makes no progress, and reports it.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod reader;
 pub mod request;
 pub mod retry;
+mod room;
 mod send;
 mod sends;
 pub mod serve;
@@ -48,6 +49,7 @@
 mod shared;
 pub mod standing;
 mod stopping;
+mod terms;
 mod trace;
 mod unframed;
 
@@ -69,4 +71,5 @@
     shared::{RelayShared, ServerSign},
     standing::{CONFIG_TRUST, ConfigDoubt, ConfigStanding},
     stopping::{StopEffect, log_stop_effect},
+    terms::{RouteTerms, ServingTerms},
 };
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,7 @@
         },
         registry::Registry,
     },
+    scarce::PriorityLevel,
     std::time::Duration,
 };
 
@@ -53,6 +54,14 @@
     why: &'static str,
 }
 
+/// Labels of requests that were held back because room is scarce.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RoomLabels {
+    route: String,
+    /// Priority, see [`PriorityLevel`].
+    level: String,
+}
+
 /// Labels of checks whether a server crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CrashLabels {
@@ -75,6 +84,7 @@
     retries: Family<KindLabels, Counter>,
     losses: Family<LossLabels, Counter>,
     obstacles: Family<ObstacleLabels, Counter>,
+    held_back: Family<RoomLabels, Counter>,
     first_event: Family<KindLabels, Histogram>,
     answer: Family<KindLabels, Histogram>,
     crash_checks: Family<CrashLabels, Counter>,
@@ -93,6 +103,7 @@
             retries: Family::default(),
             losses: Family::default(),
             obstacles: Family::default(),
+            held_back: Family::default(),
             first_event: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
             crash_checks: Family::default(),
@@ -112,6 +123,8 @@
         registry.register("answers_lost", help, self.losses.clone());
         let help = "Requests sent to no server, or to no further one, by reason";
         registry.register("sends_prevented", help, self.obstacles.clone());
+        let help = "Requests held back because room is scarce, by route and priority";
+        registry.register("room_denied", help, self.held_back.clone());
         let help = "Time from a request to the first event of its stream, in seconds";
         registry.register("first_event_seconds", help, self.first_event.clone());
         let help = "Time from a request to the end of its answer, in seconds";
@@ -144,6 +157,11 @@
         self.obstacles.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn note_held_back(&self, route: &str, level: PriorityLevel) {
+        let labels = RoomLabels { route: route.to_owned(), level: level.to_string() };
+        self.held_back.get_or_create(&labels).inc();
+    }
+
     /// The times for which connections to servers outlived their callers.
     pub(crate) fn departures(&self) -> Histogram {
         self.departures.clone()
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -3,6 +3,7 @@
 use {
     crate::server::ServerId,
     parking_lot::Mutex,
+    scarce::Occupancy,
     std::sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -19,6 +20,10 @@
     pub(crate) may_have_run: bool,
     /// Id of the last event that was forwarded to the caller; set when a stream is resumed.
     pub(crate) last_event: Option<u64>,
+    /// Occupancy of its pool when the request was admitted; `None` if it asked for no room.
+    pub(crate) occupancy: Option<Occupancy>,
+    /// Whether a server failed it, or stood still, before its answer began.
+    pub(crate) is_disturbed: bool,
     /// Shared with the sends that are under way.
     pub(crate) record: Arc<SendRecord>,
 }
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -377,6 +377,7 @@
         if self.reader.note_first() {
             let wait = now.since(self.ctx.began);
             answer.server.counters.note_success(wait);
+            self.service.note_begun(&self.ctx, &self.progress, wait);
             self.service.shared.metrics.note_first_event(self.ctx.kind, wait);
         }
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -101,6 +101,9 @@
     MemoryFull,
     /// Every server that could take the request is at the limit that it named; it was not run.
     AtLimit,
+    /// Servers have room for most requests but not for all, and this one would make others late; it was
+    /// not run.
+    RoomScarce,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
     PoisonPart,
     /// The request crashes the servers that run it, as it did before under other ids; it was not run.
@@ -139,6 +142,7 @@
                 | Self::NoServer
                 | Self::MemoryFull
                 | Self::AtLimit
+                | Self::RoomScarce
                 | Self::PoisonPart
                 | Self::PoisonRequest
                 | Self::OnTrial
@@ -169,6 +173,7 @@
             Self::NoServer => "no-server",
             Self::MemoryFull => "memory-full",
             Self::AtLimit => "at-limit",
+            Self::RoomScarce => "room-scarce",
             Self::PoisonPart => "poison-part",
             Self::PoisonRequest => "poison-request",
             Self::OnTrial => "on-trial",
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -9,6 +9,7 @@
         progress::CallProgress,
         pump::{RelayBody, StreamPump, full_body},
         request::{Refusal, RefusalKind, RequestId, RequestKind},
+        room::RoomDemand,
         send::LiveAnswer,
         shared::RelayShared,
         trace::RequestTrace,
@@ -59,6 +60,8 @@
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
+    /// The room that it asks for; `None` where requests are served without asking.
+    pub(crate) room: Option<RoomDemand>,
     pub(crate) suspects: RequestSuspects,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -187,7 +190,9 @@
         let now = self.shared.clock.now();
         let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
         let usual = match ctx.kind {
-            RequestKind::Stream { .. } => STREAM_RETRY_AFTER,
+            RequestKind::Stream { .. } => {
+                self.room_retry_after(ctx, now).unwrap_or(STREAM_RETRY_AFTER)
+            }
             _ => DEFAULT_RETRY_AFTER,
         };
         let no_server = match self.limit_retry_after(ctx, now) {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,6 +9,7 @@
         metrics::RelayMetrics,
         poison_watch::PoisonWatch,
         retry::RetryBudget,
+        room::RoomWatch,
         server::{BackendServer, ServerId, ServerTable},
         standing::ConfigStanding,
     },
@@ -59,6 +60,8 @@
     pub poison: Arc<PoisonWatch>,
     /// Request rates that servers have named.
     pub limits: LimitWatch,
+    /// Room at the servers.
+    pub(crate) room: RoomWatch,
     /// Opens connections to servers.
     pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
@@ -84,6 +87,7 @@
             metrics: RelayMetrics::default(),
             poison: PoisonWatch::new(clock.clone()),
             limits: LimitWatch::new(clock.clone()),
+            room: RoomWatch::default(),
             paths: Arc::default(),
             clock,
             buffers: Arc::default(),
--- /dev/null
+++ b/crates/scarce/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of a gate.
+
+use {
+    crate::quantity::{AdmitShare, Occupancy},
+    std::time::Duration,
+};
+
+/// When a gate holds requests back, and how many.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomSettings {
+    /// The knee before any answer was seen: a little below full, where queues begin.
+    pub first_knee: Occupancy,
+    /// Lowest knee that is learned. Below it servers have room, and late answers have other causes.
+    pub least_knee: Occupancy,
+    /// Highest knee that is learned. Beyond it requests queue at every server.
+    pub most_knee: Occupancy,
+    /// Share of the answers at the knee that begin late.
+    pub late_share: f64,
+    /// Change of the knee with an answer in time above it; a late one below it counts as many times as
+    /// makes both balance at `late_share`.
+    pub knee_step: f64,
+    /// All requests are admitted up to this far below the knee.
+    pub below_knee: f64,
+    /// The share that is admitted reaches `least_share` this far above the knee.
+    pub above_knee: f64,
+    /// Smallest share of all requests that is admitted. What is beyond it is left to the servers, which
+    /// refuse what exceeds their queues.
+    pub least_share: AdmitShare,
+    /// Smallest share of one kind of request, as a part of that of all requests. Callers of every kind
+    /// are promised a quarter; the rest covers processes that see different kinds.
+    pub least_part: f64,
+    /// A workspace sends a surge if its part of the recent requests is this many times its usual part.
+    pub surge_factor: f64,
+    /// Recent requests that a workspace must have sent before it can surge; fewer say little.
+    pub surge_evidence: f64,
+    /// Half-life of recent requests.
+    pub recent: Duration,
+    /// Half-life of usual requests.
+    pub usual: Duration,
+    /// Callers return after half of this time at least.
+    pub least_return: Duration,
+    /// Mean time after which callers return at the latest.
+    pub most_return: Duration,
+    /// Room is scarce until nothing would have been held back for this long.
+    pub calm: Duration,
+}
+
+impl Default for RoomSettings {
+    fn default() -> Self {
+        Self {
+            first_knee: Occupancy(0.9),
+            least_knee: Occupancy(0.5),
+            most_knee: Occupancy(1.1),
+            late_share: 0.25,
+            knee_step: 0.02,
+            below_knee: 0.1,
+            above_knee: 0.3,
+            least_share: AdmitShare(0.3),
+            least_part: 0.4,
+            surge_factor: 1.5,
+            surge_evidence: 8.0,
+            recent: Duration::from_secs(2),
+            usual: Duration::from_secs(30),
+            least_return: Duration::from_millis(500),
+            most_return: Duration::from_secs(4),
+            calm: Duration::from_secs(1),
+        }
+    }
+}
