--- a/crates/scarce/src/knee.rs
+++ b/crates/scarce/src/knee.rs
@@ -2,46 +2,70 @@
 
 use crate::{quantity::Occupancy, settings::RoomSettings};
 
-/// Answers after which the weight of an earlier one at low occupancy has fallen to a third.
-const LIGHT_MEMORY: f64 = 100.0;
-/// Answers at low occupancy that must have been seen before lateness there says anything.
-const LIGHT_EVIDENCE: f64 = 10.0;
+/// Answers after which the weight of an earlier one has fallen to a third.
+const MEMORY: f64 = 20.0;
+/// Answers at low occupancy, or at one near the knee, that must have been seen before their lateness says
+/// anything.
+const EVIDENCE: f64 = 8.0;
 /// Share of late answers at low occupancy above which lateness has another cause than load.
 const OTHER_CAUSE_SHARE: f64 = 0.5;
 /// Part of the knee below which an occupancy counts as low.
 const LIGHT_PART: f64 = 0.5;
 
+/// How many of the last answers began late.
+#[derive(Clone, Copy, Debug, Default)]
+struct LateCount {
+    answers: f64,
+    late: f64,
+}
+
+impl LateCount {
+    fn note(&mut self, is_late: bool) {
+        let kept = 1.0 - 1.0 / MEMORY;
+        self.answers = self.answers * kept + 1.0;
+        self.late = self.late * kept + f64::from(u8::from(is_late));
+    }
+
+    /// The share of late answers; `None` if there were too few answers.
+    fn share(&self) -> Option<f64> {
+        (self.answers >= EVIDENCE).then(|| self.late / self.answers)
+    }
+}
+
 /// The knee of one pool.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OccupancyKnee {
     value: f64,
-    light_answers: f64,
-    light_late: f64,
+    light: LateCount,
+    below: LateCount,
+    above: LateCount,
 }
 
 impl OccupancyKnee {
     pub(crate) fn new(settings: &RoomSettings) -> Self {
-        Self { value: settings.first_knee.0, light_answers: 0.0, light_late: 0.0 }
+        let none = LateCount::default();
+        Self { value: settings.first_knee.0, light: none, below: none, above: none }
     }
 
     pub(crate) fn value(&self) -> Occupancy {
         Occupancy(self.value)
     }
 
-    /// Records whether the answer to a request, admitted at `occupancy`, began late. Moves the knee only
-    /// for answers on the wrong side of it.
+    /// Records whether the answer to a request, admitted at `occupancy`, began late. The knee falls while
+    /// too many answers below it are late, and rises while few above it are.
     pub(crate) fn note(&mut self, occupancy: Occupancy, is_late: bool, settings: &RoomSettings) {
         if occupancy.0 < self.value * LIGHT_PART {
-            let kept = 1.0 - 1.0 / LIGHT_MEMORY;
-            self.light_answers = self.light_answers * kept + 1.0;
-            self.light_late = self.light_late * kept + f64::from(u8::from(is_late));
-            return;
-        }
-        let down = settings.knee_step * (1.0 - settings.late_share) / settings.late_share;
-        if is_late && occupancy.0 < self.value {
-            self.value -= down;
-        } else if !is_late && occupancy.0 > self.value {
-            self.value += settings.knee_step;
+            self.light.note(is_late);
+        } else if occupancy.0 < self.value {
+            self.below.note(is_late);
+            if is_late && self.below.share().is_some_and(|share| share > settings.late_share) {
+                self.value -= settings.knee_step;
+            }
+        } else {
+            self.above.note(is_late);
+            if !is_late && self.above.share().is_some_and(|share| share < settings.late_share) {
+                self.value += settings.knee_step;
+            }
         }
         self.value = self.value.clamp(settings.least_knee.0, settings.most_knee.0);
     }
@@ -49,7 +73,6 @@
     /// Whether answers are late even where servers have little to do, so that fewer requests would not
     /// bring the others in time.
     pub(crate) fn has_other_cause(&self) -> bool {
-        self.light_answers >= LIGHT_EVIDENCE
-            && self.light_late > self.light_answers * OTHER_CAUSE_SHARE
+        self.light.share().is_some_and(|share| share > OTHER_CAUSE_SHARE)
     }
 }
--- a/crates/scarce/src/settings.rs
+++ b/crates/scarce/src/settings.rs
@@ -16,8 +16,7 @@
     pub most_knee: Occupancy,
     /// Share of the answers at the knee that begin late.
     pub late_share: f64,
-    /// Change of the knee with an answer in time above it; a late one below it counts as many times as
-    /// makes both balance at `late_share`.
+    /// Change of the knee with an answer that shows it to be wrong.
     pub knee_step: f64,
     /// All requests are admitted up to this far below the knee.
     pub below_knee: f64,
@@ -48,8 +47,8 @@
 impl Default for RoomSettings {
     fn default() -> Self {
         Self {
-            first_knee: Occupancy(0.9),
-            least_knee: Occupancy(0.5),
+            first_knee: Occupancy(0.8),
+            least_knee: Occupancy(0.65),
             most_knee: Occupancy(1.1),
             late_share: 0.25,
             knee_step: 0.02,
