--- a/crates/scarce/src/demand.rs
+++ b/crates/scarce/src/demand.rs
@@ -46,6 +46,12 @@
 }
 
 impl SenderCount {
+    /// The recent requests, and the earlier ones.
+    fn values(&self, settings: &RoomSettings, now: Tick) -> (f64, f64) {
+        let recent = self.recent.value(settings.recent, now);
+        (recent, (self.usual.value(settings.usual, now) - recent).max(0.0))
+    }
+
     fn note(&mut self, settings: &RoomSettings, now: Tick) {
         self.recent.note(settings.recent, now);
         self.usual.note(settings.usual, now);
@@ -87,14 +93,13 @@
     /// The part of a workspace's requests that is beyond what it usually sends.
     fn surplus(&self, name: &WorkspaceId, settings: &RoomSettings, now: Tick) -> f64 {
         let Some(count) = self.workspaces.get(name) else { return 0.0 };
-        let recent = count.recent.value(settings.recent, now);
-        if recent < settings.surge_evidence {
+        let (recent, earlier) = count.values(settings, now);
+        let (all_recent, all_earlier) = self.all.values(settings, now);
+        if recent < settings.surge_evidence || all_earlier < settings.surge_evidence {
             return 0.0;
         }
-        let recent_part = recent / self.all.recent.value(settings.recent, now);
-        let usual = count.usual.value(settings.usual, now);
-        let usual_part = usual / self.all.usual.value(settings.usual, now);
-        (1.0 - settings.surge_factor * usual_part / recent_part).max(0.0)
+        let usual_part = earlier / all_earlier;
+        (1.0 - settings.surge_factor * usual_part * all_recent / recent).max(0.0)
     }
 
     /// The share of a class that is admitted if `overall` is that of all requests. Every class gets the
--- a/crates/scarce/src/gate.rs
+++ b/crates/scarce/src/gate.rs
@@ -97,6 +97,9 @@
     settings: RoomSettings,
     knee: OccupancyKnee,
     demand: DemandCounts,
+    /// Share that is held back because the occupancy has been above the knee.
+    held: f64,
+    decided_at: Tick,
     spell: Option<OpenSpell>,
 }
 
@@ -104,7 +107,14 @@
     /// Has seen no request.
     pub fn new(settings: RoomSettings) -> Self {
         let knee = OccupancyKnee::new(&settings);
-        Self { settings, knee, demand: DemandCounts::default(), spell: None }
+        Self {
+            settings,
+            knee,
+            demand: DemandCounts::default(),
+            held: 0.0,
+            decided_at: Tick(0),
+            spell: None,
+        }
     }
 
     /// Decides on a request at the present occupancy, and counts it.
@@ -118,6 +128,7 @@
         let ended = self.take_ended(now);
         let RoomRequest { level, workspace, is_resumed } = *request;
         let class = self.demand.note(level, workspace, sample.surge, &self.settings, now);
+        self.hold(occupancy, now);
         let share = self.share(occupancy);
         let class_share = self.demand.class_share(class, share, &self.settings, now);
         let knee = self.knee.value();
@@ -160,8 +171,18 @@
             return AdmitShare(1.0);
         }
         let beyond = occupancy.0 - (self.knee.value().0 - below_knee);
-        let part = (beyond / (below_knee + above_knee)).clamp(0.0, 1.0);
-        AdmitShare(1.0 - part * (1.0 - least_share.0))
+        let most = 1.0 - least_share.0;
+        let part = (beyond / (below_knee + above_knee)).clamp(0.0, 1.0) * most;
+        AdmitShare(1.0 - (part + self.held).min(most))
+    }
+
+    /// Holds back more while the occupancy is above the knee, and less while it is below.
+    fn hold(&mut self, occupancy: Occupancy, now: Tick) {
+        let RoomSettings { hold_rate, hold_step, least_share, .. } = self.settings;
+        let step = now.since(self.decided_at).min(hold_step).as_secs_f64();
+        self.decided_at = now;
+        let held = self.held + hold_rate * step * (occupancy.0 - self.knee.value().0);
+        self.held = held.clamp(0.0, 1.0 - least_share.0);
     }
 
     /// The spell that has ended, once.
--- a/crates/scarce/src/settings.rs
+++ b/crates/scarce/src/settings.rs
@@ -22,6 +22,12 @@
     pub below_knee: f64,
     /// The share that is admitted reaches `least_share` this far above the knee.
     pub above_knee: f64,
+    /// What is held back beyond that grows by this share a second for each unit of occupancy above the
+    /// knee, and falls as fast below it. Without it, the occupancy would settle the further above the knee
+    /// the higher the demand is.
+    pub hold_rate: f64,
+    /// Longest time between two requests that counts for this.
+    pub hold_step: Duration,
     /// Smallest share of all requests that is admitted. What is beyond it is left to the servers, which
     /// refuse what exceeds their queues.
     pub least_share: AdmitShare,
@@ -52,8 +58,10 @@
             most_knee: Occupancy(1.1),
             late_share: 0.25,
             knee_step: 0.02,
-            below_knee: 0.1,
-            above_knee: 0.3,
+            below_knee: 0.2,
+            above_knee: 0.2,
+            hold_rate: 1.5,
+            hold_step: Duration::from_millis(500),
             least_share: AdmitShare(0.3),
             least_part: 0.4,
             surge_factor: 1.5,
