--- a/crates/scarce/src/knee.rs
+++ b/crates/scarce/src/knee.rs
@@ -59,12 +59,12 @@
         } else if occupancy.0 < self.value {
             self.below.note(is_late);
             if is_late && self.below.share().is_some_and(|share| share > settings.late_share) {
-                self.value -= settings.knee_step;
+                self.value -= settings.knee_fall;
             }
         } else {
             self.above.note(is_late);
             if !is_late && self.above.share().is_some_and(|share| share < settings.late_share) {
-                self.value += settings.knee_step;
+                self.value += settings.knee_rise;
             }
         }
         self.value = self.value.clamp(settings.least_knee.0, settings.most_knee.0);
--- a/crates/scarce/src/settings.rs
+++ b/crates/scarce/src/settings.rs
@@ -8,7 +8,7 @@
 /// When a gate holds requests back, and how many.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RoomSettings {
-    /// The knee before any answer was seen: a little below full, where queues begin.
+    /// The knee before any answer was seen: nothing is held back until answers are late.
     pub first_knee: Occupancy,
     /// Lowest knee that is learned. Below it servers have room, and late answers have other causes.
     pub least_knee: Occupancy,
@@ -16,8 +16,11 @@
     pub most_knee: Occupancy,
     /// Share of the answers at the knee that begin late.
     pub late_share: f64,
-    /// Change of the knee with an answer that shows it to be wrong.
-    pub knee_step: f64,
+    /// Fall of the knee with a late answer that shows it to be too high.
+    pub knee_fall: f64,
+    /// Rise of the knee with an answer in time that shows it to be too low. Slower than the fall: while
+    /// answers are late, callers are harmed with each of them.
+    pub knee_rise: f64,
     /// All requests are admitted up to this far below the knee.
     pub below_knee: f64,
     /// The share that is admitted reaches `least_share` this far above the knee.
@@ -53,11 +56,12 @@
 impl Default for RoomSettings {
     fn default() -> Self {
         Self {
-            first_knee: Occupancy(0.8),
-            least_knee: Occupancy(0.65),
+            first_knee: Occupancy(1.1),
+            least_knee: Occupancy(0.7),
             most_knee: Occupancy(1.1),
             late_share: 0.25,
-            knee_step: 0.02,
+            knee_fall: 0.06,
+            knee_rise: 0.02,
             below_knee: 0.2,
             above_knee: 0.2,
             hold_rate: 1.5,
