--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -15,7 +15,9 @@
         store_reads::ReadReason,
         view::NodeView,
     },
-    relay::{CallerLimits, RelayConfig, RequestKind, RouteRule, ServiceSplit},
+    relay::{
+        CallerLimits, RelayConfig, RequestKind, RouteRule, RouteTerms, ServiceSplit, ServingTerms,
+    },
     std::{
         net::SocketAddr,
         sync::{
@@ -372,7 +374,10 @@
         splits: vec![ServiceSplit { service: ServiceName::new("s").unwrap(), weight: 1.0 }],
     };
     let routes = (0..routes).map(|index| ("h".into(), rule(index))).collect();
+    let terms = RouteTerms { goal: Duration::from_millis(300), ..RouteTerms::default() };
+    let terms = ServingTerms::new([("route-0".into(), terms)], []);
     let relay = RelayConfig::new(version, routes, Vec::new(), CallerLimits::default());
+    let relay = relay.with_terms(terms);
     ConfigUpdate { era: StoreEra(0), relay, engines: Vec::new() }
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub(crate) mod log_text;
 
 use {
-    base::{BootClock, FailureDomainId, HostId, ServiceName, SharedClock, WorkspaceId},
+    base::{BootClock, FailureDomainId, HostId, ModelName, ServiceName, SharedClock, WorkspaceId},
     bytes::Bytes,
     futures::future::{BoxFuture, FutureExt, pending, ready},
     http::{HeaderMap, HeaderValue, Response, StatusCode, request, response},
@@ -162,14 +162,14 @@
             deadline: get("x-deadline")
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
-            model: None,
+            model: get("x-model").and_then(|name| ModelName::new(name).ok()),
             parts: PromptParts::new(
                 get("x-parts")
                     .into_iter()
                     .flat_map(|text| text.split(','))
                     .map(SuspectId::from_wire),
             ),
-            last_event: None,
+            last_event: get("x-last").and_then(|text| text.parse().ok()),
         })
     }
 
