--- a/crates/relay/src/room.rs
+++ b/crates/relay/src/room.rs
@@ -69,9 +69,9 @@
         verdict
     }
 
-    fn note_answer(&self, pool: &RoomPool, occupancy: Occupancy, is_late: bool) {
-        if let Some(gate) = self.gates.lock().get_mut(pool) {
-            gate.note_answer(occupancy, is_late);
+    fn note_answer(&self, demand: &RoomDemand, occupancy: Occupancy, wait: Duration) {
+        if let Some(gate) = self.gates.lock().get_mut(&demand.pool) {
+            gate.note_answer(occupancy, wait, demand.terms.goal);
         }
     }
 
@@ -127,8 +127,7 @@
         let Some(demand) = &ctx.room else { return };
         // A server that failed says nothing about the room at the others.
         let Some(occupancy) = progress.occupancy.filter(|_| !progress.is_disturbed) else { return };
-        let is_late = wait > demand.terms.goal;
-        self.shared.room.note_answer(&demand.pool, occupancy, is_late);
+        self.shared.room.note_answer(demand, occupancy, wait);
     }
 
     /// Whether room is scarce where the request can be served.
--- a/crates/scarce/src/gate.rs
+++ b/crates/scarce/src/gate.rs
@@ -131,7 +131,7 @@
         self.hold(occupancy, now);
         let share = self.share(occupancy);
         let class_share = self.demand.class_share(class, share, &self.settings, now);
-        let knee = self.knee.value();
+        let knee = self.knee.value(&self.settings);
         let is_surplus = class.is_surplus;
         let estimate = RoomEstimate { occupancy, knee, share, class_share, is_surplus };
         let begins = share.0 < 1.0 && self.spell.is_none();
@@ -153,10 +153,11 @@
         RoomVerdict { decision, estimate, begins, ended }
     }
 
-    /// Records whether the answer to a request, admitted at `occupancy`, began late. Answers that were
-    /// late because a server failed are left out.
-    pub fn note_answer(&mut self, occupancy: Occupancy, is_late: bool) {
-        self.knee.note(occupancy, is_late, &self.settings);
+    /// Records that the answer to a request, admitted at `occupancy`, began after `wait`, and the goal for
+    /// that. Answers that were late because a server failed are left out.
+    pub fn note_answer(&mut self, occupancy: Occupancy, wait: Duration, goal: Duration) {
+        let ratio = wait.as_secs_f64() / goal.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.knee.note(occupancy, ratio, &self.settings);
     }
 
     /// Whether room is scarce.
@@ -170,7 +171,7 @@
         if self.knee.has_other_cause() {
             return AdmitShare(1.0);
         }
-        let beyond = occupancy.0 - (self.knee.value().0 - below_knee);
+        let beyond = occupancy.0 - (self.knee.value(&self.settings).0 - below_knee);
         let most = 1.0 - least_share.0;
         let part = (beyond / (below_knee + above_knee)).clamp(0.0, 1.0) * most;
         AdmitShare(1.0 - (part + self.held).min(most))
@@ -181,7 +182,7 @@
         let RoomSettings { hold_rate, hold_step, least_share, .. } = self.settings;
         let step = now.since(self.decided_at).min(hold_step).as_secs_f64();
         self.decided_at = now;
-        let held = self.held + hold_rate * step * (occupancy.0 - self.knee.value().0);
+        let held = self.held + hold_rate * step * (occupancy.0 - self.knee.value(&self.settings).0);
         self.held = held.clamp(0.0, 1.0 - least_share.0);
     }
 
--- a/crates/scarce/src/knee.rs
+++ b/crates/scarce/src/knee.rs
@@ -1,6 +1,6 @@
 //! Learns the occupancy above which too many answers begin late.
 
-use crate::{quantity::Occupancy, settings::RoomSettings};
+use crate::{line::WaitLine, quantity::Occupancy, settings::RoomSettings};
 
 /// Answers after which the weight of an earlier one has fallen to a third.
 const MEMORY: f64 = 20.0;
@@ -36,6 +36,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OccupancyKnee {
     value: f64,
+    line: WaitLine,
     light: LateCount,
     below: LateCount,
     above: LateCount,
@@ -44,16 +45,27 @@
 impl OccupancyKnee {
     pub(crate) fn new(settings: &RoomSettings) -> Self {
         let none = LateCount::default();
-        Self { value: settings.first_knee.0, light: none, below: none, above: none }
+        Self {
+            value: settings.first_knee.0,
+            line: WaitLine::default(),
+            light: none,
+            below: none,
+            above: none,
+        }
     }
 
-    pub(crate) fn value(&self) -> Occupancy {
-        Occupancy(self.value)
+    /// The knee: that which late answers have shown, or the lower one that waits are heading for.
+    pub(crate) fn value(&self, settings: &RoomSettings) -> Occupancy {
+        let expected = self.line.reaches(settings.knee_ratio).map(|occupancy| occupancy.0);
+        let expected = expected.unwrap_or(f64::INFINITY).max(settings.least_knee.0);
+        Occupancy(self.value.min(expected))
     }
 
-    /// Records whether the answer to a request, admitted at `occupancy`, began late. The knee falls while
-    /// too many answers below it are late, and rises while few above it are.
-    pub(crate) fn note(&mut self, occupancy: Occupancy, is_late: bool, settings: &RoomSettings) {
+    /// Records an answer, to a request admitted at `occupancy`, that began after `ratio` goals. The knee
+    /// falls while too many answers below it are late, and rises while few above it are.
+    pub(crate) fn note(&mut self, occupancy: Occupancy, ratio: f64, settings: &RoomSettings) {
+        self.line.note(occupancy, ratio);
+        let is_late = ratio > 1.0;
         if occupancy.0 < self.value * LIGHT_PART {
             self.light.note(is_late);
         } else if occupancy.0 < self.value {
--- a/crates/scarce/src/lib.rs
+++ b/crates/scarce/src/lib.rs
@@ -14,6 +14,7 @@
 mod demand;
 mod gate;
 mod knee;
+mod line;
 mod quantity;
 mod settings;
 
--- a/crates/scarce/src/settings.rs
+++ b/crates/scarce/src/settings.rs
@@ -14,6 +14,8 @@
     pub least_knee: Occupancy,
     /// Highest knee that is learned. Beyond it requests queue at every server.
     pub most_knee: Occupancy,
+    /// Mean wait at the knee, in goals: with the usual spread of waits a quarter of them are late.
+    pub knee_ratio: f64,
     /// Share of the answers at the knee that begin late.
     pub late_share: f64,
     /// Fall of the knee with a late answer that shows it to be too high.
@@ -59,6 +61,7 @@
             first_knee: Occupancy(1.1),
             least_knee: Occupancy(0.7),
             most_knee: Occupancy(1.1),
+            knee_ratio: 0.9,
             late_share: 0.25,
             knee_fall: 0.06,
             knee_rise: 0.02,
--- a/crates/scarce/tests/model/world.rs
+++ b/crates/scarce/tests/model/world.rs
@@ -226,8 +226,8 @@
                     let wait_ms =
                         waited_ms + BASE_MS + (TOKENS_PER_EVENT / tokens) as u64 * STEP_MS;
                     call.wait_ms = Some(wait_ms + call.sent_ms - call.first_ms);
-                    let is_late = wait_ms > kind.goal_ms;
-                    self.gates[call.process].note_answer(Occupancy(call.occupancy), is_late);
+                    let [wait, goal] = [wait_ms, kind.goal_ms].map(Duration::from_millis);
+                    self.gates[call.process].note_answer(Occupancy(call.occupancy), wait, goal);
                 }
             }
         }
