--- a/crates/relay/tests/scarce_room.rs
+++ b/crates/relay/tests/scarce_room.rs
@@ -1,5 +1,6 @@
 //! Requests that are held back while servers have room for most but not for all.
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
 mod support;
 
 use {
