--- a/crates/relay/tests/scarce_room.rs
+++ b/crates/relay/tests/scarce_room.rs
@@ -19,8 +19,8 @@
 /// Requests of a case. The chance that all of them are admitted at this load is below one in a million.
 const ASKED: usize = 60;
 
-/// Starts a relay with one server of a model, as loaded as the report says.
-async fn start(server: &ScriptedServer, load: ServerLoad, has_goal: bool) -> TestRelay {
+/// Starts a relay with one server of a model.
+async fn start(server: &ScriptedServer, has_goal: bool) -> TestRelay {
     let relay = TestRelay::start(RequestKind::Stream { resumable: true }, &[server]).await;
     let engine = BackendServer {
         id: HostId::new("engine").unwrap(),
@@ -29,7 +29,6 @@
         model: Some(ModelName::new("m").unwrap()),
         counters: Arc::default(),
     };
-    engine.counters.note_load(load, relay.shared.clock.now());
     let service = ServiceName::new("s").unwrap();
     relay
         .shared
@@ -45,6 +44,13 @@
     relay
 }
 
+/// Reports the load of the server; reports fade with time.
+fn note_load(relay: &TestRelay, load: ServerLoad) {
+    let servers = relay.shared.servers.load();
+    let now = relay.shared.clock.now();
+    servers.all().for_each(|server| server.counters.note_load(load, now));
+}
+
 /// All of a model's servers were nearly full, and everybody was sent to them and answered late. Some
 /// requests are now refused at once, as not run and with a time to return; only where a goal is known,
 /// where room is scarce, and never one that is resumed.
@@ -63,9 +69,10 @@
 ) {
     let server = ScriptedServer::start(Behavior::SendAndClose(STREAM)).await;
     let load = ServerLoad { running, waiting: 0, slots: 50 };
-    let relay = start(&server, load, has_goal).await;
+    let relay = start(&server, has_goal).await;
     let mut refused = 0;
     for _ in 0..ASKED {
+        note_load(&relay, load);
         let answer = relay.ask(&format!("x-key: k\r\nx-model: m\r\n{extra}")).await;
         if answer.starts_with("HTTP/1.1 503") {
             assert!(answer.contains("room-scarce") && answer.contains("x-retry-ms"), "{answer}");
