--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -30,6 +30,11 @@
     tracing::info,
 };
 
+/// Like [`FIRST_EVENT_TIMEOUT`], while room is scarce and the server works on other requests: it is silent
+/// because it is full, and a second one would work on the request too. Leaves another server time before
+/// callers leave, after two seconds.
+const SCARCE_PATIENCE: Duration = Duration::from_millis(1_400);
+
 /// What counts as the answer to a stream. For other requests it is the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamSign {
@@ -130,8 +135,10 @@
                     let stalls = self.note_silent(&sends, &mut silent);
                     progress.is_disturbed |= stalls;
                     let is_over = failure.as_ref().is_some_and(|held| held.until <= Instant::now());
-                    if !stalls && !is_over && self.stays_at_full(ctx, &sends, sent_at) {
-                        search_at = Some(Instant::now() + FIRST_EVENT_TIMEOUT);
+                    let patient_until = sent_at + SCARCE_PATIENCE;
+                    let is_patient = !stalls && !is_over && self.has_scarce_room(ctx);
+                    if is_patient && Instant::now() < patient_until {
+                        search_at = Some(patient_until);
                         continue;
                     }
                 }
@@ -299,15 +306,6 @@
         }
     }
 
-    /// Whether the request waits on although its server is silent: while room is scarce, servers are
-    /// silent because they are full, and a second one would work for nobody. Not for longer than another
-    /// server needs before the caller leaves.
-    fn stays_at_full(&self, ctx: &CallContext, sends: &OpenSends<'_>, sent_at: Instant) -> bool {
-        !sends.is_empty()
-            && sent_at.elapsed() < FIRST_EVENT_TIMEOUT * 3 / 2
-            && self.has_scarce_room(ctx)
-    }
-
     /// Records that servers have been silent for too long, once for each. One that works on other
     /// requests is not held back for them. Returns whether one of them makes no progress.
     fn note_silent(&self, sends: &OpenSends<'_>, noted: &mut Vec<ServerId>) -> bool {
