--- a/crates/scarce/tests/scarce_room.rs
+++ b/crates/scarce/tests/scarce_room.rs
@@ -95,9 +95,8 @@
     assert!(others > hot && hot >= all / 4.0, "hot {hot}, others {others}, all {all}");
 }
 
-/// Load pattern: some callers repeat at once and often. They do not get ahead of those that return when
-/// they were told to, in answers that are in time by more than their repeats make up, and do not make the
-/// others late.
+/// Load pattern: while room is scarce, three in ten callers repeat at once and often. The others are still
+/// served in time at least half as often as without them.
 #[test]
 fn callers_that_repeat_at_once_do_not_make_others_late() {
     let hasty = Load { hasty: 0.3, ..load_in_the_dark() };
