--- a/crates/node/src/config_share.rs
+++ b/crates/node/src/config_share.rs
@@ -221,7 +221,8 @@
         let encoded = time_step("config encoded", || {
             let encoded = postcard::to_stdvec(&*self.update)?;
             // Earlier versions of this program ignore what follows the configuration.
-            postcard::to_extend(self.update.relay.engines(), encoded)
+            let encoded = postcard::to_extend(self.update.relay.engines(), encoded)?;
+            postcard::to_extend(self.update.relay.terms(), encoded)
         });
         let encoded = encoded.map_err(io::Error::other)?;
         Ok(self.encoded.get_or_init(|| Bytes::from(encoded)).clone())
@@ -247,11 +248,17 @@
     send_query(&mut link, ConfigQuery { known, wait: Duration::ZERO }, FETCH_LIMIT).await
 }
 
-/// Decodes a configuration. One from an earlier version of this program lacks the speeds of engines.
+/// Decodes a configuration. One from an earlier version of this program lacks the speeds of engines, or
+/// the goals and priorities.
 fn decode_config(encoded: &[u8]) -> Result<ConfigUpdate, postcard::Error> {
     let (mut update, rest): (ConfigUpdate, &[u8]) = postcard::take_from_bytes(encoded)?;
+    if rest.is_empty() {
+        return Ok(update);
+    }
+    let (speeds, rest) = postcard::take_from_bytes(rest)?;
+    update.relay = update.relay.with_engines(speeds);
     if !rest.is_empty() {
-        update.relay = update.relay.with_engines(postcard::from_bytes(rest)?);
+        update.relay = update.relay.with_terms(postcard::from_bytes(rest)?);
     }
     Ok(update)
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: routes, services, workspaces and limits for callers.
 
 use {
-    crate::request::RequestKind,
+    crate::{request::RequestKind, terms::ServingTerms},
     base::{ServiceName, WorkspaceId},
     cost::EngineSpeed,
     serde::{Deserialize, Serialize},
@@ -85,6 +85,10 @@
     hosts: HashMap<SmolStr, Vec<RouteRule>>,
     keys: HashMap<SmolStr, WorkspaceId>,
     has_keys: bool,
+    /// Goals and priorities. Sent to other processes behind the other fields, where an earlier version
+    /// of this program ignores them.
+    #[serde(skip)]
+    terms: ServingTerms,
     /// Limits on callers' requests and connections. A new version's limits on heads and on idle
     /// time apply to connections that are accepted later, its limit on bodies to all later
     /// requests.
@@ -121,7 +125,8 @@
                 keys.insert(key, workspace.name.clone());
             }
         }
-        Self { version, hosts, keys, has_keys, limits, engines: EngineSpeeds::new() }
+        let (terms, engines) = (ServingTerms::default(), EngineSpeeds::new());
+        Self { version, hosts, keys, has_keys, terms, limits, engines }
     }
 
     /// The same configuration with the speeds of its engines.
@@ -139,6 +144,16 @@
         self.engines.get(service)
     }
 
+    /// The same configuration with goals and priorities.
+    pub fn with_terms(self, terms: ServingTerms) -> Self {
+        Self { terms, ..self }
+    }
+
+    /// Goals and priorities.
+    pub fn terms(&self) -> &ServingTerms {
+        &self.terms
+    }
+
     /// The route of `host` with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
         self.hosts.get(host)?.iter().find(|rule| path.starts_with(rule.prefix.as_str()))
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod reader;
 pub mod request;
 pub mod retry;
+mod room;
 mod send;
 mod sends;
 pub mod serve;
@@ -53,6 +54,7 @@
 mod short_reads;
 pub mod standing;
 mod stopping;
+mod terms;
 mod trace;
 mod unfinished;
 mod unframed;
@@ -77,4 +79,5 @@
     shared::{RelayShared, ServerSign},
     standing::{CONFIG_TRUST, ConfigDoubt, ConfigStanding},
     stopping::{StopEffect, log_stop_effect},
+    terms::{RouteTerms, ServingTerms},
 };
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -107,6 +107,9 @@
     ConnectionsFull,
     /// Every server that could take the request is at the limit that it named; it was not run.
     AtLimit,
+    /// Servers have room for most requests but not for all, and this one would make others late; it was
+    /// not run.
+    RoomScarce,
     /// A part of the request's prompt crashes the servers that answer it; the request was not run.
     PoisonPart,
     /// The request crashes the servers that run it, as it did before under other ids; it was not run.
@@ -146,6 +149,7 @@
                 | Self::MemoryFull
                 | Self::ConnectionsFull
                 | Self::AtLimit
+                | Self::RoomScarce
                 | Self::PoisonPart
                 | Self::PoisonRequest
                 | Self::OnTrial
@@ -182,6 +186,7 @@
             Self::MemoryFull => "memory-full",
             Self::ConnectionsFull => "connections-full",
             Self::AtLimit => "at-limit",
+            Self::RoomScarce => "room-scarce",
             Self::PoisonPart => "poison-part",
             Self::PoisonRequest => "poison-request",
             Self::OnTrial => "on-trial",
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -10,6 +10,7 @@
         progress::CallProgress,
         pump::StreamPump,
         request::{Refusal, RefusalKind, RequestId, RequestKind},
+        room::RoomDemand,
         send::LiveAnswer,
         shared::RelayShared,
         trace::RequestTrace,
@@ -60,6 +61,8 @@
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
     pub(crate) size: Option<PromptSize>,
+    /// The room that it asks for; `None` where requests are served without asking.
+    pub(crate) room: Option<RoomDemand>,
     pub(crate) suspects: RequestSuspects,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -194,7 +197,9 @@
         let now = self.shared.clock.now();
         let out_of_time = ctx.expires_at.since(now) < MIN_REMAINING;
         let usual = match ctx.kind {
-            RequestKind::Stream { .. } => STREAM_RETRY_AFTER,
+            RequestKind::Stream { .. } => {
+                self.room_retry_after(ctx, now).unwrap_or(STREAM_RETRY_AFTER)
+            }
             _ => DEFAULT_RETRY_AFTER,
         };
         let no_server = match self.limit_retry_after(ctx, now) {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,6 +11,7 @@
         metrics::RelayMetrics,
         poison_watch::PoisonWatch,
         retry::RetryBudget,
+        room::RoomWatch,
         server::{BackendServer, ServerId, ServerTable},
         standing::ConfigStanding,
     },
@@ -64,6 +65,8 @@
     pub costs: Arc<CostBook>,
     /// Request rates that servers have named.
     pub limits: LimitWatch,
+    /// Room at the servers.
+    pub(crate) room: RoomWatch,
     /// Opens connections to servers.
     pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
@@ -96,6 +99,7 @@
             poison: PoisonWatch::new(clock.clone()),
             costs: Arc::new(costs),
             limits: LimitWatch::new(clock.clone()),
+            room: RoomWatch::default(),
             paths: Arc::default(),
             clock,
             buffers: Arc::default(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -5,8 +5,8 @@
 
 use {
     base::{
-        BootClock, FailureDomainId, HostId, RatePerSecond, ServiceName, SharedClock, TokenCount,
-        WorkspaceId,
+        BootClock, FailureDomainId, HostId, ModelName, RatePerSecond, ServiceName, SharedClock,
+        TokenCount, WorkspaceId,
     },
     bytes::Bytes,
     cost::{EngineSpeed, UsualSize},
@@ -166,7 +166,7 @@
             deadline: get("x-deadline")
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
-            model: None,
+            model: get("x-model").and_then(|name| ModelName::new(name).ok()),
             size: None,
             parts: PromptParts::new(
                 get("x-parts")
@@ -174,7 +174,7 @@
                     .flat_map(|text| text.split(','))
                     .map(SuspectId::from_wire),
             ),
-            last_event: None,
+            last_event: get("x-last").and_then(|text| text.parse().ok()),
         })
     }
 
