Keep entries dropped after an outage only until the servers are back

Cause: the store had turned one process away until 23.5 s. The entry was dropped at 24.5 s, within two seconds of the last failed read, and the process then kept it for two seconds from the drop, until 26.9 s; by then it had worked with the store again for three seconds. Ruled out: late pages (the page with the drop was read at 24.8 s like everywhere else).

Half a second is added for the pause between two reads.

The test fails on the code before (the entry is still listed).

--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -15,10 +15,13 @@
     tracing::info,
 };
 
-/// Time that a live server's entry is kept after the store dropped it in an outage. Servers that
-/// are alive register again within this time.
+/// Time within which servers that are alive register again after the store has come back. What is still
+/// missing then is gone.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Longest time from the last failed read of the store to the next one, which shows that it is back.
+const RETRY_MARGIN: Duration = Duration::from_millis(500);
+
 /// Time after an outage in which a server may still leave the list whose leave the outage hid: its
 /// entry expires after three missing heartbeats.
 const UNSEEN_LEAVE_SPAN: Duration = Duration::from_secs(6);
@@ -106,8 +109,8 @@
 }
 
 impl ServerList {
-    /// Records that the store does not answer. Live servers that it drops shortly afterwards are
-    /// kept for `OUTAGE_GRACE`.
+    /// Records that the store does not answer. Live servers that it drops meanwhile are kept until
+    /// `OUTAGE_GRACE` after it has come back.
     pub fn note_outage(&mut self, now: Tick) {
         self.failed_at = Some(now);
     }
@@ -251,10 +254,13 @@
     }
 
     fn remove_entry(&mut self, id: &ServerId, now: Tick, delta: &mut ServerListChanges) {
-        let after_outage = self.failed_at.is_some_and(|at| now.since(at) <= OUTAGE_GRACE);
+        // Counted from the outage: an entry that is dropped later, by a server that leaves, is kept for
+        // the rest of that time only.
+        let kept_until = self.failed_at.map(|at| at + OUTAGE_GRACE + RETRY_MARGIN);
+        let kept_until = kept_until.filter(|until| now < *until);
         let Some(server) = self.listed.get_mut(id) else { return };
-        if after_outage && server.entry.standing == ServerStanding::Live {
-            server.kept_until.get_or_insert(now + OUTAGE_GRACE);
+        if kept_until.is_some() && server.entry.standing == ServerStanding::Live {
+            server.kept_until = server.kept_until.or(kept_until);
         } else {
             self.delist(id, now);
             delta.removed.push(id.clone());
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -84,6 +84,21 @@
     assert_eq!(listed_ids(&list), ["b"]);
 }
 
+/// Guards against a server that got a request 2,027 ms after it had left the list: the store had turned
+/// the process away until 0.7 s before, and the time for which its entry was kept began anew.
+#[test]
+fn an_entry_dropped_after_an_outage_is_not_kept_longer() {
+    let mut list = ServerList::default();
+    list.apply(page(vec![listed("a"), listed("b")], true), START);
+    list.note_outage(after(5_000));
+    list.apply(page(vec![listed("c")], false), after(5_400));
+    list.apply(page(vec![dropped("a")], false), after(6_900));
+    list.expire(after(7_600));
+    assert_eq!(listed_ids(&list), ["b", "c"]);
+    list.apply(page(vec![dropped("b")], false), after(7_600));
+    assert_eq!(listed_ids(&list), ["c"]);
+}
+
 #[test]
 fn an_entry_that_is_listed_again_is_kept() {
     let mut list = ServerList::default();
