Take the bound of bodies from the memory settings, and refuse endless stall times

The check of a configuration compared bodies with half of the memory, which is not what a process holds: it takes the share of large bodies from MemorySettings now. engines.stall_ms of 1e300 was accepted and ended the process at its start, since no Duration holds it; at most ten minutes are accepted. The test of settings has the case.

--- a/crates/audit/src/checks.rs
+++ b/crates/audit/src/checks.rs
@@ -14,9 +14,6 @@
     },
 };
 
-/// Part of a process's memory that its bodies may take together; a body beyond it is always refused.
-const BODY_MEMORY_SHARE: f64 = 0.5;
-
 /// Finds what is wrong with a configuration, errors first. `bounds` adds what contradicts the settings of
 /// the processes.
 pub fn check_draft(draft: &ConfigDraft, bounds: Option<&ProcessBounds>) -> Vec<AuditFinding> {
@@ -183,11 +180,11 @@
 }
 
 fn check_bounds(draft: &ConfigDraft, bounds: &ProcessBounds, findings: &mut Vec<AuditFinding>) {
-    let body_memory = (bounds.memory.0 as f64 * BODY_MEMORY_SHARE) as usize;
-    if draft.limits.body_bytes > body_memory {
+    let body_memory = bounds.memory.large_bodies();
+    if draft.limits.body_bytes as u64 > body_memory.0 {
         let problem = format!(
-            "{} bytes are more than the {body_memory} that a process holds of all bodies",
-            draft.limits.body_bytes
+            "{} bytes are more than the {} that a process holds of large bodies",
+            draft.limits.body_bytes, body_memory.0
         );
         let advice = "lower it or give the processes more memory";
         findings.push(AuditFinding::error("limits.max_body_bytes", problem, advice));
--- a/crates/audit/src/draft.rs
+++ b/crates/audit/src/draft.rs
@@ -1,9 +1,9 @@
 //! A configuration as the operators wrote it, in the order of its entries.
 
 use {
-    base::{ByteCount, ServiceName},
+    base::ServiceName,
     node::EngineService,
-    relay::{CallerLimits, RouteRule, WorkspaceRule},
+    relay::{CallerLimits, MemorySettings, RouteRule, WorkspaceRule},
     smol_str::SmolStr,
     std::time::Duration,
 };
@@ -39,7 +39,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProcessBounds {
     /// Memory of one process.
-    pub memory: ByteCount,
+    pub memory: MemorySettings,
     /// Time between the order to stop and the end of a process.
     pub grace: Duration,
     /// Whether any request may be sent to a second server.
--- a/crates/audit/tests/findings.rs
+++ b/crates/audit/tests/findings.rs
@@ -4,7 +4,7 @@
     audit::{ConfigDraft, FindingLevel, HostRoute, ProcessBounds, check_draft, compare_drafts},
     base::{ByteCount, ModelName, ServiceName, WorkspaceId},
     node::{EngineService, ModelRule},
-    relay::{RequestKind, RouteRule, ServiceSplit, WorkspaceRule},
+    relay::{MemorySettings, RequestKind, RouteRule, ServiceSplit, WorkspaceRule},
     std::time::Duration,
     yare::parameterized,
 };
@@ -58,7 +58,7 @@
 }
 
 const BOUNDS: ProcessBounds = ProcessBounds {
-    memory: ByteCount(64_000_000),
+    memory: MemorySettings { limit: ByteCount(64_000_000) },
     grace: Duration::from_secs(8),
     allows_retries: true,
 };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -19,6 +19,8 @@
 
 const BYTES_PER_MB: f64 = 1e6;
 const MS_PER_S: f64 = 1e3;
+/// Longest time of `engines.stall_ms`: ten minutes. Much longer ones can't be represented.
+const MAX_STALL_MS: f64 = 600_000.0;
 
 /// Why the settings can't be used.
 #[derive(Debug, Snafu)]
@@ -292,7 +294,8 @@
     let memory_mb = settings.limits.memory_mb;
     range(finite(memory_mb) && memory_mb > 0.0, "limits.memory_mb", "must be above 0")?;
     let stall_ms = settings.engines.stall_ms;
-    range(finite(stall_ms) && stall_ms > 0.0, "engines.stall_ms", "must be above 0")?;
+    let is_time = finite(stall_ms) && stall_ms > 0.0 && stall_ms <= MAX_STALL_MS;
+    range(is_time, "engines.stall_ms", "must be above 0 and at most 600000")?;
     range(settings.limits.max_fds > 0, "limits.max_fds", "must be above 0")?;
     range(settings.grace_s > 0.0, "grace_s", "must be above 0")?;
     let are_requests = settings.admitted_requests.iter().all(|id| read_request_id(id).is_some());
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -102,6 +102,7 @@
     no_descriptors = { "first_start: true", "limits: {max_fds: 0}", "limits.max_fds" },
     negative = { "ratio: 0.2", "ratio: -1", "repeats.ratio" },
     no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
+    endless_stall_time = { "first_start: true", "engines: {stall_ms: 1e300}", "engines.stall_ms" },
     no_stall_time = { "first_start: true", "engines: {stall_ms: 0}", "engines.stall_ms" },
     no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
     no_address = { "callers: 127.0.0.1:8227", "callers: nowhere", "callers" },
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -57,6 +57,17 @@
     }
 }
 
+impl MemorySettings {
+    /// Bytes that large bodies may hold together; a body beyond it is always refused.
+    pub fn large_bodies(&self) -> ByteCount {
+        ByteCount(self.part(LARGE_BODY_PERCENT) as u64)
+    }
+
+    fn part(&self, percent: usize) -> usize {
+        usize::try_from(self.limit.0).unwrap_or(usize::MAX) / 100 * percent
+    }
+}
+
 /// There is no room for a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryShortage {
@@ -97,8 +108,7 @@
 impl MemoryBudget {
     /// A budget that holds nothing yet.
     pub fn new(settings: MemorySettings) -> Self {
-        let limit = usize::try_from(settings.limit.0).unwrap_or(usize::MAX);
-        let part = |percent| limit / 100 * percent;
+        let part = |percent| settings.part(percent);
         Self {
             large_bodies: part(LARGE_BODY_PERCENT),
             all_bodies: part(ALL_BODIES_PERCENT),
