--- a/crates/relay/tests/takeover_crashes.rs
+++ b/crates/relay/tests/takeover_crashes.rs
@@ -43,7 +43,9 @@
 /// Requests that reach the third server after the first one has crashed under one with a part that was
 /// at a crash before.
 async fn arrivals_after_break(second: Option<Behavior>, crashes: bool) -> usize {
-    let crashing = breaking_server(Duration::from_millis(1_000), crashes).await;
+    // Places are looked for 0.70, 0.95 and 1.20 s after the first event. The third server is listed
+    // between the last two, and the first one ends in between too.
+    let crashing = breaking_server(Duration::from_millis(1_125), crashes).await;
     let relay =
         TestRelay::start_with(RequestKind::Stream { resumable: true }, 3, vec![crashing]).await;
     let part = SuspectId::from_wire("f1");
@@ -64,7 +66,7 @@
         sleep(Duration::from_millis(100)).await;
         let mut list = Vec::from_iter(second.as_ref().map(|server| server.address));
         relay.replace_servers(list.clone());
-        sleep(Duration::from_millis(850)).await;
+        sleep(Duration::from_millis(950)).await;
         // Keeps the first id, so that the second server counts as tried.
         list.push(third.address);
         relay.replace_servers(list);
