Announce the whole stream in the test of scarce room

Its server announced 23 bytes of 24, so that a stream could end within an event; the server was then in back-off, its pool without any server that counts, and everything was admitted.

--- a/crates/relay/tests/scarce_room.rs
+++ b/crates/relay/tests/scarce_room.rs
@@ -14,7 +14,7 @@
     yare::parameterized,
 };
 
-const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 23\r\n\r\n\
+const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 24\r\n\r\n\
                       id: 1\ndata: a\n\ndata: b\n\n";
 /// Requests of a case. The chance that all of them are admitted at this load is below one in a million.
 const ASKED: usize = 60;
