Compute the expected wait for the two servers that are drawn only

A choice among model engines computed the expected time to the first event at every candidate and used two of them. pick_candidate takes the paces, which the draw needs, and a function for the waits; the struct that paired them is gone. The tests keep their assertions.

--- a/crates/cost/benches/choice.rs
+++ b/crates/cost/benches/choice.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{RatePerSecond, TokenCount},
-    cost::{Candidate, EngineSpeed, ServerWork, UsualSize, pick_candidate},
+    cost::{EngineSpeed, ServerWork, UsualSize, pick_candidate},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -36,13 +36,8 @@
     let mut sample = 0_u64;
     bencher.bench_local(move || {
         sample = sample.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let candidates: Vec<Candidate> = works
-            .iter()
-            .map(|work| {
-                let wait = work.first_event(&speed, 0.6, TokenCount(1_400));
-                Candidate { wait, pace: work.pace }
-            })
-            .collect();
-        pick_candidate(&candidates, sample)
+        let paces: Vec<f64> = works.iter().map(|work| work.pace).collect();
+        let wait = |index: usize| works[index].first_event(&speed, 0.6, TokenCount(1_400));
+        pick_candidate(&paces, wait, sample)
     });
 }
--- a/crates/cost/src/choice.rs
+++ b/crates/cost/src/choice.rs
@@ -7,25 +7,22 @@
 /// on all processes: with a sharper choice all of them pick the same servers until the next report.
 const CHOICE_SCALE: f64 = 0.1;
 
-/// A server that may get a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Candidate {
-    /// Expected time to the first event there.
-    pub wait: Duration,
-    /// Slowdown of the server; 1 is usual.
-    pub pace: f64,
-}
-
 /// Draws two candidates in proportion to their speed, and takes the one that is expected to be earlier
 /// with a probability that grows with the difference. Without the first, a slow server would get
-/// whatever is drawn for it and another slow one. Returns an index; `None` without candidates.
-pub fn pick_candidate(candidates: &[Candidate], sample: u64) -> Option<usize> {
-    if candidates.len() < 2 {
-        return (!candidates.is_empty()).then_some(0);
+/// whatever is drawn for it and another slow one. `paces` are the candidates' slowdowns, 1 is usual; `wait`
+/// is the expected time to the first event at one of them, by its index. Returns an index; `None` without
+/// candidates.
+pub fn pick_candidate(
+    paces: &[f64],
+    wait: impl Fn(usize) -> Duration,
+    sample: u64,
+) -> Option<usize> {
+    if paces.len() < 2 {
+        return (!paces.is_empty()).then_some(0);
     }
-    let first = draw(candidates, None, fraction(sample, 0))?;
-    let second = draw(candidates, Some(first), fraction(sample, 1))?;
-    let takes_first = prefers_first(candidates[first].wait, candidates[second].wait, sample);
+    let first = draw(paces, None, fraction(sample, 0))?;
+    let second = draw(paces, Some(first), fraction(sample, 1))?;
+    let takes_first = prefers_first(wait(first), wait(second), sample);
     Some(if takes_first { first } else { second })
 }
 
@@ -41,13 +38,13 @@
 }
 
 /// Draws a candidate other than `except`, in proportion to its speed.
-fn draw(candidates: &[Candidate], except: Option<usize>, fraction: f64) -> Option<usize> {
-    let speed = |candidate: &Candidate| 1.0 / candidate.pace.max(f64::EPSILON);
-    let drawn = || candidates.iter().enumerate().filter(|(index, _)| Some(*index) != except);
-    let total: f64 = drawn().map(|(_, candidate)| speed(candidate)).sum();
+fn draw(paces: &[f64], except: Option<usize>, fraction: f64) -> Option<usize> {
+    let speed = |pace: &f64| 1.0 / pace.max(f64::EPSILON);
+    let drawn = || paces.iter().enumerate().filter(|(index, _)| Some(*index) != except);
+    let total: f64 = drawn().map(|(_, pace)| speed(pace)).sum();
     let mut left = fraction * total;
-    for (index, candidate) in drawn() {
-        left -= speed(candidate);
+    for (index, pace) in drawn() {
+        left -= speed(pace);
         if left < 0.0 {
             return Some(index);
         }
--- a/crates/cost/src/lib.rs
+++ b/crates/cost/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use crate::{
     answers::{AnswerEnd, AnswerKind, AnswerSizes, OutputEstimate},
-    choice::{Candidate, pick_candidate, prefers_first},
+    choice::{pick_candidate, prefers_first},
     errors::{FirstEventErrors, FirstEventEstimate},
     fading::{FailureShare, PaceMean, PaceReport},
     size::{PromptSize, SizeClass},
--- a/crates/cost/tests/estimates.rs
+++ b/crates/cost/tests/estimates.rs
@@ -3,8 +3,8 @@
 use {
     base::{RatePerSecond, Tick, TokenCount},
     cost::{
-        AnswerEnd, AnswerKind, AnswerSizes, Candidate, EngineSpeed, FailureShare, FirstEventErrors,
-        PaceMean, PaceReport, PromptSize, RequestCost, ServerWork, UsualSize, pick_candidate,
+        AnswerEnd, AnswerKind, AnswerSizes, EngineSpeed, FailureShare, FirstEventErrors, PaceMean,
+        PaceReport, PromptSize, RequestCost, ServerWork, UsualSize, pick_candidate,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -183,11 +183,14 @@
 /// With a sharp choice all processes pick the same server; a slow one gets what its speed allows.
 #[test]
 fn earlier_server_is_taken_more_often_and_never_alone() {
-    let candidate = |ms, pace| Candidate { wait: Duration::from_millis(ms), pace };
-    let share = |candidates: &[Candidate], index| {
-        let picked = (0..10_000_u64).map(|sample| {
-            pick_candidate(candidates, sample.wrapping_mul(0x9e37_79b9_7f4a_7c15)).unwrap()
-        });
+    let candidate = |ms, pace| (Duration::from_millis(ms), pace);
+    let pick = |candidates: &[(Duration, f64)], sample| {
+        let paces: Vec<f64> = candidates.iter().map(|(_, pace)| *pace).collect();
+        pick_candidate(&paces, |index| candidates[index].0, sample)
+    };
+    let share = |candidates: &[(Duration, f64)], index| {
+        let picked = (0..10_000_u64)
+            .map(|sample| pick(candidates, sample.wrapping_mul(0x9e37_79b9_7f4a_7c15)).unwrap());
         picked.filter(|picked| *picked == index).count() as f64 / 10_000.0
     };
     let equal = [candidate(100, 1.0); 4];
@@ -196,6 +199,6 @@
     assert!((0.65..0.80).contains(&share(&close, 0)));
     let slow = [candidate(100, 1.0), candidate(500, 5.0), candidate(500, 5.0)];
     assert!(share(&slow, 0) > 0.8);
-    assert_eq!(pick_candidate(&[], 1), None);
-    assert_eq!(pick_candidate(&slow[..1], 1), Some(0));
+    assert_eq!(pick(&[], 1), None);
+    assert_eq!(pick(&slow[..1], 1), Some(0));
 }
--- a/crates/cost/tests/model/mod.rs
+++ b/crates/cost/tests/model/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     base::{RatePerSecond, Tick, TokenCount},
-    cost::{Candidate, EngineSpeed, PaceMean, PaceReport, ServerWork, UsualSize, pick_candidate},
+    cost::{EngineSpeed, PaceMean, PaceReport, ServerWork, UsualSize, pick_candidate},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::{
@@ -276,14 +276,11 @@
                     views.iter().filter_map(|view| view.pace.recent(tick(now))).collect();
                 let usual_pace = paces.iter().sum::<f64>() / paces.len().max(1) as f64;
                 let usual_pace = if paces.is_empty() { 1.0 } else { usual_pace };
-                let candidates: Vec<Candidate> = (0..servers)
-                    .map(|server| {
-                        let work = self.work(&self.views[process][server], usual_pace, now);
-                        let wait = work.first_event(&self.speed, 1.0, prompt);
-                        Candidate { wait, pace: work.pace }
-                    })
-                    .collect();
-                pick_candidate(&candidates, sample).unwrap()
+                let works: Vec<ServerWork> =
+                    views.iter().map(|view| self.work(view, usual_pace, now)).collect();
+                let paces: Vec<f64> = works.iter().map(|work| work.pace).collect();
+                let wait = |index: usize| works[index].first_event(&self.speed, 1.0, prompt);
+                pick_candidate(&paces, wait, sample).unwrap()
             }
             ChoiceRule::Clairvoyant => {
                 let wait = |server: &usize| self.true_wait(*server, prompt, now);
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -6,7 +6,7 @@
         server::{BackendServer, ServerId},
     },
     base::Tick,
-    cost::{Candidate, pick_candidate, prefers_first},
+    cost::{pick_candidate, prefers_first},
     std::time::Duration,
 };
 
@@ -116,12 +116,10 @@
     facts: &ChoiceFacts<'_>,
 ) -> Option<&'a BackendServer> {
     let usual = usual_pace(servers.iter().copied(), facts.now);
-    let candidate = |server: &&BackendServer| Candidate {
-        wait: work.first_event(server, usual, facts.now),
-        pace: server.counters.pace(usual, facts.now),
-    };
-    let candidates: Vec<Candidate> = servers.iter().map(candidate).collect();
-    pick_candidate(&candidates, facts.sample).map(|index| servers[index])
+    let paces: Vec<f64> =
+        servers.iter().map(|server| server.counters.pace(usual, facts.now)).collect();
+    let wait = |index: usize| work.first_event(servers[index], usual, facts.now);
+    pick_candidate(&paces, wait, facts.sample).map(|index| servers[index])
 }
 
 fn cheaper_of_two<'a>(
