--- a/crates/node/src/config_tracker.rs
+++ b/crates/node/src/config_tracker.rs
@@ -27,7 +27,7 @@
 const MAX_CLAIMS: usize = 64;
 /// While nobody's configuration is confirmed, each process reads the store about once in this time
 /// for each process of the system, so that all together read it a few times per second.
-const READ_SPREAD: Duration = Duration::from_millis(250);
+pub(crate) const READ_SPREAD: Duration = Duration::from_millis(250);
 
 base::value_type!(
     /// What a process says about its own configuration.
--- a/crates/node/src/outage_turns.rs
+++ b/crates/node/src/outage_turns.rs
@@ -3,10 +3,11 @@
 //! The store counts refused calls too. Processes that all read for themselves in an outage make
 //! hundreds of calls a second, and more when the store comes back.
 
-use {parking_lot::Mutex, std::time::Duration, tokio::time::Instant};
+use {
+    crate::config_tracker::READ_SPREAD, parking_lot::Mutex, std::time::Duration,
+    tokio::time::Instant,
+};
 
-/// Time in which one process of the system reads a table: all of them together do so some times a second.
-const READ_SPREAD: Duration = Duration::from_millis(250);
 /// Longest time between two reads of one process. The processes that read for others notice the end of
 /// an outage sooner; this bounds the delay where only they are cut off.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
