Wait for heads that announce their leave while probes of them fail

Cause: whether a head leaves gracefully was told from its last probe. With failed probes the announcement did not count, so the head was taken for ended 1.5 s after the first failed probe, which may be long before the announcement.

Now the announcement decides, whatever probes say, and the 11 s in which a leaving host finishes its requests count from it.

--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -35,6 +35,8 @@
     /// have left while the list was out of date. Such a
     /// host finishes its requests after it has stopped listening.
     leaves_gracefully: bool,
+    /// When the list first showed that the host has announced its leave.
+    announced_at: Option<Tick>,
     pub(super) state: Option<EngineState>,
     /// Time as of which the present `state` was first reported.
     state_changed_at: Tick,
@@ -65,9 +67,10 @@
 const LATE_ANSWER: Duration = Duration::from_millis(100);
 
 impl HostRecord {
-    pub(super) fn new(entry: StagedHost) -> Self {
+    pub(super) fn new(entry: StagedHost, now: Tick) -> Self {
         Self {
             leaves_gracefully: !entry.listed || entry.leaving,
+            announced_at: entry.leaving.then_some(now),
             entry,
             state: None,
             state_changed_at: Tick(0),
@@ -84,7 +87,7 @@
     }
 
     /// Applies the host's entry in the host list; `None` if the list no longer holds one.
-    pub(super) fn apply_listing(&mut self, entry: Option<&StagedHost>) {
+    pub(super) fn apply_listing(&mut self, entry: Option<&StagedHost>, now: Tick) {
         let stays = entry.is_some_and(|entry| entry.listed && !entry.leaving);
         let stayed = self.entry.listed && !self.entry.leaving;
         if stays {
@@ -99,6 +102,13 @@
             Some(entry) => self.entry = entry.clone(),
             None => self.entry.listed = false,
         }
+        if self.entry.leaving {
+            // By its own word, whatever probes say: its links may be harmed besides.
+            self.leaves_gracefully = true;
+            self.announced_at.get_or_insert(now);
+        } else {
+            self.announced_at = None;
+        }
     }
 
     /// Records the engine's state, unless it may be older than the known one: reports of an earlier
@@ -264,9 +274,10 @@
         self.is_unanswered_for(after, now)
     }
 
+    /// Whether no probe has been answered for `span`, nor since the host announced its leave.
     fn is_unanswered_for(&self, span: Duration, now: Tick) -> bool {
-        self.failed_probes >= DOWN_PROBES
-            && self.unanswered_since.is_some_and(|since| now.since(since) >= span)
+        let since = self.unanswered_since.max(self.announced_at);
+        self.failed_probes >= DOWN_PROBES && since.is_some_and(|since| now.since(since) >= span)
     }
 
     /// Whether the host, as a head, may run requests although its report does not say so yet: it was
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -236,13 +236,13 @@
     fn sync_hosts(&mut self, hosts: &[StagedHost], now: Tick) {
         let known: BTreeSet<&HostId> = hosts.iter().map(|entry| &entry.host).collect();
         for (_, record) in self.hosts.iter_mut().filter(|(host, _)| !known.contains(host)) {
-            record.apply_listing(None);
+            record.apply_listing(None, now);
         }
         for entry in hosts {
             match self.hosts.get_mut(&entry.host) {
-                Some(record) => record.apply_listing(Some(entry)),
+                Some(record) => record.apply_listing(Some(entry), now),
                 None => {
-                    self.hosts.insert(entry.host.clone(), HostRecord::new(entry.clone()));
+                    self.hosts.insert(entry.host.clone(), HostRecord::new(entry.clone(), now));
                 }
             }
         }
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -237,6 +237,20 @@
     assert!(took.is_some_and(|took| took <= CRASH_BOUND), "took {took:?}");
 }
 
+/// A head whose probes had failed when it announced its leave was taken for ended 1.5 s after the first of
+/// them, while it finished its requests, and its members joined another group.
+#[test]
+fn members_wait_for_a_head_that_leaves_out_of_reach() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.run_requests(&head, Duration::from_secs(9));
+    rig.set_condition(&head, HostCondition::CutFromOwner);
+    rig.run(Duration::from_secs(3));
+    rig.set_condition(&head, HostCondition::Leaving);
+    rig.run(Duration::from_secs(9));
+    rig.assert_no_violations();
+}
+
 /// A head that was cut off before it opened followed the order to open seconds later, so that its break
 /// time began anew. Its members, or itself as it came back, joined another group while it was open.
 #[parameterized(
