Order members out before use where a head refuses connections

Cause: a refused connection was taken for the end of the process. It is a good sign of a crash, but a full server gives it too.

Now such a group counts as presumed to be broken: its members get the order to leave at the time at which they were joined before, and join once they are out. A crash is repaired within the same bound.

Evidence: the new test fails on the code before ("h1 joins d0.1-3 while d0.1-1 is open") and passes now, as do all tests of the four programs of staged groups, among them a_crashed_head_is_replaced_as_soon_as_its_entry_expires.

--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -58,10 +58,16 @@
             return self.break_head(composition, now);
         };
         let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
-        if record.has_ended(now, &self.settings) || boot_id != composition.boot_ids[0] {
+        if boot_id != composition.boot_ids[0] {
             self.record_dissolved(composition, HeadEnd::Known, now);
             return true;
         }
+        if record.has_ended(now, &self.settings) {
+            // An engine that runs may refuse connections too, for want of room.
+            self.order_members_out(composition, now);
+            self.record_dissolved(composition, HeadEnd::Presumed, now);
+            return true;
+        }
         let is_out_of_reach = record.is_out_of_reach(now, &self.settings);
         if self.has_left(composition, &head) {
             self.record_dissolved(composition, HeadEnd::Known, now);
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -251,6 +251,18 @@
     rig.assert_no_violations();
 }
 
+/// A head that refused connections for want of room, and was cut off from the host list, was taken for
+/// ended: its members joined another group while it was open.
+#[test]
+fn members_leave_a_head_that_refuses_connections_before_they_join_others() {
+    let mut rig = serving_small();
+    let head = rig.member_of_serving(0);
+    rig.set_condition(&head, HostCondition::Refusing);
+    let took = rig.run_until(LONG, |rig| rig.serving_without(&head) == 1);
+    rig.assert_no_violations();
+    assert!(took.is_some_and(|took| took <= CRASH_BOUND), "took {took:?}");
+}
+
 /// A head that was cut off before it opened followed the order to open seconds later, so that its break
 /// time began anew. Its members, or itself as it came back, joined another group while it was open.
 #[parameterized(
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -53,6 +53,8 @@
     /// The same, but the host list, which was out of date, shows the host as staying until its entry
     /// expires. Connections are refused.
     LeavingUnseen,
+    /// The engine runs, refuses further connections, and can't write to the host list.
+    Refusing,
 }
 
 struct RigHost {
@@ -535,7 +537,7 @@
                     let state = states[host.answered_by.as_ref().unwrap_or(id)].clone();
                     self.planner.observe(id, ObservationSource::Engine, self.now, state);
                 }
-                HostCondition::LeavingUnseen | HostCondition::Crashed => {
+                HostCondition::LeavingUnseen | HostCondition::Crashed | HostCondition::Refusing => {
                     host.last_probe = self.now.back(PROBE_INTERVAL - STEP);
                     self.planner.record_probe_failure(id, self.now, ProbeFailure::Refused);
                 }
@@ -664,6 +666,7 @@
         | HostCondition::Crashed
         | HostCondition::CutFromList
         | HostCondition::CutOff
+        | HostCondition::Refusing
         | HostCondition::LeavingUnseen => now.since(host.condition_since) < LIST_EXPIRY,
     }
 }
