--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -316,3 +316,14 @@
         rig.assert_no_violations_in(&format!("seed {seed}"));
     }
 }
+
+/// A late join and a late open arrive between the leave of a host and its next join, from an owner whose
+/// orders the engine should refuse.
+#[test]
+fn schedule_20836_keeps_groups_apart_where_engines_ignore_terms() {
+    let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
+    rig.engines_ignore_terms = true;
+    rig.first_groups = vec!["big", "small"];
+    rig.run_schedule(20_836, 5);
+    rig.assert_no_violations();
+}
