--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -47,7 +47,7 @@
 pub(super) enum HeadEnd {
     /// It has ended, has started again or has left the composition.
     Known,
-    /// It has lacked a member for the break time, but nobody has reached it.
+    /// It counts as broken or ended, and nobody has reached it: it may still be open.
     Presumed,
 }
 
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -148,6 +148,7 @@
         };
         let lacked = now.since(loss.since);
         if lacked >= self.settings.stall_time {
+            // Early enough for them to be out when they are needed.
             self.order_members_out(composition, now);
         }
         let is_broken = lacked >= self.settings.break_time();
@@ -157,8 +158,8 @@
         is_broken
     }
 
-    /// Orders all reachable members to leave, so that they are free once the head counts as broken. An
-    /// order to open that was carried out late may have started its break time anew.
+    /// Orders all reachable members out of a composition whose head may be open even when it counts as
+    /// broken: an order to open that was carried out late starts its break time anew.
     fn order_members_out(&mut self, composition: &Composition, now: Tick) {
         for member in composition.members.iter().skip(1).flatten() {
             if self.is_reachable_member(composition, member) {
