--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -101,12 +101,12 @@
 
     /// Orders hosts in no composition to leave those that are dissolved. A later owner would not know
     /// that and would adopt the compositions that they still report.
-    pub(super) fn remove_stale_members(&mut self, input: &StagedInput<'_>) {
-        for host in self.unassigned_hosts(input) {
-            let Some(membership) = self.hosts[&host].membership().cloned() else { continue };
+    pub(super) fn remove_stale_members(&mut self, unassigned: &[HostId], now: Tick) {
+        for host in unassigned {
+            let Some(membership) = self.hosts[host].membership().cloned() else { continue };
             if self.dissolved.contains_key(&(membership.group.clone(), membership.epoch)) {
                 let Membership { group, epoch, .. } = membership;
-                self.order(&host, StagedCommand::Leave { group, epoch }, input.now);
+                self.order(host, StagedCommand::Leave { group, epoch }, now);
             }
         }
     }
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -15,13 +15,17 @@
     /// Usable hosts that are in no composition, not even in one that is dissolved and whose head may be
     /// open.
     pub(super) fn free_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
-        let mut hosts = self.unassigned_hosts(input);
+        self.only_free(self.unassigned_hosts(input))
+    }
+
+    /// Those of unassigned hosts that need not leave a composition first.
+    fn only_free(&self, mut hosts: Vec<HostId>) -> Vec<HostId> {
         hosts.retain(|host| !self.must_leave_first(&self.hosts[host]));
         hosts
     }
 
     /// Usable hosts that belong to no composition that still exists, and have not left one.
-    pub(super) fn unassigned_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
+    fn unassigned_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
         let free = |host: &HostId, record: &HostRecord| {
             let holds = |composition: &Composition| {
                 composition.has(host)
@@ -169,8 +173,9 @@
     /// Stages models on free hosts: first the models that complete further groups out of the free
     /// hosts, then one model on each host that has none, so that it can repair a group quickly.
     pub(super) fn stage_models(&mut self, input: &StagedInput<'_>) {
-        let free = self.free_hosts(input);
-        self.remove_stale_members(input);
+        let unassigned = self.unassigned_hosts(input);
+        let free = self.only_free(unassigned.clone());
+        self.remove_stale_members(&unassigned, input.now);
         let forming =
             |composition: &Composition| matches!(composition.phase, CompositionPhase::Forming(_));
         if !input.in_traffic && (input.list_incomplete || self.compositions.values().any(forming)) {
