Ask silent owners through the store where most processes are silent

Cause: member rows of processes that lost their power stay. A process that heard nobody took itself for cut off and all others for alive, whether or not the store answered it (MemberTable::is_isolated), so the dead owner kept its domain. The process that should claim a domain was also looked for among the dead ones (owners::preferred_owner).

Ruled out: a time-out on gossip.

Change: silence says that an owner has ended only while most processes are heard, and counts from when they are. Else the owner is asked by a row in the store, answers it by writing its member row again, and is removed if it does not within 2.5 s, by a transaction that any answer before it prevents.

Tests changed: one_process_claims_the_domain_of_an_owner_that_is_down jumped 2.5 s without a message of anybody, which is no silence of the owner alone any more; it hears the others all the while now. The model of store_era lets time pass in steps of 100 ms, as processes note that they run, and takes each challenge for unanswered; its planted faults are found as before.

--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -42,18 +42,31 @@
         self.claim_attempts.insert(domain.clone(), now);
         let row = OwnerRow { term, owner: Some(self.own.clone()) };
         let claimed = OwnedRow { row, version: expected, era };
+        let evidence = self.evidence(domain);
         let table = self.table.clone();
         let events = self.events.clone();
         let domain = domain.clone();
         info!(decision = "domain-claim", domain = %domain, term = term.0,
             expected = expected.0, "groups");
         tokio::spawn(async move {
-            let row = write_owner(&*table, &domain, claimed).await;
+            let row = write_owner(&*table, &domain, claimed, evidence).await;
             // Sending fails only after the control loop has ended.
             let _ = events.send(ControlEvent::Claimed { domain, row });
         });
     }
 
+    /// What must still hold of the present owner when a claim of its domain is carried out, which may be
+    /// seconds after it was sent: that the owner has not written its member row again.
+    fn evidence(&self, domain: &FabricDomainId) -> Transaction {
+        let owner_version = self.view.with(|state| {
+            let owner = state.domains.get(domain)?.row.owner.as_ref()?;
+            let version = state.members.expected_version(&owner.node)?;
+            (owner.node != self.own.node).then(|| (owner.node.clone(), version))
+        });
+        let Some((node, version)) = owner_version else { return Transaction::default() };
+        Transaction::default().expect(RowName::Member(node).key(), version)
+    }
+
     /// Clears the owner in the rows of all domains that this process owns, so that other processes
     /// can claim them without waiting for this one to be considered down.
     pub(super) async fn release_domains(&mut self) {
@@ -64,7 +77,9 @@
             let Some(known) = known else { continue };
             let row = OwnerRow { term: known.row.term, owner: None };
             // Otherwise another process claims it once the member row is gone.
-            if write_owner(&*self.table, &domain, OwnedRow { row, ..known }).await.is_some() {
+            let released = OwnedRow { row, ..known };
+            let written = write_owner(&*self.table, &domain, released, Transaction::default());
+            if written.await.is_some() {
                 info!(decision = "domain-given-away", domain = %domain, "groups");
             }
         }
@@ -75,7 +90,7 @@
 /// era, so a claim that takes effect late could otherwise replace one of a later era whose row
 /// happens to have the expected version. Each claim writes a row for its own era and for the
 /// [`MARKED_ERAS`] before it, and expects that the next era has no such row.
-fn mark_era(transaction: Transaction, era: StoreEra) -> Transaction {
+pub(super) fn mark_era(transaction: Transaction, era: StoreEra) -> Transaction {
     let transaction = transaction.expect_absent(era_key(era.next()));
     let first = era.0.saturating_sub(MARKED_ERAS).max(1);
     (first..=era.0)
@@ -86,12 +101,13 @@
     format_smolstr!("era/{era}")
 }
 
-/// Writes a domain's owner row if the stored row still has the version in `claimed`. Returns the row
-/// as written, or `None` if the write failed or its outcome is unknown.
+/// Writes a domain's owner row if the stored row still has the version in `claimed` and the conditions of
+/// `evidence` hold. Returns the row as written, or `None` if the write failed or its outcome is unknown.
 async fn write_owner<T: TableStore>(
     table: &T,
     domain: &FabricDomainId,
     claimed: OwnedRow,
+    evidence: Transaction,
 ) -> Option<OwnedRow> {
     let key = RowName::Domain(domain.clone()).key();
     let value = match serde_json::to_string(&claimed.row) {
@@ -101,7 +117,7 @@
             return None;
         }
     };
-    let transaction = Transaction::default().expect(key.clone(), claimed.version).put(key, value);
+    let transaction = evidence.expect(key.clone(), claimed.version).put(key, value);
     let transaction = mark_era(transaction, claimed.era);
     match table.commit(transaction).await {
         Ok(CommitOutcome::Committed { version, era }) if era == claimed.era => {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the planners of the fabric domains that this process owns.
 
+mod challenges;
 mod claims;
 mod pace;
 mod slow_members;
@@ -7,7 +8,10 @@
 pub use pace::{StepCounter, StepPace};
 
 use {
-    self::slow_members::MemberPaces,
+    self::{
+        challenges::{ChallengeEvent, SentChallenge},
+        slow_members::MemberPaces,
+    },
     crate::{
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
@@ -16,7 +20,7 @@
         rows::RowOwner,
         view::{EngineDomain, NodeView},
     },
-    base::{FabricDomainId, FailureDomainId, ModelName, SharedClock, Term, Tick},
+    base::{FabricDomainId, FailureDomainId, HostId, ModelName, SharedClock, Term, Tick},
     infra::TableStore,
     limit::NamedLimit,
     plan::staged::{
@@ -78,6 +82,7 @@
         domain: FabricDomainId,
         row: Option<OwnedRow>,
     },
+    Challenge(ChallengeEvent),
 }
 
 /// The planner of a domain that this process owns, with the schedule of its probes.
@@ -127,6 +132,8 @@
     domains: BTreeMap<FabricDomainId, OwnedDomain>,
     /// When this process last tried to claim a domain.
     claim_attempts: BTreeMap<FabricDomainId, Tick>,
+    /// The challenges of silent owners.
+    challenges: BTreeMap<HostId, SentChallenge>,
     /// When the configuration, the server list and the member rows were first known.
     first_view_at: Option<Tick>,
     /// Number of listed engines at the last step, and when it last grew.
@@ -175,6 +182,7 @@
             settings,
             domains: BTreeMap::new(),
             claim_attempts: BTreeMap::new(),
+            challenges: BTreeMap::new(),
             first_view_at: None,
             engine_count: 0,
             last_engine_added_at: Tick(0),
@@ -231,6 +239,7 @@
                     self.view.with(|state| state.set_owner(domain, row));
                 }
             }
+            ControlEvent::Challenge(event) => self.handle_challenge(event),
         }
     }
 
@@ -351,9 +360,11 @@
             self.last_engine_added_at = now;
         }
         self.engine_count = engines;
+        let mut silent = BTreeSet::new();
         for (name, EngineDomain { failure_domain, .. }) in &domains {
-            self.step_domain(name, failure_domain, &sizes, now);
+            silent.extend(self.step_domain(name, failure_domain, &sizes, now));
         }
+        self.challenges.retain(|node, _| silent.contains(node));
         // An owned domain stays even while none of its engines is listed: a new planner under the
         // same term would assign the same group names and epochs again.
         let owned = self.view.with(|state| state.domains_of(&self.own));
@@ -386,14 +397,14 @@
     }
 
     /// Plans one domain, claims it or stops planning it. `failure_domain` is that of its engines, and
-    /// `sizes` has the number of listed engines of every domain.
+    /// `sizes` has the number of listed engines of every domain. Returns the owner if it is challenged.
     fn step_domain(
         &mut self,
         domain: &FabricDomainId,
         failure_domain: &FailureDomainId,
         sizes: &BTreeMap<FabricDomainId, usize>,
         now: Tick,
-    ) {
+    ) -> Option<HostId> {
         let (step, era) = self.view.with(|state| {
             let (known, era) = (state.domains.get(domain), state.row_era());
             let failure_domain = Some(failure_domain);
@@ -407,12 +418,17 @@
                 self.plan_domain(domain, term, &entries, sizes, now);
             }
             OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, era, now),
+            OwnerStep::Challenge(owner) => {
+                self.challenge(&owner, era, now);
+                return Some(owner.node);
+            }
             OwnerStep::NotOwner => {
                 if self.domains.remove(domain).is_some() {
                     info!(decision = "domain-left", domain = %domain, "groups");
                 }
             }
         }
+        None
     }
 
     /// Steps the planner of an owned domain with the current configuration and server list, then
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod peer_link;
 pub mod peers;
 pub mod ports;
+mod presence;
 pub mod reload;
 pub mod rows;
 pub mod run;
@@ -52,6 +53,7 @@
         ModelRule, OperatorChange, PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry,
         ServerStanding, WatchError, WatchPage, WatchPosition,
     },
+    presence::Presence,
     run::{NodeError, NodePorts, run_node},
     server_list::ServerList,
     settings::{ListenSettings, NodeSettings, RetrySettings, StoreSettings, load_settings},
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -8,9 +8,10 @@
 use {
     crate::{
         peers::{GOSSIP_INTERVAL, HEARTBEATS_PER_MESSAGE, PeerHeartbeat},
-        rows::MemberRow,
+        presence::{ContactLog, Presence},
+        rows::{MemberRow, RowOwner},
     },
-    base::{FailureDomainId, HostId, Incarnation, Tick, placement_weight},
+    base::{FailureDomainId, HostId, Incarnation, RowVersion, Tick, placement_weight},
     rand::seq::SliceRandom,
     reach::PeerHost,
     std::{
@@ -45,6 +46,9 @@
 #[derive(Clone, Debug)]
 struct MemberState {
     row: MemberRow,
+    /// The version of the row in the store; `None` if it is not known, as after the store came back from
+    /// an older copy.
+    version: Option<RowVersion>,
     /// The highest heartbeat counter received.
     counter: u64,
     /// When the counter last advanced, or when the incarnation became known.
@@ -67,6 +71,8 @@
     by_incarnation: BTreeMap<Incarnation, HostId>,
     /// When a gossip message last arrived from any peer.
     last_contact_at: Option<Tick>,
+    /// Since when the silence of a process says something about that process.
+    contact: ContactLog,
 }
 
 impl MemberTable {
@@ -78,6 +84,7 @@
             members: BTreeMap::new(),
             by_incarnation: BTreeMap::new(),
             last_contact_at: None,
+            contact: ContactLog::default(),
         }
     }
 
@@ -92,6 +99,7 @@
         match self.members.get_mut(&node) {
             Some(state) if state.row.incarnation == row.incarnation => {
                 state.row = row;
+                state.version = None;
                 state.kept_until = None;
             }
             _ => {
@@ -99,6 +107,7 @@
                 self.by_incarnation.insert(row.incarnation, node.clone());
                 let state = MemberState {
                     row,
+                    version: None,
                     counter: 0,
                     advanced_at: now,
                     leaving: false,
@@ -109,6 +118,19 @@
         }
     }
 
+    /// Records the version of a process's row in the store.
+    pub fn set_row_version(&mut self, node: &HostId, version: RowVersion) {
+        if let Some(state) = self.members.get_mut(node) {
+            state.version = Some(version);
+        }
+    }
+
+    /// The version that the row of a process must still have: 0 if there is no row, `None` if the version
+    /// is not known.
+    pub fn expected_version(&self, node: &HostId) -> Option<RowVersion> {
+        self.members.get(node).map_or(Some(RowVersion(0)), |state| state.version)
+    }
+
     /// Applies the member rows of a store that came back from an older copy. Rows that it lost are
     /// kept for `RESTORE_GRACE`, in which their processes write them again; rows of processes
     /// that are not known belong to stopped ones, unless a heartbeat arrives.
@@ -119,6 +141,7 @@
             if !is_current {
                 state.kept_until = Some(now + RESTORE_GRACE);
             }
+            state.version = None;
         }
         for (node, row) in rows {
             if !self.members.contains_key(&node) {
@@ -127,8 +150,10 @@
         }
     }
 
-    /// Removes the processes that did not write their lost rows again in time.
+    /// Removes the processes that did not write their lost rows again in time, and notes whether this
+    /// process hears most of the others. Called several times a second.
     pub fn expire(&mut self, now: Tick) {
+        self.contact.note(self.hears_majority(now), now);
         let is_expired = |state: &MemberState| state.kept_until.is_some_and(|until| until <= now);
         let expired: Vec<HostId> = self
             .members
@@ -156,6 +181,14 @@
         }
     }
 
+    /// Removes a process if its row is still that of this incarnation.
+    pub fn remove_incarnation(&mut self, process: &RowOwner) {
+        let is_same = |state: &MemberState| state.row.incarnation == process.incarnation;
+        if self.members.get(&process.node).is_some_and(is_same) {
+            self.remove_row(&process.node);
+        }
+    }
+
     /// Processes that have rows.
     pub fn listed(&self) -> impl Iterator<Item = &HostId> {
         self.members.keys()
@@ -285,6 +318,47 @@
         self.is_isolated(now) || now.since(state.advanced_at) < self.down_after()
     }
 
+    /// Whether the process that a row of the store names still runs, as far as this one can tell.
+    pub fn presence(&self, process: &RowOwner, now: Tick) -> Presence {
+        let RowOwner { node, incarnation } = process;
+        let state = self.members.get(node).filter(|state| state.row.incarnation == *incarnation);
+        let Some(state) = state else { return Presence::Gone };
+        if *node == self.own {
+            return Presence::Running;
+        }
+        let evidence_since = state.advanced_at.max(self.contact.attentive_since());
+        if self.contact.may_stand_still(now) || now.since(evidence_since) < self.down_after() {
+            return Presence::Running;
+        }
+        match self.contact.majority_since() {
+            None => Presence::Silent,
+            Some(since) if now.since(since) < self.down_after() => Presence::Running,
+            Some(_) => Presence::Gone,
+        }
+    }
+
+    /// Whether more than half of the processes with rows, this one included, were heard recently.
+    fn hears_majority(&self, now: Tick) -> bool {
+        let down_after = self.down_after();
+        let is_heard = |node: &HostId, state: &MemberState| {
+            *node == self.own || now.since(state.advanced_at) < down_after
+        };
+        let heard = self.members.iter().filter(|(node, state)| is_heard(node, state));
+        heard.count() * 2 > self.members.len()
+    }
+
+    /// The processes that were heard recently and are not leaving; includes this one if it has a row.
+    /// Unlike [`Self::live_members`] without the others while this process hears none.
+    pub fn heard_members(&self, now: Tick) -> impl Iterator<Item = (&HostId, &MemberRow)> {
+        let down_after = self.down_after();
+        let is_usable = move |node: &HostId, state: &MemberState| {
+            let is_heard = *node == self.own || now.since(state.advanced_at) < down_after;
+            is_heard && !self.is_leaving(node, state)
+        };
+        let heard = self.members.iter().filter(move |(node, state)| is_usable(node, state));
+        heard.map(|(node, state)| (node, &state.row))
+    }
+
     /// Whether no gossip message has arrived for [`DOWN_AFTER`] although other processes are
     /// listed; then this process is the one that is isolated.
     pub fn is_isolated(&self, now: Tick) -> bool {
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -1,11 +1,11 @@
-//! Writes the row that makes this process a member, and deletes it.
+//! Writes the row that makes this process a member, answers challenges with it, and deletes it.
 
 use {
     crate::{
         rows::{MemberRow, RowName, RowOwner},
         view::NodeView,
     },
-    base::{SharedClock, Tick},
+    base::{RowVersion, SharedClock, Tick},
     infra::{TableStore, Transaction},
     smol_str::SmolStr,
     std::{sync::Arc, time::Duration},
@@ -23,6 +23,15 @@
 /// lost the row.
 const REWRITE_DELAY: Duration = Duration::from_millis(2_500);
 
+/// What this process last wrote.
+#[derive(Default)]
+struct WrittenRow {
+    /// When the row was written.
+    at: Option<Tick>,
+    /// The newest challenge that a write answered.
+    answered: Option<RowVersion>,
+}
+
 /// The row of a process that runs, and is a member once it can serve requests.
 pub struct MemberRegistration<T>(RowAccess<T>);
 
@@ -52,8 +61,8 @@
         Self(RowAccess { table, view, clock, own, key, value })
     }
 
-    /// Writes the row once this process can serve requests, and again whenever the store has lost it,
-    /// until the process leaves.
+    /// Writes the row once this process can serve requests, and again whenever the store has lost it or
+    /// another process asks whether this one still runs, until the process leaves.
     pub async fn run(self, leaving: CancellationToken) -> MemberRemoval<T> {
         let Self(access) = self;
         access.keep_written(&leaving).await;
@@ -95,16 +104,24 @@
 impl<T: TableStore> RowAccess<T> {
     /// Returns once no write is under way: an abandoned one could follow the delete.
     async fn keep_written(&self, leaving: &CancellationToken) {
-        let mut written_at: Option<Tick> = None;
+        let mut written = WrittenRow::default();
         while !leaving.is_cancelled() {
             let now = self.clock.now();
-            if self.is_due() && written_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY) {
-                self.write(now, &mut written_at).await;
+            let challenge = self.challenge();
+            let is_challenged = challenge.is_some() && challenge > written.answered;
+            let is_late = written.at.is_none_or(|at| now.since(at) >= REWRITE_DELAY);
+            if is_challenged || (is_late && self.is_due()) {
+                self.write(challenge, now, &mut written).await;
             }
             leaving.run_until_cancelled(sleep(REGISTER_RETRY_DELAY)).await;
         }
     }
 
+    /// The version of the challenge of this process, if there is one.
+    fn challenge(&self) -> Option<RowVersion> {
+        self.view.with(|state| state.challenge_of(&self.own))
+    }
+
     /// Waits until the row watch shows the row, or that there is none.
     async fn shown(&self, is_present: bool) {
         while self.has_row() != is_present {
@@ -121,12 +138,21 @@
         self.view.with(|state| state.is_ready()) && !self.has_row()
     }
 
-    async fn write(&self, now: Tick, written_at: &mut Option<Tick>) {
-        let transaction = Transaction::default().put(self.key.clone(), self.value.clone());
+    /// Writes the row, and deletes the challenge that it answers.
+    async fn write(&self, challenge: Option<RowVersion>, now: Tick, written: &mut WrittenRow) {
+        let mut transaction = Transaction::default().put(self.key.clone(), self.value.clone());
+        if challenge.is_some() {
+            transaction = transaction.delete(RowName::Challenge(self.own.node.clone()).key());
+        }
         match self.table.commit(transaction).await {
             Ok(_) => {
-                info!(decision = "row-written", again = written_at.is_some(), "state");
-                *written_at = Some(now);
+                info!(
+                    decision = "row-written",
+                    again = written.at.is_some(),
+                    challenged = challenge.is_some(),
+                    "state"
+                );
+                *written = WrittenRow { at: Some(now), answered: challenge.max(written.answered) };
             }
             Err(error) => warn!(why = %error, "failed to write the member row"),
         }
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         members::MemberTable,
+        presence::Presence,
         rows::{OwnerRow, RowOwner},
     },
     base::{
@@ -51,7 +52,7 @@
 }
 
 /// What this process should do about a fabric domain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnerStep {
     /// This process owns the domain under this term.
     Own(Term),
@@ -62,14 +63,17 @@
         /// The term to write.
         term: Term,
     },
+    /// This process should ask the owner, through the store, whether it still runs. Until the owner has
+    /// been removed the domain is its own.
+    Challenge(RowOwner),
     /// Nothing, and stop planning the domain: another process owns it or should claim it.
     NotOwner,
 }
 
-/// Decides for one fabric domain. An owner that is alive keeps it. A domain without one goes to the
-/// process with the highest placement weight among the live processes of the domain's own failure
-/// domain, or among all live processes if that failure domain has none, so that probes of its
-/// engines do not cross failure domains. A claim of an earlier era than the row's has to be made
+/// Decides for one fabric domain. An owner that runs keeps it. A domain without one goes to the
+/// process with the highest placement weight among the processes of the domain's own failure
+/// domain that are heard, or among all that are heard if that failure domain has none, so that probes of
+/// its engines do not cross failure domains. An owner that is only silent is challenged first. A claim of an earlier era than the row's has to be made
 /// again, by its owner while that one is alive.
 pub fn owner_step(
     domain: &FabricDomainId,
@@ -85,33 +89,36 @@
         term: next_term(known.map_or(Term(0), |known| known.row.term), era),
     };
     let owner = known.and_then(|known| known.row.owner.as_ref());
-    if let (Some(known), Some(owner)) = (known, owner) {
-        if owner == own {
-            let outdated = is_outdated(known.row.term, era);
-            return if outdated { claim() } else { OwnerStep::Own(known.row.term) };
-        }
-        if members.is_alive(&owner.node, Some(owner.incarnation), now) {
-            return OwnerStep::NotOwner;
-        }
+    if let (Some(known), Some(owner)) = (known, owner)
+        && owner == own
+    {
+        let outdated = is_outdated(known.row.term, era);
+        return if outdated { claim() } else { OwnerStep::Own(known.row.term) };
     }
-    if preferred_owner(domain, failure_domain, members, now).as_ref() != Some(&own.node) {
+    let presence = owner.map_or(Presence::Gone, |owner| members.presence(owner, now));
+    if presence == Presence::Running
+        || preferred_owner(domain, failure_domain, members, now).as_ref() != Some(&own.node)
+    {
         return OwnerStep::NotOwner;
     }
-    claim()
+    match owner.filter(|_| presence == Presence::Silent) {
+        Some(owner) => OwnerStep::Challenge(owner.clone()),
+        None => claim(),
+    }
 }
 
-/// The process that should claim a domain without a live owner; `None` if no process is alive.
+/// The process that should claim a domain without an owner that runs; `None` if no process is heard.
 fn preferred_owner(
     domain: &FabricDomainId,
     failure_domain: Option<&FailureDomainId>,
     members: &MemberTable,
     now: Tick,
 ) -> Option<HostId> {
+    let weight = |node: &HostId| placement_weight(domain.as_str(), node);
     let near =
-        members.live_members(now).filter(|(_, row)| Some(&row.failure_domain) == failure_domain);
-    let best_near = near.max_by_key(|(node, _)| placement_weight(domain.as_str(), node));
-    let best = best_near.or_else(|| {
-        members.live_members(now).max_by_key(|(node, _)| placement_weight(domain.as_str(), node))
-    });
+        members.heard_members(now).filter(|(_, row)| Some(&row.failure_domain) == failure_domain);
+    let best_near = near.max_by_key(|(node, _)| weight(node));
+    let best =
+        best_near.or_else(|| members.heard_members(now).max_by_key(|(node, _)| weight(node)));
     best.map(|(node, _)| node.clone())
 }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,4 +1,4 @@
-//! The member and owner rows that this program keeps in the store.
+//! The member rows, owner rows and challenges that this program keeps in the store.
 
 use {
     base::{FabricDomainId, FailureDomainId, HostId, Incarnation, Term},
@@ -11,6 +11,8 @@
 const MEMBER_PREFIX: &str = "member/";
 /// Key prefix of the fabric domains' owner rows.
 const DOMAIN_PREFIX: &str = "domain/";
+/// Key prefix of challenges.
+const CHALLENGE_PREFIX: &str = "challenge/";
 
 base::value_type!(
     /// A member: a process that serves requests. Written once the process is ready, deleted on a
@@ -47,6 +49,17 @@
     }
 );
 
+base::value_type!(
+    /// A question whether an incarnation of a process still runs. The process answers by writing its
+    /// member row again and deleting the question.
+    pub struct ChallengeRow {
+        /// The incarnation that is asked.
+        pub incarnation: Incarnation,
+        /// The process that asks.
+        pub asked_by: RowOwner,
+    }
+);
+
 /// What the key of a row identifies.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RowName {
@@ -54,14 +67,19 @@
     Member(HostId),
     /// A fabric domain.
     Domain(FabricDomainId),
+    /// The challenge of a process, by its host.
+    Challenge(HostId),
 }
 
 impl RowName {
-    /// Parses a key; `None` if it is not the key of a member or owner row.
+    /// Parses a key; `None` if it is not the key of a member, an owner row or a challenge.
     pub fn parse(key: &str) -> Option<Self> {
         if let Some(node) = key.strip_prefix(MEMBER_PREFIX) {
             return HostId::new(node).ok().map(Self::Member);
         }
+        if let Some(node) = key.strip_prefix(CHALLENGE_PREFIX) {
+            return HostId::new(node).ok().map(Self::Challenge);
+        }
         let domain = key.strip_prefix(DOMAIN_PREFIX)?;
         FabricDomainId::new(domain).ok().map(Self::Domain)
     }
@@ -71,6 +89,7 @@
         match self {
             Self::Member(node) => format_smolstr!("{MEMBER_PREFIX}{node}"),
             Self::Domain(domain) => format_smolstr!("{DOMAIN_PREFIX}{domain}"),
+            Self::Challenge(node) => format_smolstr!("{CHALLENGE_PREFIX}{node}"),
         }
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,7 +6,7 @@
 mod directory;
 mod rows;
 
-pub use directory::ViewDirectory;
+pub use {directory::ViewDirectory, rows::KnownChallenge};
 
 use {
     crate::{
@@ -93,6 +93,8 @@
     pub members: MemberTable,
     /// The owner rows of the fabric domains.
     pub domains: BTreeMap<FabricDomainId, OwnedRow>,
+    /// The challenges of processes.
+    pub challenges: BTreeMap<HostId, KnownChallenge>,
     /// Whether the member and owner rows were read at least once.
     pub rows_loaded: bool,
     /// The store's era of the last page of rows.
@@ -120,6 +122,7 @@
             servers: ServerList::default(),
             members,
             domains: BTreeMap::new(),
+            challenges: BTreeMap::new(),
             rows_loaded: false,
             row_era: StoreEra::default(),
             servers_loaded: false,
--- a/crates/node/src/view/rows.rs
+++ b/crates/node/src/view/rows.rs
@@ -5,18 +5,28 @@
     crate::{
         owners::OwnedRow,
         ports::{RowChange, WatchPage},
-        rows::{MemberRow, OwnerRow, RowName, read_value},
+        rows::{ChallengeRow, MemberRow, OwnerRow, RowName, RowOwner, read_value},
     },
-    base::{FabricDomainId, HostId, StoreEra, Tick},
+    base::{FabricDomainId, HostId, RowVersion, StoreEra, Tick},
     std::collections::BTreeMap,
     tracing::info,
 };
 
+/// A challenge in the store with its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownChallenge {
+    /// Who is asked by whom.
+    pub row: ChallengeRow,
+    /// The version of the row, which the removal of a process that does not answer expects.
+    pub version: RowVersion,
+}
+
 /// The rows of a full read, decoded.
 #[derive(Default)]
 struct RowSnapshot {
     members: BTreeMap<HostId, MemberRow>,
     domains: BTreeMap<FabricDomainId, OwnedRow>,
+    challenges: BTreeMap<HostId, KnownChallenge>,
 }
 
 impl ViewState {
@@ -54,6 +64,7 @@
             "state"
         );
         self.members.restore_rows(snapshot.members, now);
+        self.challenges = snapshot.challenges;
         for (domain, known) in std::mem::take(&mut self.domains) {
             let restored = snapshot.domains.remove(&domain);
             self.domains.insert(domain, known.over_restored(restored, era));
@@ -75,6 +86,7 @@
             }
         }
         self.domains.retain(|domain, _| names.contains(&RowName::Domain(domain.clone())));
+        self.challenges.retain(|node, _| names.contains(&RowName::Challenge(node.clone())));
     }
 
     fn apply_row(&mut self, change: RowChange, era: StoreEra, now: Tick) {
@@ -82,7 +94,8 @@
             RowChange::Written(row) => match RowName::parse(&row.key) {
                 Some(RowName::Member(node)) => {
                     if let Some(value) = read_value::<MemberRow>(&row.key, &row.value) {
-                        self.members.insert_row(node, value, now);
+                        self.members.insert_row(node.clone(), value, now);
+                        self.members.set_row_version(&node, row.version);
                     }
                 }
                 Some(RowName::Domain(domain)) => {
@@ -91,6 +104,12 @@
                         self.set_owner(domain, OwnedRow { row: value, version, era });
                     }
                 }
+                Some(RowName::Challenge(node)) => {
+                    if let Some(value) = read_value::<ChallengeRow>(&row.key, &row.value) {
+                        let known = KnownChallenge { row: value, version: row.version };
+                        self.challenges.insert(node, known);
+                    }
+                }
                 None => {}
             },
             RowChange::Deleted(key) => match RowName::parse(&key) {
@@ -98,11 +117,26 @@
                 Some(RowName::Domain(domain)) => {
                     self.domains.remove(&domain);
                 }
+                Some(RowName::Challenge(node)) => {
+                    self.challenges.remove(&node);
+                }
                 None => {}
             },
         }
     }
 
+    /// The version of the challenge of an incarnation of a process, if there is one.
+    pub fn challenge_of(&self, process: &RowOwner) -> Option<RowVersion> {
+        let known = self.challenges.get(&process.node)?;
+        (known.row.incarnation == process.incarnation).then_some(known.version)
+    }
+
+    /// Removes a process whose row was deleted, unless it has started again since.
+    pub fn remove_process(&mut self, process: &RowOwner) {
+        self.challenges.remove(&process.node);
+        self.members.remove_incarnation(process);
+    }
+
     /// Records the owner of a fabric domain unless a newer row is known.
     pub fn set_owner(&mut self, domain: FabricDomainId, row: OwnedRow) {
         let revision = |row: &OwnedRow| (row.era, row.version);
@@ -132,6 +166,12 @@
                         snapshot.domains.insert(domain, OwnedRow { row: value, version, era });
                     }
                 }
+                Some(RowName::Challenge(node)) => {
+                    if let Some(value) = read_value(&row.key, &row.value) {
+                        let known = KnownChallenge { row: value, version: row.version };
+                        snapshot.challenges.insert(node, known);
+                    }
+                }
                 None => {}
             }
         }
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -321,12 +321,23 @@
     assert_eq!(step(2, Some(&row), &table, after(1_000)), OwnerStep::Own(Term(7)));
 }
 
+/// Lets time pass until `until` while heartbeats of all processes but `silent` arrive.
+fn listen(table: &mut MemberTable, nodes: u16, silent: &[u16], from: u64, until: u64) {
+    for time in (from..=until).step_by(100) {
+        table.record_contact(after(time));
+        for node in (1..nodes).filter(|node| !silent.contains(node)) {
+            table.record_heartbeat(&heartbeat(node, time, false), after(time));
+        }
+        table.expire(after(time));
+    }
+}
+
 /// Exactly one live process claims the domain of an owner that is down, with a higher term and the
 /// row's current version.
 #[test]
 fn one_process_claims_the_domain_of_an_owner_that_is_down() {
     let mut table = table(4);
-    record_all_but(&mut table, 4, 2, after(2_500));
+    listen(&mut table, 4, &[2], 100, 2_500);
     let row = known(Some(owner(2)));
     let steps: Vec<OwnerStep> =
         [0, 1, 3].iter().map(|own| step(*own, Some(&row), &table, after(2_500))).collect();
@@ -334,6 +345,47 @@
     assert_eq!(steps.iter().filter(|step| **step == claim).count(), 1, "{steps:?}");
 }
 
+/// The steps of process 0 for the domain of process 2, of five, which is silent from 3 s on.
+fn step_after(table: &MemberTable, time: u64) -> OwnerStep {
+    // Of the others only those that are heard can be preferred to process 0.
+    let domain = FabricDomainId::new("d").unwrap();
+    let step = |domain: &FabricDomainId| {
+        let row = known(Some(owner(2)));
+        owner_step(domain, None, Some(&row), &owner(0), table, StoreEra(0), after(time))
+    };
+    // A domain that falls to process 0 of those that are heard.
+    let names = (0..64).map(|number| FabricDomainId::new(format!("d{number}")).unwrap());
+    let steps: Vec<OwnerStep> = names.chain([domain]).map(|domain| step(&domain)).collect();
+    steps.into_iter().find(|step| *step != OwnerStep::NotOwner).unwrap_or(OwnerStep::NotOwner)
+}
+
+/// A process behind a cut took all owners on the other side for dead and claimed their domains.
+#[test]
+fn owners_are_asked_where_most_processes_are_silent() {
+    let mut table = table(5);
+    listen(&mut table, 5, &[], 100, 3_000);
+    listen(&mut table, 5, &[2, 3, 4], 3_100, 7_000);
+    assert_eq!(step_after(&table, 7_000), OwnerStep::Challenge(owner(2)));
+    // When the cut ends, their silence begins anew.
+    listen(&mut table, 5, &[2], 7_100, 8_800);
+    assert_eq!(step_after(&table, 8_800), OwnerStep::NotOwner);
+    listen(&mut table, 5, &[2], 8_900, 9_200);
+    assert!(matches!(step_after(&table, 9_200), OwnerStep::Claim { .. }));
+}
+
+/// A process that stood still found all others silent and claimed their domains before it read their
+/// messages.
+#[test]
+fn the_pause_of_a_process_says_nothing_of_others() {
+    let mut table = table(5);
+    listen(&mut table, 5, &[], 100, 3_000);
+    assert_eq!(step_after(&table, 9_000), OwnerStep::NotOwner);
+    table.expire(after(9_000));
+    assert_eq!(step_after(&table, 9_000), OwnerStep::NotOwner);
+    listen(&mut table, 5, &[2], 9_100, 10_000);
+    assert_eq!(step_after(&table, 10_000), OwnerStep::NotOwner);
+}
+
 /// A new incarnation on the same host has no planner state for the domain.
 #[test]
 fn a_restarted_owner_does_not_reuse_its_old_term() {
@@ -358,6 +410,7 @@
 #[parameterized(
     member = { "member/n1", true },
     domain = { "domain/d1", true },
+    challenge = { "challenge/n1", true },
     other = { "claim/x", false },
     no_name = { "member/", false },
     bad_name = { "domain/a b", false },
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -17,7 +17,7 @@
         page_cache::{CacheLookup, PageCache},
         peers::PeerHeartbeat,
         rows::{MemberRow, OwnerRow, RowName, RowOwner},
-        view::NodeView,
+        view::{NodeView, ViewState},
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64,
@@ -192,7 +192,11 @@
     let mut claims: Vec<Claim> = Vec::new();
     let mut owners: BTreeMap<Term, usize> = BTreeMap::new();
     for _ in 0..60 {
-        clock.advance(Duration::from_millis(random.random_range(10..1_200)));
+        // As often as processes note that they run.
+        for _ in 0..random.random_range(1..12) {
+            clock.advance(Duration::from_millis(100));
+            views.iter().for_each(NodeView::expire);
+        }
         let now = base::TickClock::now(&*clock);
         match random.random_range(0..10) {
             0 => {
@@ -242,9 +246,17 @@
                 let own = owner(process);
                 let ignored = rule == EraRule::NotInTerms;
                 let era = if ignored { StoreEra(0) } else { state.row_era() };
-                let known = state.domains.get(&domain());
-                let step = owner_step(&domain(), None, known, &own, &state.members, era, now);
-                (step, era)
+                let step = |state: &ViewState| {
+                    let known = state.domains.get(&domain());
+                    owner_step(&domain(), None, known, &own, &state.members, era, now)
+                };
+                let mut first = step(state);
+                if let OwnerStep::Challenge(owner) = &first {
+                    // As if it had not answered, whether or not it runs.
+                    state.remove_process(owner);
+                    first = step(state);
+                }
+                (first, era)
             });
             match step {
                 OwnerStep::Own(term) if *owners.entry(term).or_insert(process) != process => {
