Take only statuses of the classes 2 to 5 for the answer of a server

What callers saw: a server that answers with the status 101, 600 or 999 had its answer passed on, with its seal (MIXED). 000 did not show: the HTTP library can't read it, and the request ends with 502 or at the next server.

Cause: the library reads every status from 100 to 999 and returns 101 as an answer; readers of servers' answers looked at the classes 2 and 5 only.

Anything else counts like a broken connection, since the request may have run.

--- a/crates/engine/src/request_http.rs
+++ b/crates/engine/src/request_http.rs
@@ -55,7 +55,11 @@
             return Err(not_run(address, NotRunReason::PermitEnded));
         }
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((connection, response)),
+            Ok(response) if answer::is_final(response.status()) => Ok((connection, response)),
+            Ok(response) => {
+                let detail = format!("the status {} ends no exchange", response.status());
+                Err(DispatchError::Unknown { address, detail })
+            }
             // The error returns the unsent request: no byte of it was written.
             Err(error) if error.message().is_some() => {
                 Err(not_run(address, NotRunReason::Unreachable))
--- a/crates/relay/src/loss.rs
+++ b/crates/relay/src/loss.rs
@@ -11,6 +11,8 @@
     NoAnswer,
     /// The connection ended or was reset before the answer was complete.
     ConnectionBroke,
+    /// The head of the answer has a status that ends no exchange.
+    NoFinalStatus,
     /// The answer does not belong to the request.
     Foreign,
     /// The stream ended before its first event.
@@ -56,6 +58,7 @@
             Self::NoHandshake => "no handshake",
             Self::NoAnswer => "no answer in time",
             Self::ConnectionBroke => "connection broke",
+            Self::NoFinalStatus => "no final status",
             Self::Foreign => "foreign answer",
             Self::NoEvent => "end of stream without an event",
             Self::PartialEvent => "partial event at end of stream",
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -128,6 +128,9 @@
         Ok(Err(_)) => return SendOutcome::Lost(LossCause::ConnectionBroke),
         Ok(Ok(answer)) => answer,
     };
+    if !answer::is_final(answer.status()) {
+        return SendOutcome::Lost(LossCause::NoFinalStatus);
+    }
     let (head, body) = answer.into_parts();
     if body.size_hint().exact().is_none() {
         read_size.shorten();
