Ask every silent owner through the store, also where most processes are heard

Change: only the rows decide that an owner is gone; silence is a reason to ask it, for 0.8 s where a majority is heard and for 2.5 s otherwise. A late removal meets the answer of a live owner.

The test one_process_claims_the_domain_of_an_owner_that_is_down now has two parts: one process asks, and one claims once the row is gone.

--- a/crates/node/src/control/challenges.rs
+++ b/crates/node/src/control/challenges.rs
@@ -1,14 +1,14 @@
 //! Asks silent owners through the store whether they still run, and removes those that do not answer.
 //!
-//! A process that hears too few others can't tell a dead owner from its own cut. It writes a challenge
-//! of the owner, which an owner that reaches the store answers by writing its member row again. The
-//! removal of the member row expects the challenge as it was written, so that an answer which arrives
+//! Silence can't tell a dead owner from a cut. The process that would follow it writes a challenge, which an
+//! owner that reaches the store answers by writing its member row again. The removal of the member row expects the challenge as it was written, so that an answer which arrives
 //! before it, in the order of the store, prevents it, however late the removal is carried out.
 
 use {
     super::{ControlEvent, ControlLoop, claims::mark_era},
     crate::{
         ports::EngineAccess,
+        presence::Vantage,
         rows::{ChallengeRow, RowName, RowOwner, read_value},
     },
     base::{HostId, Incarnation, RowVersion, StoreEra, Tick},
@@ -17,10 +17,13 @@
     tracing::{info, warn},
 };
 
-/// How long a challenged process has to answer, from the store's response on. It reads the challenge and
-/// writes its answer within a fraction of a second while its watch of the rows works, and within this
-/// time if that has to be opened again.
-const ANSWER_TIME: Duration = Duration::from_millis(2_500);
+/// How long a challenged process has to answer, from the store's response on, where most processes hear one
+/// another and not this one. It reads the challenge and writes its answer within a fraction of this while
+/// its watch of the rows works.
+const MAJORITY_ANSWER_TIME: Duration = Duration::from_millis(800);
+/// The same where most processes are silent, so that the process that asks may be the one that is cut off. A
+/// watch of the rows that has to be opened again answers within this time.
+const MINORITY_ANSWER_TIME: Duration = Duration::from_millis(2_500);
 /// Pause after a write without a response, which may still take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// Pause after an answer: the process runs, and only the way between it and this one is cut.
@@ -56,14 +59,24 @@
     T: TableStore + 'static,
     E: EngineAccess,
 {
-    /// Challenges a silent owner, or removes it once it has not answered for [`ANSWER_TIME`].
-    pub(super) fn challenge(&mut self, owner: &RowOwner, era: StoreEra, now: Tick) {
+    /// Challenges a silent owner, or removes it once it has not answered in time.
+    pub(super) fn challenge(
+        &mut self,
+        owner: &RowOwner,
+        vantage: Vantage,
+        era: StoreEra,
+        now: Tick,
+    ) {
+        let answer_time = match vantage {
+            Vantage::Majority => MAJORITY_ANSWER_TIME,
+            Vantage::Minority => MINORITY_ANSWER_TIME,
+        };
         let sent = self.challenges.get(&owner.node);
         let phase =
             sent.filter(|sent| sent.incarnation == owner.incarnation).map(|sent| sent.phase);
         match phase {
             Some(ChallengePhase::Paused { until }) if now < until => {}
-            Some(ChallengePhase::Standing { since, .. }) if now.since(since) < ANSWER_TIME => {}
+            Some(ChallengePhase::Standing { since, .. }) if now.since(since) < answer_time => {}
             Some(ChallengePhase::Standing { version, .. }) => {
                 self.set_phase(owner, ChallengePhase::Paused { until: now + RETRY_PAUSE });
                 self.remove_process(owner, version, era);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -418,8 +418,8 @@
                 self.plan_domain(domain, term, &entries, sizes, now);
             }
             OwnerStep::Claim { expected, term } => self.claim(domain, expected, term, era, now),
-            OwnerStep::Challenge(owner) => {
-                self.challenge(&owner, era, now);
+            OwnerStep::Challenge { owner, vantage } => {
+                self.challenge(&owner, vantage, era, now);
                 return Some(owner.node);
             }
             OwnerStep::NotOwner => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,7 +53,7 @@
         ModelRule, OperatorChange, PlatformWatch, ProbeError, RowChange, ServerChange, ServerEntry,
         ServerStanding, WatchError, WatchPage, WatchPosition,
     },
-    presence::Presence,
+    presence::{Presence, Vantage},
     run::{NodeError, NodePorts, run_node},
     server_list::ServerList,
     settings::{ListenSettings, NodeSettings, RetrySettings, StoreSettings, load_settings},
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         peers::{GOSSIP_INTERVAL, HEARTBEATS_PER_MESSAGE, PeerHeartbeat},
-        presence::{ContactLog, Presence},
+        presence::{ContactLog, Presence, Vantage},
         rows::{MemberRow, RowOwner},
     },
     base::{FailureDomainId, HostId, Incarnation, RowVersion, Tick, placement_weight},
@@ -27,6 +27,10 @@
 /// rounds.
 pub const DOWN_AFTER: Duration = Duration::from_millis(1_800);
 
+/// Share of [`DOWN_AFTER`] after which a silent process may be asked whether it runs; one that is asked in
+/// vain is then replaced no later than by its silence alone.
+const MISSED_SHARE: f64 = 0.7;
+
 /// Up to this number of processes, each one watches the store itself.
 const ALL_WATCH_LIMIT: usize = 24;
 /// Number of processes that watch the store for the others; more than one, so that watchers remain
@@ -326,22 +330,24 @@
         if *node == self.own {
             return Presence::Running;
         }
-        let evidence_since = state.advanced_at.max(self.contact.attentive_since());
-        if self.contact.may_stand_still(now) || now.since(evidence_since) < self.down_after() {
+        if self.contact.may_stand_still(now) {
             return Presence::Running;
         }
-        match self.contact.majority_since() {
-            None => Presence::Silent,
-            Some(since) if now.since(since) < self.down_after() => Presence::Running,
-            Some(_) => Presence::Gone,
-        }
+        let silent_since = state.advanced_at.max(self.contact.attentive_since());
+        let (silent_since, vantage, limit) = match self.contact.majority_since() {
+            Some(since) => (silent_since.max(since), Vantage::Majority, self.missed_after()),
+            None => (silent_since, Vantage::Minority, self.down_after()),
+        };
+        let is_silent = now.since(silent_since) >= limit;
+        if is_silent { Presence::Silent(vantage) } else { Presence::Running }
     }
 
-    /// Whether more than half of the processes with rows, this one included, were heard recently.
+    /// Whether more than half of the processes with rows, this one included, were heard so recently that
+    /// they can't have fallen silent together with one that is missed.
     fn hears_majority(&self, now: Tick) -> bool {
-        let down_after = self.down_after();
+        let recent = self.missed_after() / 2;
         let is_heard = |node: &HostId, state: &MemberState| {
-            *node == self.own || now.since(state.advanced_at) < down_after
+            *node == self.own || now.since(state.advanced_at) < recent
         };
         let heard = self.members.iter().filter(|(node, state)| is_heard(node, state));
         heard.count() * 2 > self.members.len()
@@ -430,6 +436,11 @@
         others.map(|(_, state)| state.row.peers).collect()
     }
 
+    /// Time without a sign of life after which a process is missed where most others are heard.
+    fn missed_after(&self) -> Duration {
+        self.down_after().mul_f64(MISSED_SHARE)
+    }
+
     /// Each doubling of the number of processes delays a counter by one more gossip round, and
     /// counters that do not fit into one message take turns.
     fn down_after(&self) -> Duration {
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -113,7 +113,8 @@
             if is_challenged || (is_late && self.is_due()) {
                 self.write(challenge, now, &mut written).await;
             }
-            leaving.run_until_cancelled(sleep(REGISTER_RETRY_DELAY)).await;
+            let rest = timeout(REGISTER_RETRY_DELAY, self.view.challenged.notified());
+            leaving.run_until_cancelled(rest).await;
         }
     }
 
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         members::MemberTable,
-        presence::Presence,
+        presence::{Presence, Vantage},
         rows::{OwnerRow, RowOwner},
     },
     base::{
@@ -65,7 +65,12 @@
     },
     /// This process should ask the owner, through the store, whether it still runs. Until the owner has
     /// been removed the domain is its own.
-    Challenge(RowOwner),
+    Challenge {
+        /// The silent owner.
+        owner: RowOwner,
+        /// From where it was found silent.
+        vantage: Vantage,
+    },
     /// Nothing, and stop planning the domain: another process owns it or should claim it.
     NotOwner,
 }
@@ -73,7 +78,7 @@
 /// Decides for one fabric domain. An owner that runs keeps it. A domain without one goes to the
 /// process with the highest placement weight among the processes of the domain's own failure
 /// domain that are heard, or among all that are heard if that failure domain has none, so that probes of
-/// its engines do not cross failure domains. An owner that is only silent is challenged first. A claim of an earlier era than the row's has to be made
+/// its engines do not cross failure domains. An owner that is silent is asked first whether it still runs. A claim of an earlier era than the row's has to be made
 /// again, by its owner while that one is alive.
 pub fn owner_step(
     domain: &FabricDomainId,
@@ -101,9 +106,11 @@
     {
         return OwnerStep::NotOwner;
     }
-    match owner.filter(|_| presence == Presence::Silent) {
-        Some(owner) => OwnerStep::Challenge(owner.clone()),
-        None => claim(),
+    match (owner, presence) {
+        (Some(owner), Presence::Silent(vantage)) => {
+            OwnerStep::Challenge { owner: owner.clone(), vantage }
+        }
+        _ => claim(),
     }
 }
 
--- a/crates/node/src/presence.rs
+++ b/crates/node/src/presence.rs
@@ -1,7 +1,7 @@
 //! Whether another process still runs, and when its silence says so.
 //!
-//! Silence alone can't tell a process that has ended from one behind a cut. It counts as an end only
-//! while this process hears most of the others; else the store is asked (see
+//! Silence can't tell a process that has ended from one behind a cut, nor the other side of a cut from the
+//! own one. Only the store's rows say that a process has ended; silence is a reason to ask it (see
 //! `docs/design/ownership.md`).
 
 use {base::Tick, std::time::Duration};
@@ -15,12 +15,21 @@
 pub enum Presence {
     /// It was heard recently, or this process has not listened for long enough to miss it.
     Running,
-    /// It was not heard, and neither were most of the others: either side may be cut off.
-    Silent,
-    /// The store has no row of this incarnation, or it was not heard while most of the others were.
+    /// It was not heard for some time.
+    Silent(Vantage),
+    /// The store has no row of this incarnation.
     Gone,
 }
 
+/// From where a process was found silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vantage {
+    /// Most of the processes have been heard all the while.
+    Majority,
+    /// Most of the others are silent too.
+    Minority,
+}
+
 /// Since when this process listens, and since when it hears most of the others.
 #[derive(Debug, Default)]
 pub(crate) struct ContactLog {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -73,6 +73,8 @@
     pub offer: ConfigOffer,
     /// Notified when a change may require a planning step of an owner.
     pub changed: Notify,
+    /// Notified when the rows name processes that are asked whether they run.
+    pub(crate) challenged: Notify,
     /// How often this process read the store itself.
     pub store_reads: StoreReads,
     /// How old the configuration became.
@@ -139,6 +141,7 @@
             outdated: Notify::new(),
             offer: ConfigOffer::default(),
             changed: Notify::new(),
+            challenged: Notify::new(),
             store_reads: StoreReads::default(),
             config_ages: ConfigAges::default(),
             loop_lag: LoopLag::default(),
@@ -199,6 +202,9 @@
         state.apply_row_page(page, now);
         let members = state.members.listed().count();
         self.shared.processes.store(members.max(1), Ordering::Relaxed);
+        if !state.challenges.is_empty() {
+            self.challenged.notify_one();
+        }
         self.changed.notify_one();
     }
 
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -6,7 +6,7 @@
         ServiceName, StoreEra, Term, Tick,
     },
     node::{
-        ServerChange, ServerEntry, ServerList, ServerStanding, WatchPage, WatchPosition,
+        ServerChange, ServerEntry, ServerList, ServerStanding, Vantage, WatchPage, WatchPosition,
         addresses::answer_addresses,
         members::{DOWN_AFTER, MemberTable},
         owners::{OwnedRow, OwnerStep, owner_step},
@@ -332,16 +332,23 @@
     }
 }
 
-/// Exactly one live process claims the domain of an owner that is down, with a higher term and the
-/// row's current version.
+/// Exactly one live process asks whether an owner that is silent still runs, and once that has been removed
+/// claims its domain with a higher term and the row's current version.
 #[test]
 fn one_process_claims_the_domain_of_an_owner_that_is_down() {
     let mut table = table(4);
     listen(&mut table, 4, &[2], 100, 2_500);
     let row = known(Some(owner(2)));
-    let steps: Vec<OwnerStep> =
-        [0, 1, 3].iter().map(|own| step(*own, Some(&row), &table, after(2_500))).collect();
+    let steps = |table: &MemberTable| -> Vec<OwnerStep> {
+        [0, 1, 3].iter().map(|own| step(*own, Some(&row), table, after(2_500))).collect()
+    };
+    let asked = OwnerStep::Challenge { owner: owner(2), vantage: Vantage::Majority };
+    let asking = steps(&table);
+    assert_eq!(asking.iter().filter(|step| **step == asked).count(), 1, "{asking:?}");
+    assert_eq!(asking.iter().filter(|step| **step == OwnerStep::NotOwner).count(), 2);
+    table.remove_row(&name(2));
     let claim = OwnerStep::Claim { expected: RowVersion(40), term: Term(8) };
+    let steps = steps(&table);
     assert_eq!(steps.iter().filter(|step| **step == claim).count(), 1, "{steps:?}");
 }
 
@@ -361,16 +368,22 @@
 
 /// A process behind a cut took all owners on the other side for dead and claimed their domains.
 #[test]
-fn owners_are_asked_where_most_processes_are_silent() {
+fn the_silence_of_most_is_that_of_a_minority() {
     let mut table = table(5);
     listen(&mut table, 5, &[], 100, 3_000);
-    listen(&mut table, 5, &[2, 3, 4], 3_100, 7_000);
-    assert_eq!(step_after(&table, 7_000), OwnerStep::Challenge(owner(2)));
+    let asked = |vantage| OwnerStep::Challenge { owner: owner(2), vantage };
+    // No moment at which the owner seems to be missed and most of the others are not.
+    for time in (3_100..7_000).step_by(100) {
+        listen(&mut table, 5, &[2, 3, 4], time, time);
+        let step = step_after(&table, time);
+        assert!(step == OwnerStep::NotOwner || step == asked(Vantage::Minority), "{step:?}");
+    }
+    assert_eq!(step_after(&table, 6_900), asked(Vantage::Minority));
     // When the cut ends, their silence begins anew.
-    listen(&mut table, 5, &[2], 7_100, 8_800);
-    assert_eq!(step_after(&table, 8_800), OwnerStep::NotOwner);
-    listen(&mut table, 5, &[2], 8_900, 9_200);
-    assert!(matches!(step_after(&table, 9_200), OwnerStep::Claim { .. }));
+    listen(&mut table, 5, &[2], 7_000, 8_100);
+    assert_eq!(step_after(&table, 8_100), OwnerStep::NotOwner);
+    listen(&mut table, 5, &[2], 8_200, 8_400);
+    assert_eq!(step_after(&table, 8_400), asked(Vantage::Majority));
 }
 
 /// A process that stood still found all others silent and claimed their domains before it read their
--- a/crates/node/tests/store_era.rs
+++ b/crates/node/tests/store_era.rs
@@ -251,7 +251,7 @@
                     owner_step(&domain(), None, known, &own, &state.members, era, now)
                 };
                 let mut first = step(state);
-                if let OwnerStep::Challenge(owner) = &first {
+                if let OwnerStep::Challenge { owner, .. } = &first {
                     // As if it had not answered, whether or not it runs.
                     state.remove_process(owner);
                     first = step(state);
