Read the server list afresh before a new owner orders anything

Change: the claim's version in the store's history is known, and so is the position up to which the list was read. A domain is planned once the list was read beyond its claim. The list is asked for at once, by a read of the store that waits for no change, as the next page of a watch may be 18 s away.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -16,7 +16,7 @@
         loop_lag::time_step,
         owners::{OwnedRow, OwnerStep, owner_step},
         peers::{HeadLoad, HeadPace},
-        ports::{EngineAccess, EngineReport, ProbeError, ServerEntry},
+        ports::{EngineAccess, EngineReport, ProbeError, ServerEntry, WatchPosition},
         rows::RowOwner,
         view::{EngineDomain, NodeView},
     },
@@ -61,6 +61,8 @@
 /// for this long. It exceeds the interval at which servers refresh their entries, because engines
 /// that start together appear in the list one after another.
 const FIRST_GROUPS_DELAY: Duration = Duration::from_millis(1_700);
+/// Pause before the server list is asked for again that a new owner waits for.
+const LIST_RETRY: Duration = Duration::from_millis(500);
 /// Share of the configured rate of model loads from the weight store that the planners use.
 const LOAD_RATE_SHARE: f64 = 0.9;
 
@@ -134,6 +136,8 @@
     claim_attempts: BTreeMap<FabricDomainId, Tick>,
     /// The challenges of silent owners.
     challenges: BTreeMap<HostId, SentChallenge>,
+    /// The position of the server list that was last asked for, and when.
+    asked_list: Option<(WatchPosition, Tick)>,
     /// When the configuration, the server list and the member rows were first known.
     first_view_at: Option<Tick>,
     /// Number of listed engines at the last step, and when it last grew.
@@ -183,6 +187,7 @@
             domains: BTreeMap::new(),
             claim_attempts: BTreeMap::new(),
             challenges: BTreeMap::new(),
+            asked_list: None,
             first_view_at: None,
             engine_count: 0,
             last_engine_added_at: Tick(0),
@@ -396,6 +401,30 @@
         let _ = self.head_updates.try_send(HeadUpdates { broken: newly_broken, loads, paces });
     }
 
+    /// Whether the server list was read after the claim of a domain under this term was carried out. An
+    /// older one may name servers that have started again under other ids.
+    fn has_list_for(&self, domain: &FabricDomainId, term: Term) -> bool {
+        let is_planned = self.domains.get(domain).is_some_and(|owned| owned.term == term);
+        is_planned
+            || self.view.with(|state| {
+                let claimed_at = state.domains.get(domain).map(OwnedRow::position);
+                claimed_at.is_none_or(|position| state.servers.read_to() >= position)
+            })
+    }
+
+    /// Has the server list read from the store, again if that takes long.
+    fn ask_for_list(&mut self, domain: &FabricDomainId, now: Tick) {
+        let claimed_at = self.view.with(|state| state.domains.get(domain).map(OwnedRow::position));
+        let Some(position) = claimed_at else { return };
+        let is_asked = self
+            .asked_list
+            .is_some_and(|(asked, at)| asked >= position && now.since(at) < LIST_RETRY);
+        if !is_asked {
+            self.asked_list = Some((position, now));
+            self.view.list_wanted.notify_one();
+        }
+    }
+
     /// Plans one domain, claims it or stops planning it. `failure_domain` is that of its engines, and
     /// `sizes` has the number of listed engines of every domain. Returns the owner if it is challenged.
     fn step_domain(
@@ -413,6 +442,9 @@
             (step, era)
         });
         match step {
+            OwnerStep::Own(term) if !self.has_list_for(domain, term) => {
+                self.ask_for_list(domain, now)
+            }
             OwnerStep::Own(term) => {
                 let entries = self.view.with(|state| state.engines_of(domain));
                 self.plan_domain(domain, term, &entries, sizes, now);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -5,12 +5,14 @@
         config_share::{ConfigAnswer, fetch_config},
         config_tracker::ConfigOrigin,
         loop_lag::time_step,
-        ports::{OperatorChange, PlatformWatch, WatchError, WatchPage, WatchPosition},
+        ports::{
+            OperatorChange, PlatformWatch, ServerChange, WatchError, WatchPage, WatchPosition,
+        },
         view::NodeView,
     },
     relay::CONFIG_TRUST,
     std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
@@ -41,7 +43,12 @@
     stop: CancellationToken,
 ) {
     let config = follow(
-        WatchSettings { what: "config", pause: &|| CONFIG_PAUSE, rereads_after_failure: true },
+        WatchSettings {
+            what: "config",
+            pause: &|| CONFIG_PAUSE,
+            wanted: None,
+            rereads_after_failure: true,
+        },
         |after| watch.watch_config(after, view.is_watcher()),
         |page| view.apply_config_page(page),
         // The other watches may be waiting for a response that never arrives.
@@ -49,17 +56,29 @@
     );
     let server_pause = || if view.is_busy_owner() { BUSY_OWNER_PAUSE } else { SERVER_PAUSE };
     let servers = follow(
-        WatchSettings { what: "servers", pause: &server_pause, rereads_after_failure: false },
-        |after| watch.watch_servers(after, view.needs_short_server_watch()),
+        WatchSettings {
+            what: "servers",
+            pause: &server_pause,
+            wanted: Some(&view.list_wanted),
+            rereads_after_failure: false,
+        },
+        |after| next_servers(&*watch, &view, after),
         |page| {
             if page.has_news() {
                 view.apply_servers(page);
+            } else {
+                view.note_servers_read(page.position);
             }
         },
         || view.note_outage(),
     );
     let rows = follow(
-        WatchSettings { what: "rows", pause: &|| ROW_PAUSE, rereads_after_failure: false },
+        WatchSettings {
+            what: "rows",
+            pause: &|| ROW_PAUSE,
+            wanted: None,
+            rereads_after_failure: false,
+        },
         |after| watch.watch_rows(after),
         |page| {
             if page.has_news() {
@@ -75,6 +94,21 @@
     }
 }
 
+/// The next page of the server list. Ends the wait for a change where a new owner needs to know what the
+/// store has now.
+async fn next_servers<W: PlatformWatch>(
+    watch: &W,
+    view: &NodeView,
+    after: Option<WatchPosition>,
+) -> Result<WatchPage<ServerChange>, WatchError> {
+    let waiting = watch.watch_servers(after, view.needs_short_server_watch());
+    let Some(after) = after else { return waiting.await };
+    tokio::select! {
+        page = waiting => page,
+        () = view.list_wanted.notified() => watch.read_servers(after).await,
+    }
+}
+
 /// Fetches the configuration from a peer that has a newer one or a confirmed one, when this process's
 /// own read may have stalled or its source may be cut off. A response that is arriving goes on.
 async fn catch_up<W: PlatformWatch>(watch: &W, view: &NodeView) {
@@ -128,11 +162,25 @@
     what: &'static str,
     /// Pause after a page that has changes.
     pause: &'a (dyn Fn() -> Duration + Sync),
+    /// Notified when the next page is wanted without a pause.
+    wanted: Option<&'a Notify>,
     /// Whether to read everything again after a failure, for a table of few rows: its history may
     /// hold many versions, of which only the newest count.
     rereads_after_failure: bool,
 }
 
+impl WatchSettings<'_> {
+    async fn rest(&self) {
+        let pause = sleep((self.pause)());
+        let Some(wanted) = self.wanted else { return pause.await };
+        tokio::select! {
+            () = pause => {}
+            // For the read that follows.
+            () = wanted.notified() => wanted.notify_one(),
+        }
+    }
+}
+
 /// Reads the pages of one watch and applies them. `note_outage` is called on each failure.
 async fn follow<T, F>(
     settings: WatchSettings<'_>,
@@ -142,7 +190,7 @@
 ) where
     F: Future<Output = Result<WatchPage<T>, WatchError>>,
 {
-    let WatchSettings { what, pause, rereads_after_failure } = settings;
+    let WatchSettings { what, rereads_after_failure, .. } = settings;
     let mut after = None;
     let mut failures: u32 = 0;
     // Whether no change was read since the history was last gone.
@@ -159,7 +207,7 @@
                 let has_news = page.has_news();
                 time_step(what, || apply(page));
                 if has_news {
-                    sleep(pause()).await;
+                    settings.rest().await;
                 }
             }
             Err(WatchError::HistoryGone { position }) => {
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         members::MemberTable,
+        ports::WatchPosition,
         presence::{Presence, Vantage},
         rows::{OwnerRow, RowOwner},
     },
@@ -40,6 +41,11 @@
 }
 
 impl OwnedRow {
+    /// The place of the row's last write in the store's history.
+    pub fn position(&self) -> WatchPosition {
+        WatchPosition { era: self.era, version: self.version.0 }
+    }
+
     /// This row after the store came back with an older `restored` one, or without one: it keeps the
     /// newer claim, which has to be written again under the restored row's version.
     pub(crate) fn over_restored(self, restored: Option<Self>, era: StoreEra) -> Self {
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -225,6 +225,15 @@
         short_poll: bool,
     ) -> impl Future<Output = Result<WatchPage<ServerChange>, WatchError>> + Send;
 
+    /// Reads what changed in the server list since `after` from the store itself, without waiting for a
+    /// change where the implementation can.
+    fn read_servers(
+        &self,
+        after: WatchPosition,
+    ) -> impl Future<Output = Result<WatchPage<ServerChange>, WatchError>> + Send {
+        self.watch_servers(Some(after), true)
+    }
+
     /// Watches the rows that this program writes: members and owners of fabric domains.
     fn watch_rows(
         &self,
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         peers::LeavingNotice,
-        ports::{ServerChange, ServerEntry, ServerStanding, WatchPage},
+        ports::{ServerChange, ServerEntry, ServerStanding, WatchPage, WatchPosition},
     },
     base::{Epoch, GroupId, StoreEra, Tick},
     plan::staged::{GroupDeparture, Membership},
@@ -104,6 +104,8 @@
     failed_at: Option<Tick>,
     /// The era of the last page.
     era: StoreEra,
+    /// Up to where the store's history is known.
+    read_to: WatchPosition,
     /// Whether a page was applied.
     loaded: bool,
 }
@@ -146,6 +148,7 @@
         let restored = self.loaded && page.is_snapshot && page.position.era > self.era;
         self.loaded = true;
         self.era = self.era.max(page.position.era);
+        self.note_read(page.position);
         if restored {
             // Entries that are missing from the older copy are kept until they are written again.
             info!(decision = "servers-restored", era = self.era.0, "state");
@@ -174,6 +177,16 @@
         delta
     }
 
+    /// Records that the list is known up to a position.
+    pub fn note_read(&mut self, position: WatchPosition) {
+        self.read_to = self.read_to.max(position);
+    }
+
+    /// The position up to which the list is known.
+    pub fn read_to(&self) -> WatchPosition {
+        self.read_to
+    }
+
     /// Whether this start of a server was never listed here. The entry of any other one that comes
     /// from an older copy of the store is older than what is known.
     fn is_unknown(&self, entry: &ServerEntry) -> bool {
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -385,6 +385,16 @@
         self.cache_page(&self.caches.servers, after, page)
     }
 
+    async fn read_servers(
+        &self,
+        after: WatchPosition,
+    ) -> Result<WatchPage<ServerChange>, WatchError> {
+        self.view.store_reads.note("servers", ReadReason::NewOwner);
+        let page = self.watch.read_servers(after).await;
+        self.note_turn(&self.server_turns, &page);
+        self.cache_page(&self.caches.servers, Some(after), page)
+    }
+
     async fn watch_rows(
         &self,
         after: Option<WatchPosition>,
--- a/crates/node/src/store_reads.rs
+++ b/crates/node/src/store_reads.rs
@@ -18,6 +18,8 @@
     BusyOwner,
     /// The process that it reads from did not answer or does not have the position.
     Fallback,
+    /// It has become the owner of a fabric domain, and needs to know the present servers.
+    NewOwner,
     /// It has nothing yet, or the history after its position is gone.
     FullRead,
 }
@@ -28,6 +30,7 @@
             Self::Watcher => "watcher",
             Self::BusyOwner => "busy-owner",
             Self::Fallback => "fallback",
+            Self::NewOwner => "new-owner",
             Self::FullRead => "full-read",
         }
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -21,7 +21,7 @@
         peers::{HeadLoad, HeadPace, LeavingNotice},
         ports::{
             ConfigUpdate, EngineService, RowChange, ServerChange, ServerEntry, ServerStanding,
-            WatchPage,
+            WatchPage, WatchPosition,
         },
         rows::RowOwner,
         server_list::{ServerList, ServerListChanges},
@@ -73,6 +73,8 @@
     pub offer: ConfigOffer,
     /// Notified when a change may require a planning step of an owner.
     pub changed: Notify,
+    /// Notified when the server list has to be read from the store at once.
+    pub list_wanted: Notify,
     /// Notified when the rows name processes that are asked whether they run.
     pub(crate) challenged: Notify,
     /// How often this process read the store itself.
@@ -141,6 +143,7 @@
             outdated: Notify::new(),
             offer: ConfigOffer::default(),
             changed: Notify::new(),
+            list_wanted: Notify::new(),
             challenged: Notify::new(),
             store_reads: StoreReads::default(),
             config_ages: ConfigAges::default(),
@@ -171,6 +174,12 @@
         self.changed.notify_one();
     }
 
+    /// Records that the server list has not changed up to a position.
+    pub fn note_servers_read(&self, position: WatchPosition) {
+        self.with(|state| state.servers.note_read(position));
+        self.changed.notify_one();
+    }
+
     /// Removes expired entries: servers kept after an outage of the store, and reports about heads.
     /// Also checks the age of the configuration.
     pub fn expire(&self) {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -9,6 +9,7 @@
         Epoch, FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, ManualClock,
         ModelName, RowVersion, ServiceName, StoreEra, Term, Tick,
     },
+    futures::FutureExt,
     infra::{CommitOutcome, PlatformError, RowKey, StoredRow, TableStore, Transaction},
     limit::NamedLimit,
     node::{
@@ -187,6 +188,13 @@
 
 impl Rig {
     async fn start() -> Self {
+        Self::start_at(0).await
+    }
+
+    /// Starts with a store in which `version` was the last one.
+    async fn start_at(version: u64) -> Self {
+        let table = MemoryTable::default();
+        table.rows.lock().0 = version;
         let clock = Arc::new(ManualClock::new());
         clock.advance(Duration::from_secs(1_000));
         let shared = Arc::new(relay_shared(clock.clone()));
@@ -198,7 +206,7 @@
         view.apply_config(config());
         view.apply_rows(member_row(&own));
         tokio::spawn(ControlLoop::run(
-            Arc::new(MemoryTable::default()),
+            Arc::new(table),
             engines.clone(),
             view.clone(),
             shared,
@@ -226,11 +234,16 @@
     }
 
     fn list(&self, names: &[&str]) {
+        self.list_at(names, 1);
+    }
+
+    /// Lists engines as of a version of the store.
+    fn list_at(&self, names: &[&str], version: u64) {
         let changes = names.iter().map(|name| ServerChange::Listed(Box::new(engine(name))));
         let changes = changes.collect();
         self.view.apply_servers(WatchPage {
             changes,
-            position: at(1),
+            position: at(version),
             is_snapshot: true,
             age: None,
         });
@@ -330,6 +343,24 @@
     assert!(!rig.engines.compositions().is_empty());
 }
 
+/// A process that had been cut off planned with the server list of before the cut: it took servers that had
+/// started again, and that another owner had in groups, for those of before.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_orders_nothing_before_it_has_read_the_servers_afresh() {
+    let rig = Rig::start_at(20).await;
+    rig.list_at(&["a1", "a2", "a3"], 15);
+    rig.run(Duration::from_secs(6)).await;
+    assert!(rig.engines.orders.lock().is_empty());
+    assert!(rig.view.list_wanted.notified().now_or_never().is_some(), "it asks for the list");
+    rig.list_at(&["b1", "b2", "b3"], 21);
+    rig.run(Duration::from_secs(6)).await;
+    let joined = rig.engines.compositions();
+    assert!(!joined.is_empty());
+    for (_, _, members) in joined {
+        assert!(members.iter().all(|member| member.as_str().starts_with('b')), "{members:?}");
+    }
+}
+
 /// The last answer of an engine that is out of reach may be older than its membership in a group of the
 /// next owner.
 #[tokio::test(start_paused = true)]
--- a/crates/node/tests/ownership/process.rs
+++ b/crates/node/tests/ownership/process.rs
@@ -212,6 +212,16 @@
     }
 
     fn read_store(&mut self, now: Tick) {
+        let wants_list = self.runtime.block_on(async {
+            tokio::select! {
+                biased;
+                () = self.view.list_wanted.notified() => true,
+                () = std::future::ready(()) => false,
+            }
+        });
+        if wants_list {
+            self.list_at = self.list_at.min(now);
+        }
         if !self.links.reaches_store(self.index) {
             // A watch that hangs is given up only some time after the cut.
             self.list_at = self.list_at.max(now + REOPEN_TIME);
