Take a report of another start for no listed server

So the membership of a new server counted as that of the old one, restarted; the planner adopted open groups with the old ids as members, and the new ids were in no composition that it knew.

Change: a report names the start of its server, and so does the list. One of a later start shows that the listed one has ended (ProbeFailure::Replaced: its head is gone, its members are free); one of an earlier start says nothing. Neither is observed. A server that starts again under its id is used once the list names its start.

The silence that a majority observes is counted by itself; what a minority observes goes on.

Schedules: crashes beside the end, pause or cut of an owner; and no domain may be taken from an owner that has run and reached the store for 2 s.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -30,8 +30,9 @@
     },
     relay::{RelayShared, ServerId, ServerLoad},
     std::{
+        cmp::Ordering,
         collections::{BTreeMap, BTreeSet},
-        sync::{Arc, atomic::Ordering},
+        sync::{Arc, atomic},
         time::Duration,
     },
     tokio::{
@@ -257,6 +258,9 @@
         result: Result<EngineReport, ProbeError>,
     ) {
         let now = self.clock.now();
+        let result = result
+            .map_err(ProbeFailure::from)
+            .and_then(|report| self.check_start(host, &report.facts).map(|()| report));
         if let Ok(report) = &result {
             self.note_limit(host, report.limit, sent_at);
         }
@@ -271,6 +275,8 @@
             let down = owned.planner.is_down(host, now);
             probe_state.due = match result {
                 Ok(_) => sent_at + PROBE_INTERVAL,
+                // The same server, once the list names its present start.
+                Err(ProbeFailure::Replaced) => now + PROBE_INTERVAL,
                 Err(_) if down => now + DOWN_PROBE_INTERVAL,
                 // The engine is considered down after several failed probes, so the next one
                 // follows at once.
@@ -296,19 +302,14 @@
                 owned.paces.forget(host);
                 info!(decision = "engine-silent", domain = %domain, server = %host,
                     why = ?error, "groups");
-                let mark = match error {
-                    ProbeError::Refused => ProbeFailure::Refused,
-                    ProbeError::Silent => ProbeFailure::Silent,
-                    ProbeError::Inconclusive => {
-                        if let Some(probe_state) = owned.probes.get_mut(host) {
-                            probe_state.due = now + PROBE_TIMEOUT / 2;
-                        }
-                        ProbeFailure::Inconclusive
-                    }
-                };
-                owned.planner.record_probe_failure(host, sent_at, mark);
+                if error == ProbeFailure::Inconclusive
+                    && let Some(probe_state) = owned.probes.get_mut(host)
+                {
+                    probe_state.due = now + PROBE_TIMEOUT / 2;
+                }
+                owned.planner.record_probe_failure(host, sent_at, error);
                 if let Some(probe_state) = owned.probes.get_mut(host)
-                    && error == ProbeError::Refused
+                    && error == ProbeFailure::Refused
                     && !owned.planner.is_down(host, now)
                 {
                     // A refusal arrives at once. The pause gives the engine some time to accept
@@ -319,6 +320,22 @@
         }
     }
 
+    /// Fails if a report is from another start than the one that the list names: a report does not say
+    /// whose it is, and the server that has the address now may be another one.
+    fn check_start(&self, host: &ServerId, reported: &EngineState) -> Result<(), ProbeFailure> {
+        let listed = self.view.with(|state| {
+            let entry = state.servers.known_entry(host)?;
+            entry.facts.as_ref()?.boot_id
+        });
+        let (Some(listed), Some(reported)) = (listed, reported.boot_id) else { return Ok(()) };
+        match reported.cmp(&listed) {
+            Ordering::Equal => Ok(()),
+            Ordering::Greater => Err(ProbeFailure::Replaced),
+            // Older than the list, or by another clock.
+            Ordering::Less => Err(ProbeFailure::Inconclusive),
+        }
+    }
+
     /// Applies what a probe says about an engine's limit if the engine takes requests.
     fn note_limit(&self, host: &ServerId, limit: NamedLimit, sent_at: Tick) {
         let limits = &self.shared.limits;
@@ -543,7 +560,7 @@
                 owned.listed_states.insert(entry.id.clone(), facts.clone());
             }
         }
-        let in_traffic = self.shared.in_traffic.load(Ordering::Relaxed);
+        let in_traffic = self.shared.in_traffic.load(atomic::Ordering::Relaxed);
         // The division over domains applies only to the first groups, before there is traffic.
         let division = if in_traffic { BTreeMap::new() } else { divide_groups(sizes, &models) };
         let input = StagedInput {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -334,12 +334,14 @@
             return Presence::Running;
         }
         let silent_since = state.advanced_at.max(self.contact.attentive_since());
-        let (silent_since, vantage, limit) = match self.contact.majority_since() {
-            Some(since) => (silent_since.max(since), Vantage::Majority, self.missed_after()),
-            None => (silent_since, Vantage::Minority, self.down_after()),
-        };
-        let is_silent = now.since(silent_since) >= limit;
-        if is_silent { Presence::Silent(vantage) } else { Presence::Running }
+        let missed_since = self.contact.majority_since().map(|since| silent_since.max(since));
+        if missed_since.is_some_and(|since| now.since(since) >= self.missed_after()) {
+            Presence::Silent(Vantage::Majority)
+        } else if now.since(silent_since) >= self.down_after() {
+            Presence::Silent(Vantage::Minority)
+        } else {
+            Presence::Running
+        }
     }
 
     /// Whether more than half of the processes with rows, this one included, were heard so recently that
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -5,7 +5,7 @@
     base::{FabricDomainId, FailureDomainId, ModelName, ServiceName, StoreEra, Term},
     infra::StoredRow,
     limit::NamedLimit,
-    plan::staged::{EngineState, OrderEnd, StagedOrder},
+    plan::staged::{EngineState, OrderEnd, ProbeFailure, StagedOrder},
     relay::{RelayConfig, ServerId, ServerLoad},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -276,6 +276,16 @@
     Inconclusive,
 }
 
+impl From<ProbeError> for ProbeFailure {
+    fn from(error: ProbeError) -> Self {
+        match error {
+            ProbeError::Refused => Self::Refused,
+            ProbeError::Silent => Self::Silent,
+            ProbeError::Inconclusive => Self::Inconclusive,
+        }
+    }
+}
+
 /// Sends probes and orders to engines.
 pub trait EngineAccess: Send + Sync + 'static {
     /// Probes an engine for its state.
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -16,6 +16,8 @@
 mod store;
 #[path = "support/mod.rs"]
 mod support;
+#[path = "ownership/takeovers.rs"]
+mod takeovers;
 #[path = "ownership/world.rs"]
 mod world;
 
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -58,7 +58,7 @@
             return self.break_head(composition, now);
         };
         let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
-        if boot_id != composition.boot_ids[0] {
+        if boot_id != composition.boot_ids[0] || record.is_replaced() {
             self.record_dissolved(composition, HeadEnd::Known, now);
             return true;
         }
@@ -232,7 +232,7 @@
         let Some(member) = &composition.members[rank] else { return false };
         let Some(record) = self.hosts.get(member) else { return false };
         let is_absent = record.is_confirmed() && self.membership(member, composition).is_none();
-        is_absent || self.has_left(composition, member)
+        is_absent || record.is_replaced() || self.has_left(composition, member)
     }
 
     fn is_reachable_member(&self, composition: &Composition, host: &HostId) -> bool {
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -51,6 +51,8 @@
     refused: bool,
     /// Whether a probe since the last answer was inconclusive.
     unsure: bool,
+    /// Whether a later start has answered at the host's address since the last answer.
+    replaced: bool,
     pub(super) last_order: Option<SentOrder>,
     /// Model of the last group that the engine finished joining since its start, or of a prewarming
     /// group that exceeded its time limit. The engine joins another group of that model fast.
@@ -80,6 +82,7 @@
             failed_probes: 0,
             refused: false,
             unsure: false,
+            replaced: false,
             last_order: None,
             last_group_model: None,
             staging: None,
@@ -217,6 +220,7 @@
         self.failed_probes = 0;
         self.refused = false;
         self.unsure = false;
+        self.replaced = false;
     }
 
     pub(super) fn record_probe_failure(&mut self, probed_at: Tick, failure: ProbeFailure) {
@@ -229,7 +233,13 @@
         }
         self.unanswered_since.get_or_insert(probed_at);
         self.failed_probes += 1;
-        self.refused |= failure == ProbeFailure::Refused;
+        self.replaced |= failure == ProbeFailure::Replaced;
+        self.refused |= failure == ProbeFailure::Refused || self.replaced;
+    }
+
+    /// Whether the engine is known to have ended, as a later start answers at its address.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.replaced
     }
 
     /// Whether the host is considered down, so that its group is dissolved: [`DOWN_PROBES`] probes
@@ -238,7 +248,7 @@
         let unanswered = self.unanswered_since.is_some_and(|since| {
             self.failed_probes >= DOWN_PROBES && now.since(since) >= settings.down_after
         });
-        unanswered || (self.refused && self.failed_probes >= DOWN_PROBES)
+        unanswered || self.replaced || (self.refused && self.failed_probes >= DOWN_PROBES)
     }
 
     /// Whether the engine answered its last probe.
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -434,7 +434,8 @@
         let lost = |rank: usize| {
             let Some(host) = &composition.members[rank] else { return true };
             let Some(record) = self.hosts.get(host) else { return true };
-            if record.is_down(now, &self.settings) && !record.stays_for_requests() {
+            let is_down = record.is_down(now, &self.settings) && !record.stays_for_requests();
+            if is_down || record.is_replaced() {
                 return true;
             }
             let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -144,6 +144,9 @@
     /// The owner's own links may be the cause. The host is not down, and joins no new group until it
     /// answers.
     Inconclusive,
+    /// A later start of an engine answered at the host's address, maybe that of another host: the engine
+    /// of before has ended.
+    Replaced,
 }
 
 base::value_type!(
