Take a host that reports a group which does not know it for taken

Change: such a host is ordered to leave what it reports, and joins another group after that. A dissolved composition remembers its members.

--- a/crates/node/tests/ownership/process.rs
+++ b/crates/node/tests/ownership/process.rs
@@ -40,8 +40,10 @@
 const ROW_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two checks for expired entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a watch that was open when its way was cut takes to notice the end of the cut.
+/// How long the watch of the rows takes to notice the end of a cut in which it was open.
 const REOPEN_TIME: Duration = Duration::from_millis(1_300);
+/// The same for the watch of the server list, which may wait longer for its next page.
+const LIST_REOPEN_TIME: Duration = Duration::from_millis(7_000);
 
 /// A gossip message.
 #[derive(Clone)]
@@ -104,8 +106,12 @@
                 clock: shared_clock.clone(),
             })
         };
-        let engines =
-            Arc::new(ProcessEngines { fleet: fleet.clone(), links: links.clone(), process: index });
+        let engines = Arc::new(ProcessEngines {
+            fleet: fleet.clone(),
+            links: links.clone(),
+            store: store.clone(),
+            process: index,
+        });
         let row = MemberRow {
             incarnation: own.incarnation,
             peers: peer_address(index),
@@ -224,7 +230,7 @@
         }
         if !self.links.reaches_store(self.index) {
             // A watch that hangs is given up only some time after the cut.
-            self.list_at = self.list_at.max(now + REOPEN_TIME);
+            self.list_at = self.list_at.max(now + LIST_REOPEN_TIME);
             self.rows_at = self.rows_at.max(now + REOPEN_TIME);
             self.view.note_outage();
             return;
--- a/crates/node/tests/ownership/servers.rs
+++ b/crates/node/tests/ownership/servers.rs
@@ -4,10 +4,11 @@
     super::{
         engine::{Reply, SimulatedEngine},
         links::Links,
+        store::SimulatedStore,
     },
     base::{
-        FabricDomainId, FailureDomainId, HostId, ManualClock, ModelName, ServiceName, Term, Tick,
-        TickClock,
+        FabricDomainId, FailureDomainId, GroupId, HostId, ManualClock, ModelName, ServiceName,
+        Term, Tick, TickClock,
     },
     limit::NamedLimit,
     node::{EngineAccess, EngineReport, ProbeError, ServerEntry, ServerStanding},
@@ -45,6 +46,10 @@
     lapsing: Vec<(ServerEntry, Tick)>,
     late: Vec<LateOrder>,
     next_id: u64,
+    /// Servers whose entries have lapsed, with the store's version of then.
+    lapsed: BTreeMap<HostId, u64>,
+    /// Servers that were named as members of a group.
+    members: BTreeMap<GroupId, Vec<HostId>>,
     violations: Vec<String>,
     random: Pcg64Mcg,
 }
@@ -66,6 +71,8 @@
             lapsing: Vec::new(),
             late: Vec::new(),
             next_id: 0,
+            lapsed: BTreeMap::new(),
+            members: BTreeMap::new(),
             violations: Vec::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
         };
@@ -108,9 +115,12 @@
         running.chain(lapsing.map(|(entry, _)| entry.clone())).collect()
     }
 
-    pub(crate) fn advance(&self) {
+    pub(crate) fn advance(&self, store_version: u64) {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        let lapsed = state.lapsing.extract_if(.., |(_, until)| *until <= now);
+        let lapsed: Vec<HostId> = lapsed.map(|(entry, _)| entry.id).collect();
+        state.lapsed.extend(lapsed.into_iter().map(|id| (id, store_version)));
         let back: Vec<SocketAddr> = state
             .servers
             .iter()
@@ -151,6 +161,36 @@
         }
     }
 
+    /// Checks what an owner knows when it sends an order.
+    fn check(&self, order: &StagedOrder, term: Term, store: &SimulatedStore) {
+        let mut state = self.state.lock();
+        let host = &order.host;
+        let owned = state.servers.get(&order.address).and_then(|server| store.row(&server.domain));
+        if let (Some(lapsed), Some((version, row))) = (state.lapsed.get(host), owned)
+            && row.term == term
+            && *lapsed < version.0
+            && matches!(order.command, StagedCommand::Join { .. })
+        {
+            let text = format!("{host} was off the list when {:?} claimed its domain", row.owner);
+            state.violations.push(text);
+        }
+        match &order.command {
+            StagedCommand::Join { group, members, .. } => {
+                state.members.insert(group.clone(), members.clone());
+            }
+            StagedCommand::Open { group, .. }
+            | StagedCommand::Close { group, .. }
+            | StagedCommand::Leave { group, .. } => {
+                let is_member =
+                    state.members.get(group).is_some_and(|members| members.contains(host));
+                if !is_member {
+                    state.violations.push(format!("{host} was never in {group}: {order:?}"));
+                }
+            }
+            StagedCommand::Stage { .. } => {}
+        }
+    }
+
     /// Keeps one order of twenty for later.
     fn delays(&self, order: &StagedOrder, term: Term, now: Tick) -> bool {
         let mut state = self.state.lock();
@@ -242,6 +282,7 @@
 pub(crate) struct ProcessEngines {
     pub(crate) fleet: Arc<ServerFleet>,
     pub(crate) links: Arc<Links>,
+    pub(crate) store: Arc<SimulatedStore>,
     pub(crate) process: usize,
 }
 
@@ -271,6 +312,7 @@
 
     async fn order(&self, order: &StagedOrder, term: Term, limit: Duration) -> OrderEnd {
         let now = self.fleet.clock.now();
+        self.fleet.check(order, term, &self.store);
         if !self.links.reaches_servers(self.process) {
             sleep(limit).await;
             return OrderEnd::NotSent;
--- a/crates/node/tests/ownership/store.rs
+++ b/crates/node/tests/ownership/store.rs
@@ -63,9 +63,14 @@
 
     /// The owner of a domain, as its row says.
     pub(crate) fn owner(&self, domain: &FabricDomainId) -> Option<RowOwner> {
+        self.row(domain)?.1.owner
+    }
+
+    /// The owner row of a domain with its version.
+    pub(crate) fn row(&self, domain: &FabricDomainId) -> Option<(RowVersion, OwnerRow)> {
         let key = RowName::Domain(domain.clone()).key();
-        let value = self.state.lock().rows.get(&key)?.1.clone()?;
-        serde_json::from_str::<OwnerRow>(&value).unwrap().owner
+        let (version, value) = self.state.lock().rows.get(&key)?.clone();
+        Some((version, serde_json::from_str(&value?).unwrap()))
     }
 
     pub(crate) fn changes_after(&self, version: u64) -> Vec<RowChange> {
--- a/crates/node/tests/ownership/world.rs
+++ b/crates/node/tests/ownership/world.rs
@@ -108,7 +108,7 @@
             }
         }
         self.store.advance(now);
-        self.fleet.advance();
+        self.fleet.advance(self.store.version());
         // Servers write to the list all the time.
         self.store.note_other_write();
         let mut sent = Vec::new();
--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -52,10 +52,24 @@
 }
 
 /// A composition that the planner has dissolved; engines may still report it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct DissolvedGroup {
     pub(super) since: Tick,
     pub(super) head_end: HeadEnd,
+    /// The hosts that were its known members.
+    members: Vec<HostId>,
+}
+
+impl DissolvedGroup {
+    pub(super) fn new(composition: &Composition, head_end: HeadEnd, since: Tick) -> Self {
+        Self { since, head_end, members: composition.members.iter().flatten().cloned().collect() }
+    }
+
+    /// Whether a host that still reports the composition may join another one: it is known to have been a
+    /// member, and the head has ended.
+    pub(super) fn frees(&self, host: &HostId) -> bool {
+        self.head_end == HeadEnd::Known && self.members.contains(host)
+    }
 }
 
 /// The members of a group under one epoch.
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -96,26 +96,28 @@
 
     fn record_dissolved(&mut self, composition: &Composition, head_end: HeadEnd, since: Tick) {
         let key = (composition.group.clone(), composition.epoch);
-        self.dissolved.insert(key, DissolvedGroup { since, head_end });
+        self.dissolved.insert(key, DissolvedGroup::new(composition, head_end, since));
     }
 
-    /// Orders hosts in no composition to leave those that are dissolved. A later owner would not know
-    /// that and would adopt the compositions that they still report.
+    /// Orders hosts in no composition to leave those that they report. A later owner would not know that
+    /// these are dissolved and would adopt them.
     pub(super) fn remove_stale_members(&mut self, unassigned: &[HostId], now: Tick) {
         for host in unassigned {
-            let Some(membership) = self.hosts[host].membership().cloned() else { continue };
-            if self.dissolved.contains_key(&(membership.group.clone(), membership.epoch)) {
-                let Membership { group, epoch, .. } = membership;
-                self.order(host, StagedCommand::Leave { group, epoch }, now);
-            }
+            let Some(Membership { group, epoch, .. }) = self.hosts[host].membership().cloned()
+            else {
+                continue;
+            };
+            self.order(host, StagedCommand::Leave { group, epoch }, now);
         }
     }
 
-    /// Whether a host is still in a dissolved composition whose head may be open.
-    pub(super) fn must_leave_first(&self, record: &HostRecord) -> bool {
+    /// Whether a host that is in no known composition reports one whose head may be open: one that is
+    /// dissolved and whose head nobody has reached, or one in which this planner does not know it.
+    pub(super) fn must_leave_first(&self, host: &HostId) -> bool {
+        let record = &self.hosts[host];
         record.membership().is_some_and(|Membership { group, epoch, .. }| {
             let dissolved = self.dissolved.get(&(group.clone(), *epoch));
-            dissolved.is_some_and(|dissolved| dissolved.head_end == HeadEnd::Presumed)
+            !dissolved.is_some_and(|dissolved| dissolved.frees(host))
                 && !record.has_accepted_leave(group, *epoch)
         })
     }
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -20,7 +20,7 @@
 
     /// Those of unassigned hosts that need not leave a composition first.
     fn only_free(&self, mut hosts: Vec<HostId>) -> Vec<HostId> {
-        hosts.retain(|host| !self.must_leave_first(&self.hosts[host]));
+        hosts.retain(|host| !self.must_leave_first(host));
         hosts
     }
 
