Pass the empty rest of a resumed stream on as whole

Cause: an answer without an event counted as lost unless this process had passed one on; the event in the caller's Last-Event-Id did not count.

Change: the reader of a resumed stream begins after that event. Broken answers and half events are lost as before.

--- a/crates/plan/tests/unknown_members.rs
+++ b/crates/plan/tests/unknown_members.rs
@@ -4,8 +4,7 @@
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     plan::staged::{
         DemandWeight, EngineState, MemberPhase, Membership, ObservationSource, OrderEnd,
-        StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder, StagedPlanner,
-        StagedSettings,
+        StagedCommand, StagedHost, StagedInput, StagedModel, StagedPlanner, StagedSettings,
     },
     std::{collections::BTreeSet, time::Duration},
 };
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -63,6 +63,7 @@
             workspace,
             model: caller.model,
             size: caller.size,
+            resumed_after: caller.last_event.filter(|_| route.kind.is_resumable()),
             room,
             suspects,
             method: head.method,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -186,13 +186,13 @@
     ) {
         let sent_at = self.shared.clock.now();
         let ends_at = Instant::now() + ctx.expires_at.since(sent_at);
-        let is_resumed = progress.last_event.is_some();
+        let after = progress.last_event.or(ctx.resumed_after);
         let buffers = &self.shared.buffers;
         let shares = [buffers.open(), buffers.open()];
         let server = answer.server.clone();
         let target = server.clone();
         let report = async move {
-            let outcome = wait_for_event(answer, is_resumed, shares, ends_at).await;
+            let outcome = wait_for_event(answer, after, shares, ends_at).await;
             SendReport { server: target, sent_at, outcome }
         };
         sends.push(server, report.boxed());
--- a/crates/relay/src/first_event.rs
+++ b/crates/relay/src/first_event.rs
@@ -11,19 +11,16 @@
     tokio::time::{Instant, timeout_at},
 };
 
-/// Waits for the first event of a stream, or for its whole end if it is resumed. Until then the server
-/// has promised nothing. What was read stays with the answer.
+/// Waits for the first event of a stream, or for its whole end if it is resumed after the event `after`.
+/// Until then the server has promised nothing. What was read stays with the answer.
 pub(crate) async fn wait_for_event(
     mut answer: Box<LiveAnswer>,
-    is_resumed: bool,
+    after: Option<u64>,
     shares: [BufferShare; 2],
     ends_at: Instant,
 ) -> SendOutcome {
     let [share, mut early_share] = shares;
-    let mut reader = EventReader::new(share);
-    if is_resumed {
-        reader.note_first();
-    }
+    let mut reader = EventReader::new(share, after);
     loop {
         let Ok(frame) = timeout_at(ends_at, answer.body.frame()).await else {
             return SendOutcome::Lost(LossCause::NoAnswer);
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -13,7 +13,6 @@
         place::PlaceSearch,
         progress::CallProgress,
         reader::{EventReader, ReadStep},
-        request::RequestKind,
         send::LiveAnswer,
         server::BackendServer,
         service::{CallContext, FIRST_EVENT_TIMEOUT, RelayService},
@@ -152,7 +151,7 @@
         let places = Arc::new(Semaphore::new(MAX_BUFFERED_PIECES as usize));
         let body = RelayBody::Pieces(PieceBody { pieces: received, ended: false });
         let response = service.close_if_leaving(Response::from_parts(head, body));
-        let reader = EventReader::new(service.shared.buffers.open());
+        let reader = EventReader::new(service.shared.buffers.open(), ctx.resumed_after);
         let idle = IdleTime::new(service.shared.clock.now());
         ctx.trace.start_streaming();
         let pump = Self {
@@ -273,7 +272,7 @@
     /// Sends the request again so that another server continues after the last forwarded event. If
     /// that fails, logs the end of the request and returns `None`.
     async fn resume(&mut self) -> Option<Box<LiveAnswer>> {
-        if self.ctx.kind != (RequestKind::Stream { resumable: true }) {
+        if !self.ctx.kind.is_resumable() {
             self.service.note_end(&self.ctx, WorkEnd::Cut, "cut: not resumable", 0);
             return None;
         }
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -25,13 +25,14 @@
     splitter: EventSplitter,
     /// For the incomplete event in the splitter.
     share: BufferShare,
-    /// Whether any server has sent an event.
+    /// Whether any server has sent an event to this process.
     has_first: bool,
 }
 
 impl EventReader {
-    pub(crate) fn new(share: BufferShare) -> Self {
-        Self { splitter: EventSplitter::new(None), share, has_first: false }
+    /// A reader of a stream that continues after an event, or begins if `after` is `None`.
+    pub(crate) fn new(share: BufferShare, after: Option<u64>) -> Self {
+        Self { splitter: EventSplitter::new(after), share, has_first: false }
     }
 
     /// Reads what the server sent; `None` is the end of its answer.
@@ -42,7 +43,7 @@
             None if self.splitter.discard_partial() => {
                 return ReadStep::End(Err(LossCause::PartialEvent));
             }
-            None if !self.has_first => return ReadStep::End(Err(LossCause::NoEvent)),
+            None if !self.has_any() => return ReadStep::End(Err(LossCause::NoEvent)),
             None => return ReadStep::End(Ok(())),
         };
         let Ok(bytes) = frame.into_data() else { return ReadStep::NoEvent };
@@ -67,6 +68,11 @@
         self.has_first
     }
 
+    /// Whether the caller has events of the stream, so that its rest may be empty.
+    fn has_any(&self) -> bool {
+        self.has_first || self.splitter.last_id().is_some()
+    }
+
     /// Whether another server can go on after the events so far.
     pub(crate) fn is_resumable(&self) -> bool {
         !self.has_first || self.splitter.last_id().is_some()
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -58,6 +58,11 @@
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
     }
+
+    /// Whether another server can go on with the answer after a part of it.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
 }
 
 /// The head of a caller's request, decoded.
@@ -77,8 +82,8 @@
     pub size: Option<PromptSize>,
     /// The parts of the request's prompt; empty if it has none.
     pub parts: PromptParts,
-    /// Id of the last event that the caller has received, if it resumes a stream. The relay does
-    /// not use it.
+    /// Id of the last event that the caller has received, if it resumes a stream. The rest of a stream
+    /// that is resumed after its last event is empty.
     pub last_event: Option<u64>,
 }
 
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -61,6 +61,8 @@
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) model: Option<base::ModelName>,
     pub(crate) size: Option<PromptSize>,
+    /// Id of the last event that the caller has of a stream that may be resumed, if it sent one.
+    pub(crate) resumed_after: Option<u64>,
     /// The room that it asks for; `None` where requests are served without asking.
     pub(crate) room: Option<RoomDemand>,
     pub(crate) suspects: RequestSuspects,
