Break answers without a length whose end was read late

Cause: the check connects to the address after the end was read, which may be long after it came.

Change: the end counts as unknown if this process stood still shortly before or until the check, or let more than 100 ms pass between two reads of what the operating system held, as it does while it waits for a slow caller. A peer that stands still is not covered.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -97,7 +97,7 @@
     pub(crate) shared: Arc<RelayShared>,
     pub(crate) view: Arc<NodeView>,
     pub(crate) peers: PeerSocket,
-    pub(crate) pauses: PauseWatch,
+    pub(crate) pauses: Arc<PauseWatch>,
     /// Number of gossip rounds so far, which is this process's heartbeat counter.
     pub(crate) round: AtomicU64,
 }
@@ -128,6 +128,8 @@
     shared.paths = ports.paths.clone();
     shared.buffers = Arc::new(MemoryBudget::new(settings.memory()));
     shared.descriptors = settings.descriptors();
+    let pauses = Arc::new(PauseWatch::new(shared.clock.now()));
+    shared.pauses = Some(pauses.clone());
     let shared = Arc::new(shared);
     shared.in_traffic.store(!settings.first_start, Ordering::Relaxed);
     shared.poison.set_admitted(settings.admitted());
@@ -138,7 +140,6 @@
     let peer_address = settings.peer_address();
     let peers =
         PeerSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
-    let pauses = PauseWatch::new(shared.clock.now());
     let round = AtomicU64::new(0);
     let runtime = Arc::new(NodeRuntime { settings, own, shared, view, peers, pauses, round });
     runtime.run(file, ports, received_signs).await
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -139,6 +139,11 @@
         self.tracker.lock().works_since(self.service_of(server).as_ref(), at)
     }
 
+    /// The clock of these paths.
+    pub fn clock(&self) -> SharedClock {
+        self.clock.clone()
+    }
+
     /// The time on the clock of these paths.
     pub fn now(&self) -> Tick {
         self.clock.now()
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -14,7 +14,7 @@
         progress::SendRecord,
         request::RequestId,
         server::{BackendServer, InFlight},
-        short_reads::ShortReads,
+        short_reads::{ReadTimes, ShortReads},
     },
     bytes::Bytes,
     caller::DepartureTimer,
@@ -26,7 +26,7 @@
     },
     hyper_util::rt::TokioIo,
     reach::{ConnectError, ServerPaths},
-    std::collections::VecDeque,
+    std::{collections::VecDeque, sync::Arc},
     tokio::time::{Instant, timeout_at},
     tokio_util::task::AbortOnDropHandle,
 };
@@ -44,6 +44,8 @@
     pub(crate) is_forwarded: bool,
     /// What was read of the body before the answer was chosen.
     pub(crate) early: VecDeque<Bytes>,
+    /// When its connection was read.
+    pub(crate) reads: Arc<ReadTimes>,
     _driver: AbortOnDropHandle<()>,
     in_flight: InFlight,
 }
@@ -111,7 +113,8 @@
     };
     let is_forwarded = stream.is_forwarded();
     let in_flight = place.depart();
-    let (stream, read_size) = ShortReads::new(stream);
+    let (stream, read_size) = ShortReads::new(stream, paths.clock());
+    let reads = stream.reads();
     let handshake =
         http1::Builder::new().max_buf_size(ANSWER_HEAD_BYTES).handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
@@ -146,6 +149,7 @@
                 server,
                 is_forwarded,
                 early: VecDeque::new(),
+                reads,
                 _driver: driver,
                 in_flight,
             };
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -23,7 +23,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize},
     },
-    stop::{OpenWork, StopWatch},
+    stop::{OpenWork, PauseWatch, StopWatch},
     tokio::sync::{mpsc, watch},
     tracing::info,
 };
@@ -71,6 +71,8 @@
     pub paths: Arc<ServerPaths>,
     /// Clock for deadlines, back-off and latencies.
     pub clock: SharedClock,
+    /// When this process stood still; `None` if nobody notes that it runs.
+    pub pauses: Option<Arc<PauseWatch>>,
     /// Memory for what callers and servers send.
     pub buffers: Arc<MemoryBudget>,
     /// The open connections of callers.
@@ -102,6 +104,7 @@
             room: RoomWatch::default(),
             paths: Arc::default(),
             clock,
+            pauses: None,
             buffers: Arc::default(),
             connections: Arc::default(),
             descriptors: DescriptorSettings::default(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -33,7 +33,7 @@
         },
         time::Duration,
     },
-    stop::{Leaving, PlannedStop, StopSettings},
+    stop::{Leaving, PauseWatch, PlannedStop, StopSettings},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -293,6 +293,15 @@
         Self::start_over(kind, 2, servers, Arc::new(ServerPaths::new(Arc::new(links)))).await
     }
 
+    /// Starts a relay that notes with `pauses` when it stood still.
+    pub(crate) async fn start_with_pauses(
+        kind: RequestKind,
+        servers: Vec<SocketAddr>,
+        pauses: Arc<PauseWatch>,
+    ) -> Self {
+        Self::start_noting(kind, 2, servers, Arc::default(), Some(pauses)).await
+    }
+
     /// Makes the peers known to this relay.
     pub(crate) async fn join_peers(&self, peers: &[&TestRelay]) {
         let mut hosts = Vec::new();
@@ -328,6 +337,16 @@
         attempts: u32,
         servers: Vec<SocketAddr>,
         paths: Arc<ServerPaths>,
+    ) -> Self {
+        Self::start_noting(kind, attempts, servers, paths, None).await
+    }
+
+    async fn start_noting(
+        kind: RequestKind,
+        attempts: u32,
+        servers: Vec<SocketAddr>,
+        paths: Arc<ServerPaths>,
+        pauses: Option<Arc<PauseWatch>>,
     ) -> Self {
         let service = ServiceName::new("s").unwrap();
         let clock: SharedClock = Arc::new(BootClock);
@@ -337,6 +356,7 @@
         let (signs, received_signs) = mpsc::channel(8);
         let mut shared = RelayShared::new(clock, RetryBudget::new(retry_limits, began), signs);
         shared.paths = paths;
+        shared.pauses = pauses;
         shared.config.store(Some(Arc::new(config(kind, attempts, service))));
         shared.servers.store(Arc::new(server_table("s", servers)));
         let shared = Arc::new(shared);
--- a/crates/relay/tests/unframed_ends.rs
+++ b/crates/relay/tests/unframed_ends.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use {
+    base::{BootClock, TickClock},
     relay::RequestKind,
     socket2::{Domain, Socket, Type},
     std::{
@@ -15,11 +16,12 @@
         },
         time::{Duration, Instant},
     },
+    stop::PauseWatch,
     support::{Behavior, ScriptedServer, TestRelay},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpListener,
-        time::sleep,
+        net::{TcpListener, TcpStream},
+        time::{sleep, timeout},
     },
     yare::parameterized,
 };
@@ -281,3 +283,98 @@
     sleep(Duration::from_millis(20)).await;
     fillers
 }
+
+/// What a process that stood still gets.
+#[derive(Clone, Copy, Debug)]
+enum LateEnd {
+    /// The process stood still until it reads the end.
+    Pause,
+    /// The process runs, and reads what came before only when the caller has read on.
+    SlowCaller,
+}
+
+/// A server that was killed while the process stood still, or waited for its caller, had started again at its
+/// address when the end of its connection was read: half of its answer passed for the whole.
+#[parameterized(
+    plain = { RequestKind::Unsafe, PLAIN, LateEnd::Pause },
+    safe = { RequestKind::Safe, PLAIN, LateEnd::Pause },
+    once = { ONCE, FIRST_EVENT, LateEnd::Pause },
+    resumable = { RESUMABLE, FIRST_EVENT, LateEnd::Pause },
+    slow_caller = { ONCE, FIRST_EVENT, LateEnd::SlowCaller },
+)]
+#[test_macro(tokio::test)]
+async fn an_end_that_was_read_late_proves_nothing(
+    kind: RequestKind,
+    begun: &'static str,
+    late: LateEnd,
+) {
+    let server = match late {
+        LateEnd::Pause => ScriptedServer::start(Behavior::SendAndClose(begun)).await.address,
+        LateEnd::SlowCaller => start_long_stream().await,
+    };
+    let clock = BootClock;
+    let started = match late {
+        LateEnd::Pause => clock.now().back(Duration::from_secs(10)),
+        LateEnd::SlowCaller => clock.now(),
+    };
+    let pauses = Arc::new(PauseWatch::new(started));
+    let relay = TestRelay::start_with_pauses(kind, vec![server], pauses.clone()).await;
+    let answer = match late {
+        LateEnd::Pause => relay.ask(KEY).await,
+        LateEnd::SlowCaller => {
+            tokio::spawn(async move {
+                loop {
+                    pauses.note_alive(BootClock.now());
+                    sleep(Duration::from_millis(50)).await;
+                }
+            });
+            ask_slowly(relay.address).await
+        }
+    };
+    let is_whole = answer.starts_with("HTTP/1.1 200")
+        && (answer.ends_with("0\r\n\r\n") || answer.contains("content-length"));
+    let end: String = answer.chars().rev().take(40).collect();
+    assert!(!is_whole, "it looks complete: ...{:?}", end.chars().rev().collect::<String>());
+    assert!(!answer.starts_with("HTTP/1.1 503"), "it may have run");
+}
+
+/// Sends six megabytes of events, more than reach a caller that does not read, and less than the buffers on
+/// the way hold; then closes the connection. Goes on listening.
+async fn start_long_stream() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = [0; 1_024];
+                let _ = stream.read(&mut head).await;
+                let _ = stream.write_all(FIRST_EVENT.as_bytes()).await;
+                let event = format!("id: 2\ndata: {}\n\n", "b".repeat(4_000));
+                let _ = stream.write_all(event.repeat(1_500).as_bytes()).await;
+            });
+        }
+    });
+    address
+}
+
+/// Sends a request and reads its answer only after a second.
+async fn ask_slowly(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head =
+        format!("GET /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\n{KEY}connection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    let mut answer = Vec::new();
+    let _ = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// The same server, and a process that runs: its end is the end of the answer.
+#[tokio::test]
+async fn an_end_that_was_read_at_once_is_whole() {
+    let server = ScriptedServer::start(Behavior::SendAndClose(PLAIN)).await;
+    let pauses = Arc::new(PauseWatch::new(BootClock.now()));
+    let relay =
+        TestRelay::start_with_pauses(RequestKind::Unsafe, vec![server.address], pauses).await;
+    assert!(relay.ask(KEY).await.starts_with("HTTP/1.1 200"));
+}
--- a/crates/stop/src/pause_watch.rs
+++ b/crates/stop/src/pause_watch.rs
@@ -1,4 +1,4 @@
-//! Tells when a signal came that a paused process received late.
+//! Tells when a paused process receives late what came during its pause.
 
 use {
     base::Tick,
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Whether a pause ended at `from` or later, up to `now`.
+    pub fn has_paused_since(&self, from: Tick, now: Tick) -> bool {
+        self.note_alive(now);
+        let resumed_at = Tick(self.resumed_at.load(Ordering::Relaxed));
+        let paused_from = Tick(self.paused_from.load(Ordering::Relaxed));
+        paused_from < resumed_at && resumed_at >= from
+    }
+
     /// The earliest moment at which a signal that is received at `now` can have come.
     pub fn signal_time(&self, now: Tick) -> Tick {
         self.note_alive(now);
