Answer challenges of a store that came back from an older copy

Read in the code: a challenge counted as answered if its version was not above that of the last one; versions fall with an older copy, so that a live process would not have answered and would have been removed.

each_challenge_is_answered_once.

--- a/crates/node/src/control/challenges.rs
+++ b/crates/node/src/control/challenges.rs
@@ -1,8 +1,9 @@
 //! Asks silent owners through the store whether they still run, and removes those that do not answer.
 //!
 //! Silence can't tell a dead owner from a cut. The process that would follow it writes a challenge, which an
-//! owner that reaches the store answers by writing its member row again. The removal of the member row expects the challenge as it was written, so that an answer which arrives
-//! before it, in the order of the store, prevents it, however late the removal is carried out.
+//! owner that reaches the store answers by writing its member row again. The removal of the member row
+//! expects the challenge as it was written: an answer that comes before it, in the order of the store,
+//! prevents it, however late it is carried out.
 
 use {
     super::{ControlEvent, ControlLoop, claims::mark_era},
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -27,8 +27,8 @@
 /// rounds.
 pub const DOWN_AFTER: Duration = Duration::from_millis(1_800);
 
-/// Share of [`DOWN_AFTER`] after which a silent process may be asked whether it runs; one that is asked in
-/// vain is then replaced no later than by its silence alone.
+/// Where most processes are heard, a silent one is asked whether it runs after this share of the time after
+/// which it counts as down. With the time for its answer it is then replaced about when it does.
 const MISSED_SHARE: f64 = 0.7;
 
 /// Up to this number of processes, each one watches the store itself.
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -28,7 +28,8 @@
 struct WrittenRow {
     /// When the row was written.
     at: Option<Tick>,
-    /// The newest challenge that a write answered.
+    /// The last challenge that a write answered. The next one may have a lower version, in a store that came
+    /// back from an older copy.
     answered: Option<RowVersion>,
 }
 
@@ -108,7 +109,7 @@
         while !leaving.is_cancelled() {
             let now = self.clock.now();
             let challenge = self.challenge();
-            let is_challenged = challenge.is_some() && challenge > written.answered;
+            let is_challenged = challenge.is_some() && challenge != written.answered;
             let is_late = written.at.is_none_or(|at| now.since(at) >= REWRITE_DELAY);
             if is_challenged || (is_late && self.is_due()) {
                 self.write(challenge, now, &mut written).await;
@@ -153,7 +154,7 @@
                     challenged = challenge.is_some(),
                     "state"
                 );
-                *written = WrittenRow { at: Some(now), answered: challenge.max(written.answered) };
+                *written = WrittenRow { at: Some(now), answered: challenge.or(written.answered) };
             }
             Err(error) => warn!(why = %error, "failed to write the member row"),
         }
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -84,8 +84,8 @@
 /// Decides for one fabric domain. An owner that runs keeps it. A domain without one goes to the
 /// process with the highest placement weight among the processes of the domain's own failure
 /// domain that are heard, or among all that are heard if that failure domain has none, so that probes of
-/// its engines do not cross failure domains. An owner that is silent is asked first whether it still runs. A claim of an earlier era than the row's has to be made
-/// again, by its owner while that one is alive.
+/// its engines do not cross failure domains. An owner that is silent is asked first whether it still
+/// runs. A claim of an earlier era than the row's has to be made again, by its owner while that one runs.
 pub fn owner_step(
     domain: &FabricDomainId,
     failure_domain: Option<&FailureDomainId>,
--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership.rs
@@ -11,8 +11,8 @@
         ConfigUpdate, RowChange, ServerChange, WatchPage, WatchPosition,
         members::MemberTable,
         membership::{MemberRegistration, MemberRemoval},
-        rows::{MemberRow, RowName, RowOwner},
-        view::NodeView,
+        rows::{ChallengeRow, MemberRow, RowName, RowOwner},
+        view::{KnownChallenge, NodeView},
     },
     relay::{CallerLimits, RelayConfig},
     std::{
@@ -226,3 +226,29 @@
     assert!(!table.has_row());
     removing.abort();
 }
+
+/// A process that is asked whether it runs answers once to each question, also to one whose version is lower
+/// than that of the last one, as in a store that came back from an older copy.
+#[tokio::test(start_paused = true)]
+async fn each_challenge_is_answered_once() {
+    let table = PlannedTable::new([]);
+    let process = Process::start(&table);
+    sleep(Duration::from_millis(100)).await;
+    show_row(&process.view, 2, true);
+    let challenge = |version: u64| {
+        let row = ChallengeRow { incarnation: own().incarnation, asked_by: own() };
+        KnownChallenge { row, version: RowVersion(version) }
+    };
+    for (count, version) in [(2, 50), (3, 10)] {
+        process.view.with(|state| state.challenges.insert(own().node, challenge(version)));
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(*table.commits.lock(), count, "version {version}");
+    }
+    process.view.with(|state| state.challenges.clear());
+    let other = RowOwner { incarnation: Incarnation(6), ..own() };
+    let row = ChallengeRow { incarnation: other.incarnation, asked_by: own() };
+    let earlier = KnownChallenge { row, version: RowVersion(60) };
+    process.view.with(|state| state.challenges.insert(own().node, earlier));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(*table.commits.lock(), 3, "that of an earlier incarnation is not answered");
+}
