--- a/review/11/main.rs
+++ b/review/11/main.rs
@@ -60,7 +60,7 @@
     store.write("op", "config", Some(&engine_configuration(GROUP_SIZE)));
     let park = Park::new(store.clone(), record.clone());
     for number in 1..=ENGINES {
-        Engine::start("127.0.0.1", &format!("i-{number:06}"), &park);
+        Engine::start("127.0.0.1", &format!("e-{number:06}"), &park);
     }
     let settings = NodeSettings { memory_mb: 182, max_fds: 2_940, grace_s: 8.0 };
     let mut nodes: Vec<Node> = (0..2)
