--- a/review/kit-3/engines.rs
+++ b/review/kit-3/engines.rs
@@ -30,6 +30,8 @@
 /// Age of what a report says.
 const REPORT_LAG: Duration = Duration::from_millis(200);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Orders that are noted one by one; of the later ones each that completes this number again.
+const NOTED_ORDERS: usize = 250;
 const EVENTS: u32 = 12;
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
 
@@ -95,6 +97,7 @@
     pub violations: Mutex<Vec<String>>,
     pub orders: AtomicUsize,
     pub withheld: AtomicUsize,
+    noted: AtomicUsize,
     runs: Mutex<BTreeMap<String, u32>>,
 }
 
@@ -108,6 +111,7 @@
             violations: Mutex::default(),
             orders: AtomicUsize::new(0),
             withheld: AtomicUsize::new(0),
+            noted: AtomicUsize::new(0),
             runs: Mutex::default(),
         })
     }
@@ -327,7 +331,12 @@
         }
     }
 
+    /// Notes an order; of very many only some.
     fn note(&self, order: &Order, end: &str) {
+        let number = self.park.noted.fetch_add(1, Ordering::SeqCst);
+        if number >= NOTED_ORDERS && number % NOTED_ORDERS > 0 {
+            return;
+        }
         let Order { operation, key, members, .. } = order;
         let members = members.join(",");
         self.park.record.note(&format!("{}: {operation} {} [{members}] -> {end}", self.id, key.0));
@@ -512,6 +521,6 @@
 /// A configuration with a route of streams to the engines, which form groups of `size` for one model.
 pub fn engine_configuration(size: usize) -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"s","hostname":"h.example","prefix":"/s/","route_type":"streaming","timeout_ms":8000,"goal_ms":500,"priority":1,"service":"pool","attempts":2,"public":false,"sticky":true,"can_resume":true,"gap_goal_ms":300}}],"services":[{{"name":"pool","health_path":"/healthz","max_conns":788,"protocol":"h1","tls":false,"engine":{{"slots":26,"kv_capacity":1590000,"stride":5,"models":[{{"name":"m0","size":{size},"share":1.0,"pace":1.0,"load_s":12.0,"warm_s":1.1}}],"step_ms":5.95,"per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":50700.0,"pairs_per_m":0.7,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":14.0,"loads_at_once":21,"usual":{{"prompt":915,"answer":108}},"keeps":1,"far_x":3.0,"form_ms":300.0}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"t1","api_keys":["key-one-0001"]}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"s","hostname":"h.example","prefix":"/s/","route_type":"streaming","timeout_ms":8000,"goal_ms":500,"priority":1,"service":"pool","attempts":2,"public":false,"sticky":true,"can_resume":true,"gap_goal_ms":300}},{{"name":"r","hostname":"h.example","prefix":"/r/","route_type":"safe","timeout_ms":1500,"goal_ms":300,"priority":2,"service":"app","attempts":2,"public":false}}],"services":[{{"name":"app","health_path":"/healthz","max_conns":192,"protocol":"h1","tls":false}},{{"name":"pool","health_path":"/healthz","max_conns":788,"protocol":"h1","tls":false,"engine":{{"slots":26,"kv_capacity":1590000,"stride":5,"models":[{{"name":"m0","size":{size},"share":1.0,"pace":1.0,"load_s":12.0,"warm_s":1.1}}],"step_ms":5.95,"per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":50700.0,"pairs_per_m":0.7,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":14.0,"loads_at_once":21,"usual":{{"prompt":915,"answer":108}},"keeps":1,"far_x":3.0,"form_ms":300.0}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"t1","api_keys":["key-one-0001"]}}]}}"#
     )
 }
