--- a/review/11/main.rs
+++ b/review/11/main.rs
@@ -25,8 +25,8 @@
     },
 };
 
-const ENGINES: usize = 5;
-const GROUP_SIZE: usize = 3;
+const ENGINES: usize = 7;
+const GROUP_SIZE: usize = 4;
 /// When an unanswered order is carried out, from its arrival on.
 const LEAST_LATE: Duration = Duration::from_secs(2);
 const MOST_LATE: Duration = Duration::from_secs(12);
