--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -5,7 +5,7 @@
         composition::{ClosingProgress, Composition, DissolvedGroup, HeadEnd, MemberLoss},
         host::HostRecord,
         planner::{StagedInput, StagedPlanner},
-        types::{Membership, OrderEnd, StagedCommand},
+        types::{Membership, StagedCommand},
     },
     base::{HostId, Tick},
 };
@@ -82,15 +82,13 @@
         (composition.loss.is_some() || is_out_of_reach) && self.break_head(composition, now)
     }
 
-    /// Whether the host's last order was to leave the composition, and it is out of it.
+    /// Whether the host was ordered to leave the composition, and is out of it.
     fn has_left(&self, composition: &Composition, host: &HostId) -> bool {
-        let reported = self.membership(host, composition).is_some();
-        let last = self.hosts.get(host).and_then(|record| record.last_order.as_ref());
-        last.is_some_and(|last| {
-            // A refusal means that the host is not in the group, unless it reports that it is.
-            let refused = last.end == Some(OrderEnd::Refused) && !reported;
-            last.command == leave_order(composition)
-                && (refused || last.end == Some(OrderEnd::Accepted))
+        let (group, epoch) = (&composition.group, composition.epoch);
+        self.hosts.get(host).is_some_and(|record| {
+            let is_reported = self.membership(host, composition).is_some();
+            record.has_accepted_leave(group, epoch, &self.settings)
+                || (record.has_refused_leave(group, epoch) && !is_reported)
         })
     }
 
@@ -103,10 +101,14 @@
     /// these are dissolved and would adopt them.
     pub(super) fn remove_stale_members(&mut self, unassigned: &[HostId], now: Tick) {
         for host in unassigned {
-            let Some(Membership { group, epoch, .. }) = self.hosts[host].membership().cloned()
-            else {
-                continue;
-            };
+            self.order_out_of_reported(host, now);
+        }
+    }
+
+    /// Orders a host to leave the composition that it reports, if it reports one.
+    pub(super) fn order_out_of_reported(&mut self, host: &HostId, now: Tick) {
+        let reported = self.hosts.get(host).and_then(HostRecord::membership).cloned();
+        if let Some(Membership { group, epoch, .. }) = reported {
             self.order(host, StagedCommand::Leave { group, epoch }, now);
         }
     }
@@ -118,7 +120,7 @@
         record.membership().is_some_and(|Membership { group, epoch, .. }| {
             let dissolved = self.dissolved.get(&(group.clone(), *epoch));
             !dissolved.is_some_and(|dissolved| dissolved.frees(host))
-                && !record.has_accepted_leave(group, *epoch)
+                && !record.has_accepted_leave(group, *epoch, &self.settings)
         })
     }
 
@@ -178,7 +180,7 @@
             if !self.is_reachable_member(composition, member) {
                 continue;
             }
-            let is_awaited = self.hosts[member].awaits_end(&leave, now);
+            let is_awaited = self.hosts[member].orders.awaits_end(&leave, now);
             if is_awaited || self.order(member, leave.clone(), now) {
                 return;
             }
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -1,25 +1,17 @@
 //! The planner's record of one host.
 
 use {
-    super::types::{
-        EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
-        ProbeFailure, StagedCommand, StagedHost, StagedSettings,
+    super::{
+        ledger::OrderLedger,
+        types::{
+            EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
+            ProbeFailure, StagedCommand, StagedHost, StagedSettings,
+        },
     },
     base::{Epoch, GroupId, ModelName, Tick},
     std::time::Duration,
 };
 
-/// The last order sent to a host, and its outcome: `None` until the caller reports it.
-#[derive(Clone, Debug)]
-pub(super) struct SentOrder {
-    pub(super) command: StagedCommand,
-    /// When the command was first sent. Earlier than `sent` if it has been repeated since, without
-    /// another command in between.
-    pub(super) first_sent: Tick,
-    pub(super) sent: Tick,
-    pub(super) end: Option<OrderEnd>,
-}
-
 /// A load of a model outside any group, started by [`StagedCommand::Stage`].
 #[derive(Clone, Debug)]
 pub(super) struct RunningLoad {
@@ -53,7 +45,7 @@
     unsure: bool,
     /// Whether a later start has answered at the host's address since the last answer.
     replaced: bool,
-    pub(super) last_order: Option<SentOrder>,
+    pub(super) orders: OrderLedger,
     /// Model of the last group that the engine finished joining since its start, or of a prewarming
     /// group that exceeded its time limit. The engine joins another group of that model fast.
     pub(super) last_group_model: Option<ModelName>,
@@ -65,9 +57,6 @@
 /// Consecutive failed probes before a host is considered down. A single one may be a lost packet.
 const DOWN_PROBES: u32 = 2;
 
-/// Time after which the answer to an order counts as late. Engines answer within a few milliseconds.
-const LATE_ANSWER: Duration = Duration::from_millis(100);
-
 impl HostRecord {
     pub(super) fn new(entry: StagedHost, now: Tick) -> Self {
         Self {
@@ -83,7 +72,7 @@
             refused: false,
             unsure: false,
             replaced: false,
-            last_order: None,
+            orders: OrderLedger::default(),
             last_group_model: None,
             staging: None,
         }
@@ -136,7 +125,7 @@
         }
         if restarted {
             self.confirmed = false;
-            self.last_order = None;
+            self.orders.clear();
             self.last_group_model = None;
             self.staging = None;
             self.clear_probe_failures();
@@ -178,12 +167,25 @@
         self.membership().is_some_and(|present| present.group == *group && present.epoch == epoch)
     }
 
-    /// Whether the engine's answer to its last order shows that it is out of a composition.
-    pub(super) fn has_accepted_leave(&self, group: &GroupId, epoch: Epoch) -> bool {
-        let leave = StagedCommand::Leave { group: group.clone(), epoch };
-        self.last_order
-            .as_ref()
-            .is_some_and(|last| last.command == leave && last.end == Some(OrderEnd::Accepted))
+    /// Whether the engine has accepted the order to leave a composition, and has not reported since that it
+    /// is in it: a join that was carried out late may have brought it back.
+    pub(super) fn has_accepted_leave(
+        &self,
+        group: &GroupId,
+        epoch: Epoch,
+        settings: &StagedSettings,
+    ) -> bool {
+        self.orders.leave(group, epoch).is_some_and(|leave| {
+            let may_be_stale = self.state_changed_at < leave.sent + settings.answer_lag;
+            leave.end == Some(OrderEnd::Accepted) && (may_be_stale || !self.is_in(group, epoch))
+        })
+    }
+
+    /// Whether the engine has refused the order to leave a composition: it is not in it, unless it reports
+    /// that it is.
+    pub(super) fn has_refused_leave(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let leave = self.orders.leave(group, epoch);
+        leave.is_some_and(|leave| leave.end == Some(OrderEnd::Refused))
     }
 
     /// The host's departure from a composition, if that is the last one that it left.
@@ -200,18 +202,15 @@
         }
     }
 
-    /// Forgets the last order if it was to leave this composition, so that it can be sent again.
+    /// Forgets the order to leave a composition, so that it can be sent again.
     pub(super) fn forget_leave_order(&mut self, group: &GroupId, epoch: Epoch) {
-        let leave = StagedCommand::Leave { group: group.clone(), epoch };
-        if self.last_order.as_ref().is_some_and(|last| last.command == leave) {
-            self.last_order = None;
-        }
+        self.orders.forget(&StagedCommand::Leave { group: group.clone(), epoch });
     }
 
     /// Whether no new order was sent and the state did not change within `span` before `as_of`.
     fn is_settled(&self, as_of: Tick, span: Duration) -> bool {
         let ordered =
-            self.last_order.as_ref().is_some_and(|order| as_of.since(order.first_sent) < span);
+            self.orders.newest().is_some_and(|order| as_of.since(order.first_sent) < span);
         !ordered && as_of.since(self.state_changed_at) >= span
     }
 
@@ -299,17 +298,14 @@
         now: Tick,
         settings: &StagedSettings,
     ) -> bool {
-        let Some(last) = &self.last_order else { return false };
+        let Some(last) = self.orders.newest_about(group, epoch) else { return false };
         let is_unreported = || {
             self.state_changed_at < last.first_sent
                 && now.since(last.first_sent) < settings.order_retry
         };
         match &last.command {
-            StagedCommand::Open { group: opened, epoch: at } => (opened, *at) == (group, epoch),
-            StagedCommand::Close { group: closed, epoch: at } => {
-                let is_refused = last.end == Some(OrderEnd::Refused);
-                (closed, *at) == (group, epoch) && !is_refused && is_unreported()
-            }
+            StagedCommand::Open { .. } => true,
+            StagedCommand::Close { .. } => last.end != Some(OrderEnd::Refused) && is_unreported(),
             _ => false,
         }
     }
@@ -347,31 +343,4 @@
     pub(super) fn has_staged(&self, model: &ModelName) -> bool {
         self.state.as_ref().is_some_and(|state| state.staged.contains(model))
     }
-
-    /// Whether `command` was sent a moment ago and its outcome is not known yet.
-    pub(super) fn awaits_end(&self, command: &StagedCommand, now: Tick) -> bool {
-        self.last_order.as_ref().is_some_and(|last| {
-            last.command == *command && last.end.is_none() && now.since(last.sent) < LATE_ANSWER
-        })
-    }
-
-    /// Whether `command` should be sent now: it differs from the last order, or that was sent
-    /// `order_retry` ago, a quarter of it if the engine refused the order or did not get it.
-    pub(super) fn is_due(
-        &self,
-        command: &StagedCommand,
-        now: Tick,
-        settings: &StagedSettings,
-    ) -> bool {
-        let Some(last) = &self.last_order else { return true };
-        if last.command != *command {
-            return true;
-        }
-        match last.end {
-            Some(OrderEnd::NotSent | OrderEnd::Refused) => {
-                now.since(last.sent) >= settings.order_retry / 4
-            }
-            _ => now.since(last.sent) >= settings.order_retry,
-        }
-    }
 }
--- a/crates/plan/src/staged/mod.rs
+++ b/crates/plan/src/staged/mod.rs
@@ -21,6 +21,7 @@
 mod divide;
 mod form;
 mod host;
+mod ledger;
 mod planner;
 mod prewarm;
 mod types;
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -6,7 +6,7 @@
             ClosingProgress, Composition, CompositionPhase, DissolvedGroup, FormingProgress,
             HeadEnd,
         },
-        host::{HostRecord, RunningLoad, SentOrder},
+        host::{HostRecord, RunningLoad},
         types::{
             EngineState, MemberPhase, Membership, ObservationSource, OrderEnd, ProbeFailure,
             StagedCommand, StagedHost, StagedModel, StagedOrder, StagedSettings,
@@ -115,16 +115,11 @@
         }
     }
 
-    /// Records the outcome of an order that was sent at `sent`. If the host has been sent another
-    /// order since, only the end of a load that was not sent is recorded.
+    /// Records the outcome of an order that was sent at `sent`. If the host has been sent the same
+    /// command again since, only the end of a load that was not sent is recorded.
     pub fn note_end(&mut self, order: &StagedOrder, sent: Tick, end: OrderEnd) {
         let Some(record) = self.hosts.get_mut(&order.host) else { return };
-        if let Some(last) = &mut record.last_order
-            && last.command == order.command
-            && last.sent == sent
-        {
-            last.end = Some(end);
-        }
+        record.orders.note_end(&order.command, sent, end);
         let is_stage = matches!(order.command, StagedCommand::Stage { .. });
         // The load is over only if the order never arrived: an engine that refuses is busy with
         // another load, and one that did not answer may be loading.
@@ -221,13 +216,10 @@
     pub(super) fn order(&mut self, host: &HostId, command: StagedCommand, now: Tick) -> bool {
         let settings = self.settings;
         let Some(record) = self.hosts.get_mut(host) else { return false };
-        if !record.is_due(&command, now, &settings) {
+        if !record.orders.is_due(&command, now, &settings) {
             return false;
         }
-        let repeated = record.last_order.as_ref().filter(|last| last.command == command);
-        let first_sent = repeated.map_or(now, |last| last.first_sent);
-        record.last_order =
-            Some(SentOrder { command: command.clone(), first_sent, sent: now, end: None });
+        record.orders.record(command.clone(), now);
         let address = record.entry.address;
         self.orders.push(StagedOrder { host: host.clone(), address, command });
         true
@@ -450,12 +442,22 @@
             };
             match self.membership(host, composition) {
                 Some(membership) => membership.phase == MemberPhase::Broken,
-                None => joined,
+                None => joined || self.is_in_other(host),
             }
         };
         (0..composition.members.len()).any(lost)
     }
 
+    /// Whether the host reports another composition than the one under review, and is known as a member of
+    /// it: an order of the past was carried out late. It has to leave that one first.
+    fn is_in_other(&self, host: &HostId) -> bool {
+        let reported = self.hosts.get(host).and_then(HostRecord::membership);
+        let other = reported.and_then(|membership| {
+            self.compositions.get(&(membership.group.clone(), membership.epoch))
+        });
+        other.is_some_and(|other| other.has(host))
+    }
+
     fn has_leaving_member(&self, composition: &Composition) -> bool {
         composition.members.iter().flatten().any(|host| {
             self.hosts.get(host).is_some_and(|record| record.entry.leaving || !record.entry.listed)
@@ -492,7 +494,10 @@
             return;
         };
         for (rank, host) in members.iter().enumerate() {
-            if !progress.joined[rank] {
+            if !progress.joined[rank] && self.must_leave_first(host) {
+                // An order of the past was carried out after the host was chosen.
+                self.order_out_of_reported(host, now);
+            } else if !progress.joined[rank] {
                 let command = StagedCommand::Join {
                     group: composition.group.clone(),
                     epoch: composition.epoch,
@@ -508,7 +513,7 @@
     /// Whether a member has refused an order as outdated. The composition can't be completed then.
     fn is_superseded(&self, composition: &Composition) -> bool {
         composition.members.iter().flatten().any(|host| {
-            let last = self.hosts.get(host).and_then(|record| record.last_order.as_ref());
+            let last = self.hosts.get(host).and_then(|record| record.orders.newest());
             last.is_some_and(|last| last.end == Some(OrderEnd::Outdated))
         })
     }
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -195,6 +195,19 @@
     }
 );
 
+impl StagedCommand {
+    /// The composition that the command applies to; `None` for a load outside any group.
+    pub(super) fn composition(&self) -> Option<(&GroupId, Epoch)> {
+        match self {
+            Self::Join { group, epoch, .. }
+            | Self::Open { group, epoch }
+            | Self::Close { group, epoch }
+            | Self::Leave { group, epoch } => Some((group, *epoch)),
+            Self::Stage { .. } => None,
+        }
+    }
+}
+
 base::value_type!(
     /// An order that the caller sends to the engine of one host. The caller reports the outcome
     /// with [`super::StagedPlanner::note_end`].
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -9,9 +9,9 @@
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     engine::{Reply, SimulatedEngine},
     plan::staged::{
-        EngineState, GroupDeparture, Membership, ObservationSource, OrderEnd, ProbeFailure,
-        StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder, StagedPlanner,
-        StagedSettings,
+        EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
+        ProbeFailure, StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder,
+        StagedPlanner, StagedSettings,
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -228,6 +228,22 @@
         self.hosts.get_mut(host).unwrap().condition = HostCondition::CutOff;
     }
 
+    /// Answers the orders to a host again.
+    pub(crate) fn answer_orders_to(&mut self, host: &HostId) {
+        self.hosts.get_mut(host).unwrap().loses_orders = false;
+    }
+
+    /// Makes a host the head of the group that it has left last again, open, as a late join and a late open do
+    /// at an engine that carries them out.
+    pub(crate) fn reopen_left_group(&mut self, host: &HostId) {
+        self.hosts.get_mut(host).unwrap().engine.rejoin_left_group(MemberPhase::Open);
+    }
+
+    /// Whether the host is in a group.
+    pub(crate) fn is_in_group(&self, host: &HostId) -> bool {
+        self.hosts[host].engine.group().is_some()
+    }
+
     /// Lets no owner plan until [`Self::replace_owner`].
     pub(crate) fn stop_owner(&mut self) {
         self.is_owner_stopped = true;
--- a/crates/plan/tests/staged/engine.rs
+++ b/crates/plan/tests/staged/engine.rs
@@ -44,6 +44,8 @@
     last_group_model: Option<ModelName>,
     loading: Option<(ModelName, Tick)>,
     group_state: Option<GroupState>,
+    /// The group that it has left last.
+    left_group: Option<GroupState>,
     highest_epoch: Epoch,
     highest_term: Term,
     /// Whether it takes orders of earlier owners; it still refuses lower epochs.
@@ -63,6 +65,7 @@
             last_group_model: None,
             loading: None,
             group_state: None,
+            left_group: None,
             highest_epoch: Epoch(0),
             highest_term: Term(0),
             ignores_terms: false,
@@ -125,6 +128,12 @@
         }
     }
 
+    /// Makes it a member of the group that it has left last again, in a phase.
+    pub(crate) fn rejoin_left_group(&mut self, phase: MemberPhase) {
+        let left = self.left_group.take().expect("a group that it has left");
+        self.group_state = Some(GroupState { phase, ..left });
+    }
+
     pub(crate) fn is_loading(&self) -> bool {
         self.loading.is_some()
     }
@@ -218,7 +227,7 @@
             }
             StagedCommand::Leave { group, epoch } => {
                 if self.group() == Some((group.clone(), *epoch)) {
-                    self.group_state = None;
+                    self.left_group = self.group_state.take();
                 }
                 Reply::Accepted
             }
