--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -150,6 +150,10 @@
     /// Position of an order to an engine within one term.
     OrderSequence
 );
+number_id!(
+    /// Number of orders that an engine has accepted since its start.
+    OrderCount
+);
 number_id!(
     /// Position of a domain record within one term. The owner of a fabric domain publishes domain
     /// records, each with all groups of the domain; a later record replaces an earlier one.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -26,8 +26,8 @@
     id::{
         AdapterName, AttemptId, CallerName, Epoch, FabricDomainId, FailureDomainId, GroupId,
         GroupSetName, HeadNumber, HostId, IdError, IdempotencyKey, Incarnation, ModelName,
-        ModelVersion, OrderSequence, RecordSequence, RegionId, RowVersion, ServiceName, StoreEra,
-        SubmissionId, Term, TicketNumber, ViewNumber, WorkspaceId,
+        ModelVersion, OrderCount, OrderSequence, RecordSequence, RegionId, RowVersion, ServiceName,
+        StoreEra, SubmissionId, Term, TicketNumber, ViewNumber, WorkspaceId,
     },
     member::MemberId,
     placement::placement_weight,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -588,7 +588,7 @@
     ) {
         for order in orders {
             info!(decision = "order", domain = %domain, term = term.0, server = %order.host,
-                command = ?order.command, "groups");
+                command = ?order.command, expected = order.expected.map(|count| count.0), "groups");
             let engines = self.engines.clone();
             let events = self.events.clone();
             let domain = domain.clone();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -134,7 +134,7 @@
     Empty,
 }
 
-/// Times that the platform's engines keep.
+/// What the platform's engines keep to.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct EngineSettings {
@@ -142,11 +142,15 @@
     /// that is out of reach wait for it; a value below the engines' own lets two groups use a host.
     #[serde(deserialize_with = "EngineSettings::read_stall_ms")]
     pub stall_ms: f64,
+    /// Whether engines refuse orders under a lower term than one that they have seen.
+    #[serde(deserialize_with = "EngineSettings::read_terms_checked")]
+    pub terms_checked: bool,
 }
 
 impl Default for EngineSettings {
     fn default() -> Self {
-        Self { stall_ms: StagedSettings::default().stall_time.as_secs_f64() * MS_PER_S }
+        let StagedSettings { stall_time, terms_checked, .. } = StagedSettings::default();
+        Self { stall_ms: stall_time.as_secs_f64() * MS_PER_S, terms_checked }
     }
 }
 
@@ -156,6 +160,12 @@
         let written = Option::deserialize(deserializer)?;
         Ok(written.unwrap_or_else(|| Self::default().stall_ms))
     }
+
+    /// Reads whether terms are checked, which a template leaves out as the time.
+    fn read_terms_checked<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+        let written = Option::deserialize(deserializer)?;
+        Ok(written.unwrap_or_else(|| Self::default().terms_checked))
+    }
 }
 
 /// The settings of one process.
@@ -248,7 +258,8 @@
     /// The time limits of groups, in the type that the planner uses.
     pub fn staged(&self) -> StagedSettings {
         let stall_time = Duration::from_secs_f64(self.engines.stall_ms / MS_PER_S);
-        StagedSettings { stall_time, ..StagedSettings::default() }
+        let terms_checked = self.engines.terms_checked;
+        StagedSettings { stall_time, terms_checked, ..StagedSettings::default() }
     }
 
     /// The memory that the process may use, in the type that the relay uses.
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -114,8 +114,13 @@
         if probe_time_ms > 0 {
             sleep(Duration::from_millis(number % probe_time_ms + 1)).await;
         }
-        let idle =
-            EngineState { boot_id: Some(1), membership: None, model: None, staged: Vec::new() };
+        let idle = EngineState {
+            boot_id: Some(1),
+            membership: None,
+            model: None,
+            staged: Vec::new(),
+            accepted_orders: None,
+        };
         let facts = self.states.lock().get(host).cloned().unwrap_or(idle);
         Ok(EngineReport {
             facts,
@@ -151,6 +156,7 @@
                     membership: Some(membership),
                     model: Some(model.clone()),
                     staged: vec![model.clone()],
+                    accepted_orders: None,
                 };
                 states.insert(order.host.clone(), state);
             }
@@ -309,6 +315,7 @@
             membership: None,
             model: None,
             staged: Vec::new(),
+            accepted_orders: None,
         }),
     }
 }
--- a/crates/node/tests/local_view.rs
+++ b/crates/node/tests/local_view.rs
@@ -446,7 +446,13 @@
             rank: 1,
             phase: MemberPhase::Ready,
         });
-        let facts = EngineState { boot_id: Some(1), membership, model: None, staged: Vec::new() };
+        let facts = EngineState {
+            boot_id: Some(1),
+            membership,
+            model: None,
+            staged: Vec::new(),
+            accepted_orders: None,
+        };
         page(
             vec![ServerChange::Listed(Box::new(ServerEntry { facts: Some(facts), ..entry("a") }))],
             false,
--- a/crates/node/tests/ownership/servers.rs
+++ b/crates/node/tests/ownership/servers.rs
@@ -228,8 +228,8 @@
         if server.id != order.host {
             return OrderEnd::Refused;
         }
-        if let StagedCommand::Join { group, epoch, .. } = &order.command
-            && server.engine.would_accept_join(group, *epoch, term)
+        if let StagedCommand::Join { group, .. } = &order.command
+            && server.engine.would_accept_join(order, term)
             && let Some(left) = self.open_group(server)
         {
             self.violations.push(format!(
@@ -238,7 +238,7 @@
             ));
         }
         let server = self.servers.get_mut(&order.address).expect("found above");
-        match server.engine.handle_order(&order.host, &order.command, term, now) {
+        match server.engine.handle_order(order, term, now) {
             Reply::Accepted => OrderEnd::Accepted,
             Reply::Refused => OrderEnd::Refused,
             Reply::Outdated => OrderEnd::Outdated,
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -83,6 +83,21 @@
     fs::remove_file(path).unwrap();
 }
 
+/// Whether engines check terms decides how long a new owner reckons with orders of the one before. Unnamed, they
+/// may ignore them.
+#[parameterized(
+    checked = { "engines: {terms_checked: true}\n", true },
+    ignored = { "engines: {terms_checked: false}\n", false },
+    absent = { "", false },
+    nothing = { "engines:\n  terms_checked: \n", false },
+)]
+fn whether_engines_check_terms_is_read(lines: &str, terms_checked: bool) {
+    let path = file(&format!("{GOOD}{lines}"));
+    let settings = load_settings(&path).unwrap();
+    assert_eq!(settings.staged().terms_checked, terms_checked);
+    fs::remove_file(path).unwrap();
+}
+
 /// So are the descriptors, which were left out before.
 #[parameterized(
     named = { "limits: {\"max_fds\": 400, \"memory_mb\": 182}\n", 400 },
@@ -104,6 +119,9 @@
     no_window = { "window_s: 10", "window_s: 0", "repeats.window_s" },
     endless_stall_time = { "first_start: true", "engines: {stall_ms: 1e300}", "engines.stall_ms" },
     no_stall_time = { "first_start: true", "engines: {stall_ms: 0}", "engines.stall_ms" },
+    no_answer_to_terms = {
+        "first_start: true", "engines: {terms_checked: maybe}", "engines.terms_checked"
+    },
     no_grace = { "grace_s: 8", "grace_s: 0", "grace_s" },
     no_address = { "callers: 127.0.0.1:8227", "callers: nowhere", "callers" },
     no_name = { "node: n1", "node: ''", "node" },
--- a/crates/plan/src/staged/composition.rs
+++ b/crates/plan/src/staged/composition.rs
@@ -47,7 +47,8 @@
 pub(super) enum HeadEnd {
     /// It has ended, has started again or has left the composition.
     Known,
-    /// It counts as broken or ended, and nobody has reached it: it may still be open.
+    /// It counts as broken or ended, and nobody has reached it, or it has left and orders of the past may be
+    /// carried out late: it may be open.
     Presumed,
 }
 
--- a/crates/plan/src/staged/dissolve.rs
+++ b/crates/plan/src/staged/dissolve.rs
@@ -5,7 +5,7 @@
         composition::{ClosingProgress, Composition, DissolvedGroup, HeadEnd, MemberLoss},
         host::HostRecord,
         planner::{StagedInput, StagedPlanner},
-        types::{Membership, StagedCommand},
+        types::{Membership, OrderEnd, StagedCommand},
     },
     base::{HostId, Tick},
 };
@@ -70,9 +70,11 @@
         }
         let is_out_of_reach = record.is_out_of_reach(now, &self.settings);
         if self.has_left(composition, &head) {
-            self.record_dissolved(composition, HeadEnd::Known, now);
-            if let Some(record) = self.hosts.get_mut(&head) {
-                record.clear_membership();
+            if self.may_reopen(composition, &head, now) {
+                self.order_members_out(composition, now);
+                self.record_dissolved(composition, HeadEnd::Presumed, now);
+            } else {
+                self.record_dissolved(composition, HeadEnd::Known, now);
             }
             return true;
         }
@@ -82,14 +84,15 @@
         (composition.loss.is_some() || is_out_of_reach) && self.break_head(composition, now)
     }
 
-    /// Whether the host was ordered to leave the composition, and is out of it.
+    /// Whether the host was ordered to leave the composition, and is out of it. A refusal means that it is
+    /// not in it, unless it reports that it is.
     fn has_left(&self, composition: &Composition, host: &HostId) -> bool {
-        let (group, epoch) = (&composition.group, composition.epoch);
-        self.hosts.get(host).is_some_and(|record| {
-            let is_reported = self.membership(host, composition).is_some();
-            record.has_accepted_leave(group, epoch, &self.settings)
-                || (record.has_refused_leave(group, epoch) && !is_reported)
-        })
+        let end = self
+            .hosts
+            .get(host)
+            .and_then(|record| record.leave_end(&composition.group, composition.epoch));
+        matches!(end, Some(OrderEnd::Accepted | OrderEnd::Refused))
+            && self.membership(host, composition).is_none()
     }
 
     fn record_dissolved(&mut self, composition: &Composition, head_end: HeadEnd, since: Tick) {
@@ -113,14 +116,14 @@
         }
     }
 
-    /// Whether a host that is in no known composition reports one whose head may be open: one that is
-    /// dissolved and whose head nobody has reached, or one in which this planner does not know it.
+    /// Whether a host that is in no known composition reports one whose head may be open: one that it heads
+    /// itself, one that is dissolved and whose head may still be open, or one in which this planner does not
+    /// know it.
     pub(super) fn must_leave_first(&self, host: &HostId) -> bool {
-        let record = &self.hosts[host];
-        record.membership().is_some_and(|Membership { group, epoch, .. }| {
-            let dissolved = self.dissolved.get(&(group.clone(), *epoch));
-            !dissolved.is_some_and(|dissolved| dissolved.frees(host))
-                && !record.has_accepted_leave(group, *epoch, &self.settings)
+        self.hosts[host].membership().is_some_and(|membership| {
+            let key = (membership.group.clone(), membership.epoch);
+            let is_freed = self.dissolved.get(&key).is_some_and(|dissolved| dissolved.frees(host));
+            !is_freed || membership.may_run()
         })
     }
 
@@ -203,18 +206,13 @@
 
     /// A member other than the head that is known to be out of the composition, the one of whom that
     /// has been known for longest.
-    fn find_loss(&mut self, composition: &Composition, now: Tick) -> Option<MemberLoss> {
+    fn find_loss(&self, composition: &Composition, now: Tick) -> Option<MemberLoss> {
         if let Some(loss) = self.find_departure(composition) {
             return Some(loss);
         }
         let is_out = |rank: &usize| self.is_out(composition, *rank);
         let rank = (1..composition.members.len()).find(is_out)?;
         let member = composition.members[rank].clone()?;
-        if self.has_left(composition, &member)
-            && let Some(record) = self.hosts.get_mut(&member)
-        {
-            record.clear_membership();
-        }
         Some(MemberLoss { member, since: now })
     }
 
--- a/crates/plan/src/staged/form.rs
+++ b/crates/plan/src/staged/form.rs
@@ -7,7 +7,7 @@
         planner::{StagedInput, StagedPlanner},
         types::{StagedCommand, StagedModel},
     },
-    base::{HostId, ModelName},
+    base::{HostId, ModelName, Tick},
     std::cmp::Ordering,
 };
 
@@ -15,12 +15,12 @@
     /// Usable hosts that are in no composition, not even in one that is dissolved and whose head may be
     /// open.
     pub(super) fn free_hosts(&self, input: &StagedInput<'_>) -> Vec<HostId> {
-        self.only_free(self.unassigned_hosts(input))
+        self.only_free(self.unassigned_hosts(input), input.now)
     }
 
-    /// Those of unassigned hosts that need not leave a composition first.
-    fn only_free(&self, mut hosts: Vec<HostId>) -> Vec<HostId> {
-        hosts.retain(|host| !self.must_leave_first(host));
+    /// Those of unassigned hosts that can be ordered into a group now.
+    fn only_free(&self, mut hosts: Vec<HostId>, now: Tick) -> Vec<HostId> {
+        hosts.retain(|host| !self.must_leave_first(host) && !self.awaits_order_count(host, now));
         hosts
     }
 
@@ -174,7 +174,7 @@
     /// hosts, then one model on each host that has none, so that it can repair a group quickly.
     pub(super) fn stage_models(&mut self, input: &StagedInput<'_>) {
         let unassigned = self.unassigned_hosts(input);
-        let free = self.only_free(unassigned.clone());
+        let free = self.only_free(unassigned.clone(), input.now);
         self.remove_stale_members(&unassigned, input.now);
         let forming =
             |composition: &Composition| matches!(composition.phase, CompositionPhase::Forming(_));
--- a/crates/plan/src/staged/host.rs
+++ b/crates/plan/src/staged/host.rs
@@ -2,16 +2,30 @@
 
 use {
     super::{
-        ledger::OrderLedger,
+        ledger::{ORDER_RETENTION, OrderLedger},
         types::{
             EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
             ProbeFailure, StagedCommand, StagedHost, StagedSettings,
         },
     },
-    base::{Epoch, GroupId, ModelName, Tick},
+    base::{Epoch, GroupId, ModelName, OrderCount, Tick},
     std::time::Duration,
 };
 
+/// How many orders an engine says to have accepted.
+#[derive(Clone, Copy, Debug)]
+struct CountReport {
+    count: OrderCount,
+    /// When it was asked; the count may be older.
+    as_of: Tick,
+}
+
+impl CountReport {
+    fn new(state: &EngineState, as_of: Tick) -> Option<Self> {
+        state.accepted_orders.map(|count| Self { count, as_of })
+    }
+}
+
 /// A load of a model outside any group, started by [`StagedCommand::Stage`].
 #[derive(Clone, Debug)]
 pub(super) struct RunningLoad {
@@ -30,6 +44,11 @@
     /// When the list first showed that the host has announced its leave.
     announced_at: Option<Tick>,
     pub(super) state: Option<EngineState>,
+    /// How many orders the engine had accepted in the present `state`; `None` if it has not said so since the
+    /// state or an order of this owner may have changed it.
+    order_count: Option<CountReport>,
+    /// Whether the engine says how many orders it has accepted.
+    says_count: bool,
     /// Time as of which the present `state` was first reported.
     state_changed_at: Tick,
     /// When the last answered probe was sent.
@@ -64,6 +83,8 @@
             announced_at: entry.leaving.then_some(now),
             entry,
             state: None,
+            order_count: None,
+            says_count: false,
             state_changed_at: Tick(0),
             last_answered: None,
             confirmed: false,
@@ -118,6 +139,7 @@
                 self.clear_probe_failures();
             }
         }
+        self.says_count |= state.accepted_orders.is_some();
         let restarted = self.state.as_ref().is_some_and(|known| known.boot_id < state.boot_id);
         let is_older = self.state.as_ref().is_some_and(|known| state.boot_id < known.boot_id);
         if is_older {
@@ -134,24 +156,95 @@
             && !restarted
             && self.state.is_some()
             && !self.is_settled(as_of, settings.answer_lag);
+        let is_same = self.state.as_ref().is_some_and(|known| known.is_like(&state));
         if may_be_stale {
-            self.confirmed |= self.state.as_ref() == Some(&state);
+            self.confirmed |= is_same;
+            if is_same && self.orders.newest().is_none_or(|newest| newest.sent <= as_of) {
+                self.order_count = CountReport::new(&state, as_of);
+            }
             return;
         }
         self.confirmed |= source == ObservationSource::Engine;
         if self.staging.as_ref().is_some_and(|load| state.staged.contains(&load.model)) {
             self.staging = None;
         }
-        if self.state.as_ref() != Some(&state) {
+        if !is_same {
             self.state_changed_at = as_of;
         }
         let joined = |membership: &Membership| membership.phase != MemberPhase::Joining;
         if state.membership.as_ref().is_some_and(joined) {
             self.last_group_model.clone_from(&state.model);
         }
+        if !is_same || source == ObservationSource::Engine {
+            self.order_count = CountReport::new(&state, as_of);
+        }
+        if let Some(Membership { group, epoch, .. }) = &state.membership
+            && self.has_accepted_leave(group, *epoch)
+        {
+            // A join that was carried out late may have brought it back.
+            self.forget_leave_order(&group.clone(), *epoch);
+        }
         self.state = Some(state);
     }
 
+    /// Records that an order is sent now.
+    pub(super) fn record_order(&mut self, command: StagedCommand, now: Tick) {
+        if !command.is_join() {
+            self.order_count = None;
+        }
+        self.orders.record(command, now);
+    }
+
+    /// Records the outcome of the order that was sent at `sent`. An engine that has accepted the order to
+    /// leave is out of the composition ahead of its own report.
+    pub(super) fn note_end(&mut self, command: &StagedCommand, sent: Tick, end: OrderEnd) {
+        self.orders.note_end(command, sent, end);
+        if let StagedCommand::Leave { group, epoch } = command
+            && end == OrderEnd::Accepted
+            && self.is_in(group, *epoch)
+        {
+            self.clear_membership();
+        }
+        if command.is_join() && end == OrderEnd::Refused {
+            // The count was an old one, or another order has been carried out since.
+            self.order_count = None;
+        }
+        // The load is over only if the order never arrived: an engine that refuses is busy with
+        // another load, and one that did not answer may be loading.
+        if matches!(command, StagedCommand::Stage { .. }) && end == OrderEnd::NotSent {
+            self.staging = None;
+        }
+    }
+
+    /// Whether the host must not be ordered into a group before the number of orders that its engine has
+    /// accepted is known: another join may be carried out first, and the order has to exclude that.
+    /// `owned_since` is when the owner's term began.
+    pub(super) fn awaits_order_count(&self, owned_since: Tick, now: Tick) -> bool {
+        self.says_count && self.order_count.is_none() && self.may_join_late(owned_since, now)
+    }
+
+    /// The number of orders that the engine should have accepted before the next join. It may lag behind, so
+    /// that the engine refuses the join; where no late join is to be excluded, only one that does not is
+    /// named.
+    pub(super) fn expected_orders(
+        &self,
+        owned_since: Tick,
+        now: Tick,
+        settings: &StagedSettings,
+    ) -> Option<OrderCount> {
+        let report = self.order_count?;
+        let is_settled = self
+            .orders
+            .newest_but_joins()
+            .is_none_or(|newest| report.as_of >= newest.sent + settings.answer_lag);
+        (is_settled || self.may_join_late(owned_since, now)).then_some(report.count)
+    }
+
+    /// Whether an order that was not answered may still take the engine into a group.
+    fn may_join_late(&self, owned_since: Tick, now: Tick) -> bool {
+        self.orders.may_join_late(now) || self.may_obey_earlier_owner(owned_since, now)
+    }
+
     /// Whether the engine's present boot has given or confirmed the state itself.
     pub(super) fn is_confirmed(&self) -> bool {
         self.confirmed
@@ -167,25 +260,32 @@
         self.membership().is_some_and(|present| present.group == *group && present.epoch == epoch)
     }
 
-    /// Whether the engine has accepted the order to leave a composition, and has not reported since that it
-    /// is in it: a join that was carried out late may have brought it back.
-    pub(super) fn has_accepted_leave(
+    /// Whether late orders may make the engine, which has left a composition of an earlier owner, its open head
+    /// again. One that checks terms and has seen this owner's refuses them.
+    pub(super) fn may_reopen_for_earlier_owner(
         &self,
-        group: &GroupId,
-        epoch: Epoch,
+        owned_since: Tick,
+        now: Tick,
         settings: &StagedSettings,
     ) -> bool {
-        self.orders.leave(group, epoch).is_some_and(|leave| {
-            let may_be_stale = self.state_changed_at < leave.sent + settings.answer_lag;
-            leave.end == Some(OrderEnd::Accepted) && (may_be_stale || !self.is_in(group, epoch))
-        })
+        let refuses = settings.terms_checked && self.orders.has_accepted();
+        !refuses && self.may_obey_earlier_owner(owned_since, now)
+    }
+
+    /// Whether an order of an earlier owner may still take the engine into a group, or has done so since it
+    /// reported its state: it has not joined a group of this owner yet.
+    fn may_obey_earlier_owner(&self, owned_since: Tick, now: Tick) -> bool {
+        !self.orders.has_joined() && now.since(owned_since) < ORDER_RETENTION
+    }
+
+    /// Whether the engine has accepted the last order to leave a composition.
+    fn has_accepted_leave(&self, group: &GroupId, epoch: Epoch) -> bool {
+        self.leave_end(group, epoch) == Some(OrderEnd::Accepted)
     }
 
-    /// Whether the engine has refused the order to leave a composition: it is not in it, unless it reports
-    /// that it is.
-    pub(super) fn has_refused_leave(&self, group: &GroupId, epoch: Epoch) -> bool {
-        let leave = self.orders.leave(group, epoch);
-        leave.is_some_and(|leave| leave.end == Some(OrderEnd::Refused))
+    /// How the last order to leave a composition has ended.
+    pub(super) fn leave_end(&self, group: &GroupId, epoch: Epoch) -> Option<OrderEnd> {
+        self.orders.leave(group, epoch)?.end
     }
 
     /// The host's departure from a composition, if that is the last one that it left.
@@ -193,9 +293,7 @@
         self.entry.left.as_ref().filter(|left| left.group == *group && left.epoch == epoch)
     }
 
-    /// Clears the membership of a host that has accepted the order to leave, ahead of the engine's
-    /// own report.
-    pub(super) fn clear_membership(&mut self) {
+    fn clear_membership(&mut self) {
         if let Some(state) = &mut self.state {
             state.membership = None;
             state.model = None;
--- a/crates/plan/src/staged/planner.rs
+++ b/crates/plan/src/staged/planner.rs
@@ -71,6 +71,8 @@
     pub(super) tokens_refilled_at: Tick,
     prefix: String,
     term: Term,
+    /// When this owner began to plan.
+    since: Tick,
     groups_issued: u64,
     orders: Vec<StagedOrder>,
 }
@@ -88,6 +90,7 @@
             tokens_refilled_at: now,
             prefix: group_prefix(domain, term),
             term,
+            since: now,
             groups_issued: 0,
             orders: Vec::new(),
         }
@@ -119,13 +122,7 @@
     /// command again since, only the end of a load that was not sent is recorded.
     pub fn note_end(&mut self, order: &StagedOrder, sent: Tick, end: OrderEnd) {
         let Some(record) = self.hosts.get_mut(&order.host) else { return };
-        record.orders.note_end(&order.command, sent, end);
-        let is_stage = matches!(order.command, StagedCommand::Stage { .. });
-        // The load is over only if the order never arrived: an engine that refuses is busy with
-        // another load, and one that did not answer may be loading.
-        if is_stage && matches!(end, OrderEnd::NotSent) {
-            record.staging = None;
-        }
+        record.note_end(&order.command, sent, end);
     }
 
     /// Applies the host list, so that [`Self::observe`] can record states of new hosts before the
@@ -219,9 +216,13 @@
         if !record.orders.is_due(&command, now, &settings) {
             return false;
         }
-        record.orders.record(command.clone(), now);
+        let expected = match command.is_join() {
+            true => record.expected_orders(self.since, now, &settings),
+            false => None,
+        };
+        record.record_order(command.clone(), now);
         let address = record.entry.address;
-        self.orders.push(StagedOrder { host: host.clone(), address, command });
+        self.orders.push(StagedOrder { host: host.clone(), address, command, expected });
         true
     }
 
@@ -427,7 +428,8 @@
             let Some(host) = &composition.members[rank] else { return true };
             let Some(record) = self.hosts.get(host) else { return true };
             let is_down = record.is_down(now, &self.settings) && !record.stays_for_requests();
-            if is_down || record.is_replaced() {
+            let may_join_later = record.orders.may_join_later(composition.epoch, now);
+            if is_down || record.is_replaced() || may_join_later {
                 return true;
             }
             let boot_id = record.state.as_ref().and_then(|state| state.boot_id);
@@ -497,7 +499,7 @@
             if !progress.joined[rank] && self.must_leave_first(host) {
                 // An order of the past was carried out after the host was chosen.
                 self.order_out_of_reported(host, now);
-            } else if !progress.joined[rank] {
+            } else if !progress.joined[rank] && !self.awaits_order_count(host, now) {
                 let command = StagedCommand::Join {
                     group: composition.group.clone(),
                     epoch: composition.epoch,
@@ -510,6 +512,22 @@
         composition.phase = CompositionPhase::Forming(progress);
     }
 
+    /// Whether a host must not be ordered into a group before its engine says how many orders it has
+    /// accepted.
+    pub(super) fn awaits_order_count(&self, host: &HostId, now: Tick) -> bool {
+        self.hosts.get(host).is_some_and(|record| record.awaits_order_count(self.since, now))
+    }
+
+    /// Whether late orders may make a head that has left a composition its open head again. Those of an
+    /// earlier owner are not known.
+    pub(super) fn may_reopen(&self, composition: &Composition, head: &HostId, now: Tick) -> bool {
+        let is_own = composition.epoch.0 >> EPOCH_BITS == self.term.0;
+        self.hosts.get(head).is_some_and(|record| {
+            record.orders.may_reopen(&composition.group, composition.epoch, now)
+                || (!is_own && record.may_reopen_for_earlier_owner(self.since, now, &self.settings))
+        })
+    }
+
     /// Whether a member has refused an order as outdated. The composition can't be completed then.
     fn is_superseded(&self, composition: &Composition) -> bool {
         composition.members.iter().flatten().any(|host| {
--- a/crates/plan/src/staged/types.rs
+++ b/crates/plan/src/staged/types.rs
@@ -1,7 +1,7 @@
 //! The planner's inputs, the orders it returns, and its settings.
 
 use {
-    base::{Epoch, GroupId, HostId, ModelName, Tick},
+    base::{Epoch, GroupId, HostId, ModelName, OrderCount, Tick},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -121,9 +121,22 @@
         /// Models whose weights are staged on the engine's host, so that a join needs no load. May
         /// be empty.
         pub staged: Vec<ModelName>,
+        /// Number of orders that the engine had accepted then; `None` if the report, as those of the host
+        /// list, does not say.
+        pub accepted_orders: Option<OrderCount>,
     }
 );
 
+impl EngineState {
+    /// Whether another report says the same of the engine, whatever number of orders it has accepted.
+    pub(super) fn is_like(&self, other: &Self) -> bool {
+        self.boot_id == other.boot_id
+            && self.membership == other.membership
+            && self.model == other.model
+            && self.staged == other.staged
+    }
+}
+
 /// Source of a reported engine state, which decides whether the report may be stale.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ObservationSource {
@@ -196,6 +209,10 @@
 );
 
 impl StagedCommand {
+    pub(super) fn is_join(&self) -> bool {
+        matches!(self, Self::Join { .. })
+    }
+
     /// The composition that the command applies to; `None` for a load outside any group.
     pub(super) fn composition(&self) -> Option<(&GroupId, Epoch)> {
         match self {
@@ -218,6 +235,9 @@
         pub address: SocketAddr,
         /// Demanded action; repeated orders carry the same one.
         pub command: StagedCommand,
+        /// The number of orders that the engine must have accepted before; it refuses the order if that
+        /// differs. `None` demands nothing.
+        pub expected: Option<OrderCount>,
     }
 );
 
@@ -256,6 +276,9 @@
     /// then finishes its requests for up to ten seconds. A head that may be leaving is not broken
     /// before this either.
     pub removed_after_leave: Duration,
+    /// Whether engines refuse orders under a lower term than one that they have seen. Where they do not,
+    /// orders of an earlier owner may be carried out late, beside those of its successor.
+    pub terms_checked: bool,
     /// Time after which a group that has lost a member is broken, as engines keep it. The members of
     /// a head that nobody can order to leave are free this long, and a margin, after another
     /// member has left.
@@ -304,6 +327,7 @@
             down_after: Duration::from_millis(290),
             removed_after: Duration::from_millis(1_500),
             removed_after_leave: Duration::from_secs(11),
+            terms_checked: false,
             stall_time: Duration::from_secs(6),
             headless_wait: Duration::from_secs(6),
             order_retry: Duration::from_millis(500),
--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -6,7 +6,7 @@
 
 use {
     base::ModelName,
-    domain::{DomainRig, HostCondition, STALL_TIME},
+    domain::{DomainRig, HostCondition, STALL_TIME, ScheduleTrouble},
     plan::staged::{DemandWeight, StagedCommand, StagedModel},
     std::time::Duration,
     yare::parameterized,
@@ -297,7 +297,7 @@
     for seed in 0..1_000 {
         let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
         rig.first_groups = vec!["big", "small"];
-        rig.run_schedule(seed, 4);
+        rig.run_schedule(seed, 4, ScheduleTrouble::default());
         rig.assert_no_violations_in(&format!("seed {seed}"));
     }
 }
@@ -312,7 +312,7 @@
         let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
         rig.engines_ignore_terms = engines_ignore_terms;
         rig.first_groups = vec!["big", "small"];
-        rig.run_schedule(seed, 5);
+        rig.run_schedule(seed, 5, ScheduleTrouble::default());
         rig.assert_no_violations_in(&format!("seed {seed}"));
     }
 }
@@ -324,6 +324,6 @@
     let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
     rig.engines_ignore_terms = true;
     rig.first_groups = vec!["big", "small"];
-    rig.run_schedule(20_836, 5);
+    rig.run_schedule(20_836, 5, ScheduleTrouble::default());
     rig.assert_no_violations();
 }
--- a/crates/plan/tests/shared_members.rs
+++ b/crates/plan/tests/shared_members.rs
@@ -17,6 +17,11 @@
 
 /// A fabric domain under traffic with seven prewarmed hosts, four of which form a serving group.
 fn serving_four_of_seven() -> DomainRig {
+    serving_four_of_seven_with(false)
+}
+
+/// The same, with engines that may leave out how many orders they have accepted.
+fn serving_four_of_seven_with(engines_hide_counts: bool) -> DomainRig {
     let model = StagedModel {
         name: ModelName::new("m").unwrap(),
         size: 4,
@@ -25,6 +30,7 @@
         elsewhere: 0,
     };
     let mut rig = DomainRig::new(vec![model]);
+    rig.engines_hide_counts = engines_hide_counts;
     rig.first_groups = vec!["m"];
     rig.add_hosts(7);
     rig.run(Duration::from_secs(20));
@@ -74,3 +80,36 @@
     assert_eq!(rig.orders().len(), before, "{:?}", &rig.orders()[before..]);
     rig.assert_no_violations();
 }
+
+/// A head was ordered into the next group, again and without regard to its report, after a late join and a late
+/// open of the group that it had left were carried out.
+#[parameterized(
+    with_counts = { false },
+    without_counts = { true },
+)]
+fn a_head_that_late_orders_have_opened_leaves_before_it_joins_the_next_group(hides_counts: bool) {
+    let mut rig = serving_four_of_seven_with(hides_counts);
+    let crashed = rig.member_of_serving(3);
+    let (head, members) = leave_head_between_groups(&mut rig);
+    assert_eq!(members[0], head, "the next group has another head");
+    rig.reopen_left_group(&head);
+    rig.run(Duration::from_millis(100));
+    rig.answer_orders_to(&head);
+    rig.run(REPAIR_BOUND);
+    rig.assert_no_violations();
+    assert_eq!(rig.serving_without(&crashed), 1);
+}
+
+/// The same in the moment before the owner sees the report: the order names how many orders the engine should
+/// have accepted.
+#[test]
+fn an_engine_that_late_orders_have_changed_refuses_the_next_join() {
+    let mut rig = serving_four_of_seven();
+    rig.list_lag = Duration::from_millis(350);
+    let (head, _) = leave_head_between_groups(&mut rig);
+    rig.answer_orders_to(&head);
+    rig.reopen_left_group(&head);
+    rig.run(Duration::from_secs(10));
+    rig.assert_no_violations();
+    assert_eq!(rig.serving(), 1);
+}
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -5,6 +5,9 @@
 #[path = "schedule.rs"]
 mod schedule;
 
+#[allow(unused_imports, reason = "some test programs play no schedules")]
+pub(crate) use self::schedule::ScheduleTrouble;
+
 use {
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     engine::{Reply, SimulatedEngine},
@@ -16,7 +19,7 @@
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
         time::Duration,
     },
@@ -70,10 +73,26 @@
     /// Last composition that the list showed the host to leave, unless it is in it again.
     left: Option<GroupDeparture>,
     pending_listing: Option<(Tick, EngineState)>,
+    /// States of the engine within the report lag, each with the time since which it had it.
+    reports: VecDeque<(Tick, EngineState)>,
     /// Host whose engine answers at this host's address, if it isn't this host's own engine.
     answered_by: Option<HostId>,
 }
 
+impl RigHost {
+    /// The state of the engine `lag` ago, or its first one.
+    fn report(&mut self, now: Tick, lag: Duration) -> EngineState {
+        let state = self.engine.reported_state();
+        if self.reports.back().is_none_or(|(_, last)| *last != state) {
+            self.reports.push_back((now, state));
+        }
+        while self.reports.get(1).is_some_and(|(since, _)| now.since(*since) >= lag) {
+            self.reports.pop_front();
+        }
+        self.reports.front().expect("pushed above").1.clone()
+    }
+}
+
 struct LateOrder {
     due: Tick,
     term: Term,
@@ -84,11 +103,15 @@
 pub(crate) struct DomainRig {
     /// Whether the engines of hosts that are added take orders of earlier owners.
     pub(crate) engines_ignore_terms: bool,
+    /// Whether engines leave out how many orders they have accepted.
+    pub(crate) engines_hide_counts: bool,
     pub(crate) list_incomplete: bool,
     pub(crate) in_traffic: bool,
     pub(crate) first_groups: Vec<&'static str>,
     /// Delay after which the host list shows a change of an engine's state; one step by default.
     pub(crate) list_lag: Duration,
+    /// Age of what engines answer to probes; zero by default.
+    pub(crate) report_lag: Duration,
     models: Vec<StagedModel>,
     planner: StagedPlanner,
     term: Term,
@@ -123,10 +146,17 @@
             list_incomplete: false,
             in_traffic: false,
             engines_ignore_terms: false,
+            engines_hide_counts: false,
             first_groups: Vec::new(),
             list_lag: STEP,
+            report_lag: Duration::ZERO,
             models,
-            planner: StagedPlanner::new(&domain(), Term(1), StagedSettings::default(), now),
+            planner: StagedPlanner::new(
+                &domain(),
+                Term(1),
+                StagedSettings { terms_checked: true, ..StagedSettings::default() },
+                now,
+            ),
             term: Term(1),
             list_read_since: now,
             now,
@@ -154,7 +184,9 @@
         for _ in 0..count {
             let id = HostId::new(format!("h{}", self.hosts.len())).unwrap();
             let host = RigHost {
-                engine: SimulatedEngine::new(1).ignoring_terms(self.engines_ignore_terms),
+                engine: SimulatedEngine::new(1)
+                    .ignoring_terms(self.engines_ignore_terms)
+                    .hiding_counts(self.engines_hide_counts),
                 condition: HostCondition::Healthy,
                 condition_since: self.now,
                 has_announced: false,
@@ -164,6 +196,7 @@
                 listed_state: None,
                 left: None,
                 pending_listing: None,
+                reports: VecDeque::new(),
                 answered_by: None,
             };
             self.hosts.insert(id, host);
@@ -258,7 +291,7 @@
     pub(crate) fn open_late(&mut self, host: &HostId) {
         let (group, epoch) = self.hosts[host].engine.group().expect("a member");
         let command = StagedCommand::Open { group, epoch };
-        let order = StagedOrder { host: host.clone(), address: address(), command };
+        let order = order_to(host, command);
         self.deliver(&order, self.term);
     }
 
@@ -280,7 +313,11 @@
     }
 
     fn settings(&self) -> StagedSettings {
-        StagedSettings { stall_time: self.stall_time, ..StagedSettings::default() }
+        StagedSettings {
+            stall_time: self.stall_time,
+            terms_checked: !self.engines_ignore_terms,
+            ..StagedSettings::default()
+        }
     }
 
     pub(crate) fn replace_owner(&mut self) {
@@ -405,16 +442,13 @@
         let model = self.models[0].name.clone();
         let join = StagedCommand::Join { group: group.clone(), epoch, model, members };
         let head = self.host(0);
-        self.deliver(
-            &StagedOrder { host: head.clone(), address: address(), command: join },
-            Term(1),
-        );
+        self.deliver(&order_to(&head, join), Term(1));
         for _ in 0..400 {
             self.now = self.now + STEP;
             self.advance();
         }
         let open = StagedCommand::Open { group, epoch };
-        self.deliver(&StagedOrder { host: head, address: address(), command: open }, Term(1));
+        self.deliver(&order_to(&head, open), Term(1));
     }
 
     /// Orders the head of the serving group to leave it; the rig must record a cut.
@@ -422,8 +456,7 @@
         let head = self.member_of_serving(0);
         let (group, epoch) = self.hosts[&head].engine.group().expect("a serving group");
         let command = StagedCommand::Leave { group, epoch };
-        let order = StagedOrder { host: head, address: address(), command };
-        self.deliver(&order, Term(1 << 30));
+        self.deliver(&order_to(&head, command), Term(1 << 30));
     }
 
     /// Orders a member of an open group into another one; the rig must record a violation.
@@ -434,8 +467,7 @@
             model: self.models[0].name.clone(),
             members: vec![member.clone()],
         };
-        let order = StagedOrder { host: member.clone(), address: address(), command };
-        self.deliver(&order, Term(1 << 30));
+        self.deliver(&order_to(member, command), Term(1 << 30));
     }
 
     fn step(&mut self) {
@@ -522,7 +554,7 @@
                 host.condition,
                 HostCondition::Healthy | HostCondition::Draining | HostCondition::CutFromOwner
             );
-            let state = host.engine.reported_state();
+            let state = EngineState { accepted_orders: None, ..host.engine.reported_state() };
             if writes && host.pending_listing.as_ref().is_none_or(|(_, pending)| *pending != state)
             {
                 host.pending_listing = Some((self.now + self.list_lag, state));
@@ -538,11 +570,9 @@
     }
 
     fn probe_engines(&mut self) {
-        let states: BTreeMap<HostId, EngineState> = self
-            .hosts
-            .iter()
-            .map(|(id, host)| (id.clone(), host.engine.reported_state()))
-            .collect();
+        let (now, lag) = (self.now, self.report_lag);
+        let states: BTreeMap<HostId, EngineState> =
+            self.hosts.iter_mut().map(|(id, host)| (id.clone(), host.report(now, lag))).collect();
         for (id, host) in &mut self.hosts {
             if self.now.since(host.last_probe) < PROBE_INTERVAL {
                 continue;
@@ -614,13 +644,13 @@
 
     fn deliver(&mut self, order: &StagedOrder, term: Term) -> OrderEnd {
         if let StagedCommand::Join { group, epoch, .. } = &order.command {
-            self.check_join(&order.host, group, *epoch, term);
+            self.check_join(order, group, *epoch, term);
         }
         let now = self.now;
         let host = self.hosts.get_mut(&order.host).unwrap();
         let served_before = host.engine.serves();
         let was_busy = host.engine.is_busy(now);
-        let reply = host.engine.handle_order(&order.host, &order.command, term, now);
+        let reply = host.engine.handle_order(order, term, now);
         if !served_before && host.engine.serves() {
             let members = host.engine.members().to_vec();
             self.check_open(&order.command, &members);
@@ -636,9 +666,10 @@
     }
 
     /// Records a violation if the host would leave an open group by joining another.
-    fn check_join(&mut self, host: &HostId, group: &GroupId, epoch: Epoch, term: Term) {
+    fn check_join(&mut self, order: &StagedOrder, group: &GroupId, epoch: Epoch, term: Term) {
+        let host = &order.host;
         let engine = &self.hosts[host].engine;
-        if !engine.would_accept_join(group, epoch, term) {
+        if !engine.would_accept_join(order, term) {
             return;
         }
         let Some((old, old_epoch)) = engine.group() else { return };
@@ -691,6 +722,11 @@
     FabricDomainId::new("d0").unwrap()
 }
 
+/// An order that no planner has made.
+fn order_to(host: &HostId, command: StagedCommand) -> StagedOrder {
+    StagedOrder { host: host.clone(), address: address(), command, expected: None }
+}
+
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 9))
 }
--- a/crates/plan/tests/staged/engine.rs
+++ b/crates/plan/tests/staged/engine.rs
@@ -1,8 +1,8 @@
 //! A simulated engine: how it reacts to orders, and how long joins and loads take.
 
 use {
-    base::{Epoch, GroupId, HostId, ModelName, Term, Tick},
-    plan::staged::{EngineState, MemberPhase, Membership, StagedCommand},
+    base::{Epoch, GroupId, HostId, ModelName, OrderCount, Term, Tick},
+    plan::staged::{EngineState, MemberPhase, Membership, StagedCommand, StagedOrder},
     std::time::Duration,
 };
 
@@ -48,6 +48,9 @@
     left_group: Option<GroupState>,
     highest_epoch: Epoch,
     highest_term: Term,
+    /// Number of orders since its start that began something.
+    accepted_orders: OrderCount,
+    hides_counts: bool,
     /// Whether it takes orders of earlier owners; it still refuses lower epochs.
     ignores_terms: bool,
     /// When the requests that run in the group that it heads end.
@@ -68,6 +71,8 @@
             left_group: None,
             highest_epoch: Epoch(0),
             highest_term: Term(0),
+            accepted_orders: OrderCount(0),
+            hides_counts: false,
             ignores_terms: false,
             busy_until: Tick(0),
             lacks_member_since: None,
@@ -87,6 +92,10 @@
         self.serves() && now < self.busy_until
     }
 
+    pub(crate) fn hiding_counts(self, hides_counts: bool) -> Self {
+        Self { hides_counts, ..self }
+    }
+
     pub(crate) fn ignoring_terms(self, ignores_terms: bool) -> Self {
         Self { ignores_terms, ..self }
     }
@@ -95,6 +104,7 @@
     pub(crate) fn restarted(&self) -> Self {
         Self {
             staged: self.staged.clone(),
+            hides_counts: self.hides_counts,
             ignores_terms: self.ignores_terms,
             ..Self::new(self.boot_id + 1)
         }
@@ -132,6 +142,8 @@
     pub(crate) fn rejoin_left_group(&mut self, phase: MemberPhase) {
         let left = self.left_group.take().expect("a group that it has left");
         self.group_state = Some(GroupState { phase, ..left });
+        // A join and an order to open.
+        self.accepted_orders = self.accepted_orders.next().next();
     }
 
     pub(crate) fn is_loading(&self) -> bool {
@@ -162,6 +174,7 @@
             membership,
             model: self.model().cloned(),
             staged: self.staged.iter().cloned().collect(),
+            accepted_orders: (!self.hides_counts).then_some(self.accepted_orders),
         }
     }
 
@@ -188,29 +201,32 @@
     }
 
     /// Whether the engine would accept a join that replaces its present membership.
-    pub(crate) fn would_accept_join(&self, group: &GroupId, epoch: Epoch, term: Term) -> bool {
-        let same = self.group() == Some((group.clone(), epoch));
-        self.accepts_term(term) && epoch >= self.highest_epoch && !same
+    pub(crate) fn would_accept_join(&self, order: &StagedOrder, term: Term) -> bool {
+        let StagedCommand::Join { group, epoch, .. } = &order.command else { return false };
+        let same = self.group() == Some((group.clone(), *epoch));
+        let accepts = self.accepts_term(term) && self.is_as_expected(order);
+        accepts && *epoch >= self.highest_epoch && !same
+    }
+
+    fn is_as_expected(&self, order: &StagedOrder) -> bool {
+        order.expected.is_none_or(|expected| expected == self.accepted_orders)
     }
 
     fn accepts_term(&self, term: Term) -> bool {
         self.ignores_terms || term >= self.highest_term
     }
 
-    pub(crate) fn handle_order(
-        &mut self,
-        own_id: &HostId,
-        command: &StagedCommand,
-        term: Term,
-        now: Tick,
-    ) -> Reply {
+    pub(crate) fn handle_order(&mut self, order: &StagedOrder, term: Term, now: Tick) -> Reply {
         if !self.accepts_term(term) {
             return Reply::Outdated;
         }
         self.highest_term = self.highest_term.max(term);
-        match command {
+        if !self.is_as_expected(order) {
+            return Reply::Refused;
+        }
+        match &order.command {
             StagedCommand::Join { group, epoch, model, members } => {
-                self.join(own_id, group, *epoch, model, members, now)
+                self.join(&order.host, group, *epoch, model, members, now)
             }
             StagedCommand::Open { group, epoch } => {
                 self.change_phase(group, *epoch, MemberPhase::Ready, MemberPhase::Open)
@@ -228,6 +244,7 @@
             StagedCommand::Leave { group, epoch } => {
                 if self.group() == Some((group.clone(), *epoch)) {
                     self.left_group = self.group_state.take();
+                    self.accepted_orders = self.accepted_orders.next();
                 }
                 Reply::Accepted
             }
@@ -236,6 +253,7 @@
                     return Reply::Refused;
                 }
                 self.loading = Some((model.clone(), now + LOAD_TIME));
+                self.accepted_orders = self.accepted_orders.next();
                 Reply::Accepted
             }
         }
@@ -258,6 +276,7 @@
             return if same { Reply::Accepted } else { Reply::Outdated };
         }
         self.highest_epoch = epoch;
+        self.accepted_orders = self.accepted_orders.next();
         self.lacks_member_since = None;
         let warm = self.staged.as_ref() == Some(model);
         let prewarmed = self.last_group_model.as_ref() == Some(model);
@@ -298,6 +317,7 @@
             return Reply::Refused;
         }
         state.phase = to;
+        self.accepted_orders = self.accepted_orders.next();
         Reply::Accepted
     }
 }
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -6,7 +6,7 @@
 
 use {
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
-    domain::{DomainRig, HostCondition},
+    domain::{DomainRig, HostCondition, ScheduleTrouble},
     plan::staged::{
         DemandWeight, EngineState, MemberPhase, Membership, ObservationSource, StagedCommand,
         StagedHost, StagedInput, StagedModel, StagedPlanner, StagedSettings, divide_groups,
@@ -246,6 +246,7 @@
         model: membership.as_ref().map(|_| model.name.clone()),
         staged: vec![model.name.clone()],
         membership,
+        accepted_orders: None,
     };
     planner.apply_host_list(&hosts, now);
     for (rank, host) in hosts.iter().enumerate() {
@@ -380,7 +381,7 @@
         let models = vec![model("big", 4, 0.57), model("small", 3, 0.43)];
         let mut rig = DomainRig::new(models);
         rig.first_groups = vec!["big", "small"];
-        rig.run_schedule(seed, level);
+        rig.run_schedule(seed, level, ScheduleTrouble::default());
         rig.assert_no_violations_in(&format!("level {level}, seed {seed}"));
     }
 }
@@ -396,7 +397,7 @@
         let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
         rig.engines_ignore_terms = true;
         rig.first_groups = vec!["big", "small"];
-        rig.run_schedule(seed, level);
+        rig.run_schedule(seed, level, ScheduleTrouble::default());
         rig.assert_no_violations_in(&format!("level {level}, seed {seed}"));
     }
 }
--- a/crates/plan/tests/unknown_members.rs
+++ b/crates/plan/tests/unknown_members.rs
@@ -33,7 +33,13 @@
     let group = GroupId::new("d.1-1").unwrap();
     let membership = rank.map(|rank| Membership { group, epoch: Epoch(1), rank, phase });
     let served = membership.is_some().then(|| model.clone());
-    EngineState { boot_id: Some(1), membership, model: served, staged: vec![model] }
+    EngineState {
+        boot_id: Some(1),
+        membership,
+        model: served,
+        staged: vec![model],
+        accepted_orders: None,
+    }
 }
 
 /// A new owner took a server that was in an open group for free, because it knew another one at the server's
