Keep answers to an earlier start of an engine out of its record

Read in the code, not seen in a run: the answer to an order that an engine took before it started again counted for its present start, so that a new owner could take it for one that has joined a group of its own; and an answer cleared the doubt about a join that was sent in the same step as another command. No test shows either: the first needs an answer that comes after the report of the next start, the second two commands in one step, which the planner does not send.

--- a/crates/plan/src/staged/ledger.rs
+++ b/crates/plan/src/staged/ledger.rs
@@ -71,21 +71,22 @@
     }
 
     /// Records the outcome of the copy of a command that was sent at `sent`. If it was sent again since,
-    /// only that this copy was answered.
+    /// only that this copy was answered. An order to an earlier start of the engine is not known any more.
     pub(super) fn note_end(&mut self, command: &StagedCommand, sent: Tick, end: OrderEnd) {
+        let order = self.orders.iter_mut().find(|order| order.command == *command);
+        let Some(order) = order else { return };
+        if order.sent == sent {
+            order.end = Some(end);
+        }
+        let is_accepted = end == OrderEnd::Accepted;
+        self.has_accepted |= is_accepted;
+        let StagedCommand::Join { epoch, .. } = command else { return };
         if end != OrderEnd::Unknown {
-            self.unanswered_joins.retain(|copy| copy.sent != sent);
+            self.unanswered_joins.retain(|copy| (copy.epoch, copy.sent) != (*epoch, sent));
         }
-        self.has_accepted |= end == OrderEnd::Accepted;
-        if let StagedCommand::Join { epoch, .. } = command
-            && end == OrderEnd::Accepted
-        {
+        if is_accepted {
             self.joined_epoch = self.joined_epoch.max(Some(*epoch));
         }
-        let order = self.orders.iter_mut().find(|order| order.command == *command);
-        if let Some(order) = order.filter(|order| order.sent == sent) {
-            order.end = Some(end);
-        }
     }
 
     /// Forgets a command, so that it can be sent again at once.
