--- a/crates/plan/tests/cut_off_heads.rs
+++ b/crates/plan/tests/cut_off_heads.rs
@@ -5,9 +5,8 @@
 mod domain;
 
 use {
-    base::ModelName,
-    domain::{DomainRig, HostCondition, STALL_TIME, ScheduleTrouble},
-    plan::staged::{DemandWeight, StagedCommand, StagedModel},
+    domain::{DomainRig, HostCondition, STALL_TIME, ScheduleTrouble, model},
+    plan::staged::StagedCommand,
     std::time::Duration,
     yare::parameterized,
 };
@@ -28,16 +27,6 @@
 /// Longer than any cut of these tests takes effect.
 const LONG: Duration = Duration::from_secs(20);
 
-fn model(name: &str, size: usize, share: f64) -> StagedModel {
-    StagedModel {
-        name: ModelName::new(name).unwrap(),
-        size,
-        demand: DemandWeight(share),
-        load_time: Duration::from_secs(16),
-        elsewhere: 0,
-    }
-}
-
 /// A fabric domain under traffic with four hosts, three of which form a serving group.
 fn serving_small() -> DomainRig {
     let mut rig = DomainRig::new(vec![model("small", 3, 1.0)]);
--- a/crates/plan/tests/late_orders.rs
+++ b/crates/plan/tests/late_orders.rs
@@ -5,9 +5,7 @@
 mod domain;
 
 use {
-    base::ModelName,
-    domain::{DomainRig, ScheduleTrouble},
-    plan::staged::{DemandWeight, StagedModel},
+    domain::{DomainRig, ScheduleTrouble, model},
     std::{ops::Range, time::Duration},
     yare::parameterized,
 };
@@ -22,16 +20,6 @@
     first.parse().expect("a first seed")..end.parse().expect("a seed to end before")
 }
 
-fn model(name: &str, size: usize, share: f64) -> StagedModel {
-    StagedModel {
-        name: ModelName::new(name).unwrap(),
-        size,
-        demand: DemandWeight(share),
-        load_time: Duration::from_secs(16),
-        elsewhere: 0,
-    }
-}
-
 fn heavy_schedule(seed: u64, level: u32, engines_ignore_terms: bool) -> DomainRig {
     let mut rig = DomainRig::new(vec![model("big", 4, 0.57), model("small", 3, 0.43)]);
     rig.engines_ignore_terms = engines_ignore_terms;
--- a/crates/plan/tests/planned_changes.rs
+++ b/crates/plan/tests/planned_changes.rs
@@ -5,9 +5,8 @@
 mod domain;
 
 use {
-    base::{HostId, ModelName, Tick},
-    domain::{DomainRig, HostCondition},
-    plan::staged::{DemandWeight, StagedModel},
+    base::{HostId, Tick},
+    domain::{DomainRig, HostCondition, model},
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::time::Duration,
@@ -26,16 +25,6 @@
 /// Time between two choices of a random schedule.
 const TURN: Duration = Duration::from_millis(500);
 
-fn model(name: &str, size: usize, share: f64) -> StagedModel {
-    StagedModel {
-        name: ModelName::new(name).unwrap(),
-        size,
-        demand: DemandWeight(share),
-        load_time: Duration::from_secs(16),
-        elsewhere: 0,
-    }
-}
-
 /// A fabric domain under traffic with five hosts, three of which form a serving group whose head
 /// runs requests for `work`.
 fn busy_group(work: Duration) -> DomainRig {
--- a/crates/plan/tests/shared_members.rs
+++ b/crates/plan/tests/shared_members.rs
@@ -5,9 +5,9 @@
 mod domain;
 
 use {
-    base::{HostId, ModelName},
-    domain::{DomainRig, HostCondition},
-    plan::staged::{DemandWeight, StagedCommand, StagedModel},
+    base::HostId,
+    domain::{DomainRig, HostCondition, model},
+    plan::staged::StagedCommand,
     std::time::Duration,
     yare::parameterized,
 };
@@ -22,14 +22,7 @@
 
 /// The same, with engines that may leave out how many orders they have accepted.
 fn serving_four_of_seven_with(engines_hide_counts: bool) -> DomainRig {
-    let model = StagedModel {
-        name: ModelName::new("m").unwrap(),
-        size: 4,
-        demand: DemandWeight(1.0),
-        load_time: Duration::from_secs(16),
-        elsewhere: 0,
-    };
-    let mut rig = DomainRig::new(vec![model]);
+    let mut rig = DomainRig::new(vec![model("m", 4, 1.0)]);
     rig.engines_hide_counts = engines_hide_counts;
     rig.first_groups = vec!["m"];
     rig.add_hosts(7);
--- a/crates/plan/tests/staged/domain.rs
+++ b/crates/plan/tests/staged/domain.rs
@@ -12,8 +12,8 @@
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
     engine::{Reply, SimulatedEngine},
     plan::staged::{
-        EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource, OrderEnd,
-        ProbeFailure, StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder,
+        DemandWeight, EngineState, GroupDeparture, MemberPhase, Membership, ObservationSource,
+        OrderEnd, ProbeFailure, StagedCommand, StagedHost, StagedInput, StagedModel, StagedOrder,
         StagedPlanner, StagedSettings,
     },
     rand::{Rng, SeedableRng},
@@ -694,6 +694,17 @@
     }
 }
 
+/// A model that loads in 16 s.
+pub(crate) fn model(name: &str, size: usize, share: f64) -> StagedModel {
+    StagedModel {
+        name: ModelName::new(name).unwrap(),
+        size,
+        demand: DemandWeight(share),
+        load_time: Duration::from_secs(16),
+        elsewhere: 0,
+    }
+}
+
 /// The composition that the host is seen to leave if the list shows `state` now.
 fn departure(host: &RigHost, state: &EngineState, now: Tick) -> Option<GroupDeparture> {
     let key = |membership: &Membership| (membership.group.clone(), membership.epoch);
--- a/crates/plan/tests/staged_planner.rs
+++ b/crates/plan/tests/staged_planner.rs
@@ -6,25 +6,15 @@
 
 use {
     base::{Epoch, FabricDomainId, GroupId, HostId, ModelName, Term, Tick},
-    domain::{DomainRig, HostCondition, ScheduleTrouble},
+    domain::{DomainRig, HostCondition, ScheduleTrouble, model},
     plan::staged::{
-        DemandWeight, EngineState, MemberPhase, Membership, ObservationSource, StagedCommand,
-        StagedHost, StagedInput, StagedModel, StagedPlanner, StagedSettings, divide_groups,
+        EngineState, MemberPhase, Membership, ObservationSource, StagedCommand, StagedHost,
+        StagedInput, StagedModel, StagedPlanner, StagedSettings, divide_groups,
     },
     std::{collections::BTreeMap, time::Duration},
     yare::parameterized,
 };
 
-fn model(name: &str, size: usize, share: f64) -> StagedModel {
-    StagedModel {
-        name: ModelName::new(name).unwrap(),
-        size,
-        demand: DemandWeight(share),
-        load_time: Duration::from_secs(16),
-        elsewhere: 0,
-    }
-}
-
 fn domains(sizes: &[usize]) -> BTreeMap<FabricDomainId, usize> {
     let name = |index: usize| FabricDomainId::new(format!("d{index}")).unwrap();
     sizes.iter().enumerate().map(|(index, size)| (name(index), *size)).collect()
